--- /dev/null
+++ b/src/dewledge/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters from the core's ports to outside systems."""
--- /dev/null
+++ b/src/dewledge/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The experiment tool: load, scenarios, baselines and reports."""
--- /dev/null
+++ b/src/dewledge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The dewledge command line."""
--- /dev/null
+++ b/src/dewledge/shell/__init__.py
@@ -0,0 +1,1 @@
+"""The shell around the core: sockets, threads and timers."""
--- /dev/null
+++ b/src/dewledge/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""The decision core on a simulated network and clock."""
--- /dev/null
+++ b/src/dewledge/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the database groups, for tests and trials."""
