--- a/src/dewledge/core/__init__.py
+++ b/src/dewledge/core/__init__.py
@@ -1,1 +1,1 @@
-"""The decision core: state machines without sockets, threads, clocks or random sources of their own."""
+"""The decision core: state machines without sockets, threads, clocks or random sources."""
--- a/src/dewledge/core/calls.py
+++ b/src/dewledge/core/calls.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from dewledge.core.positions import LogPosition
 from dewledge.errors import ErrorCode
 
 Scalar = str | int | float | bool | None
--- a/src/dewledge/core/messages.py
+++ b/src/dewledge/core/messages.py
@@ -137,7 +137,7 @@
 
 
 class ConfigurationDigest(msgspec.Struct, frozen=True, array_like=True, tag="config_digest"):
-    """The sender's revision; the receiver asks for what it lacks, or sends what the sender lacks."""
+    """The sender's revision: the receiver asks for what it lacks, or sends what is newer."""
 
     revision: int
 
@@ -176,6 +176,6 @@
     Raises ProtocolError for anything that is not one well-formed message of this version.
     """
     try:
-        return msgspec.convert(cbor2.loads(data), PeerMessage)  # type: ignore[no-any-return,call-overload]
+        return msgspec.convert(cbor2.loads(data), PeerMessage)  # type: ignore[no-any-return]
     except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, RecursionError) as error:
         raise ProtocolError(f"not a peer message: {error}") from error
--- a/src/dewledge/core/resources.py
+++ b/src/dewledge/core/resources.py
@@ -58,14 +58,14 @@
     MAJORITY_TERM = "majority_term"
 
 
-class GroupSpec(msgspec.Struct, frozen=True, array_like=True):
+class GroupSpec(msgspec.Struct, frozen=True, array_like=True, tag="group"):
     """A database group. read_wait: seconds a read may wait for a replica to catch up."""
 
     confirmation: Confirmation = Confirmation.MAJORITY_POSITION
     read_wait: float = 0.01
 
 
-class DatabaseSpec(msgspec.Struct, frozen=True, array_like=True):
+class DatabaseSpec(msgspec.Struct, frozen=True, array_like=True, tag="database"):
     """One database. address: "ip:port". slots: statements at once. Limits are hard."""
 
     group: str
@@ -76,13 +76,13 @@
     max_connections: int = 40
 
 
-class ProxySpec(msgspec.Struct, frozen=True, array_like=True):
+class ProxySpec(msgspec.Struct, frozen=True, array_like=True, tag="proxy"):
     """One proxy, for selecting it by label; its addresses are in its own settings."""
 
     description: str = ""
 
 
-class CallerSpec(msgspec.Struct, frozen=True, array_like=True):
+class CallerSpec(msgspec.Struct, frozen=True, array_like=True, tag="caller"):
     """A caller. token_sha256: hex digests of accepted tokens. weight: its share under load."""
 
     token_sha256: tuple[str, ...]
@@ -104,7 +104,7 @@
     OPERATE = "operate"
 
 
-class RuleSpec(msgspec.Struct, frozen=True, array_like=True):
+class RuleSpec(msgspec.Struct, frozen=True, array_like=True, tag="rule"):
     """A rule; selectors that its effect does not name stay empty."""
 
     effect: RuleEffect
