--- a/src/dewledge/core/messages.py
+++ b/src/dewledge/core/messages.py
@@ -177,5 +177,5 @@
     """
     try:
         return msgspec.convert(cbor2.loads(data), PeerMessage)  # type: ignore[no-any-return]
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, RecursionError) as error:
+    except (cbor2.CBORError, ValueError, TypeError, OverflowError, RecursionError) as error:
         raise ProtocolError(f"not a peer message: {error}") from error
