--- /dev/null
+++ b/src/dewledge/settings.py
@@ -0,0 +1,232 @@
+"""The settings of one proxy process: a TOML file, overridden by flags, checked as a whole."""
+
+import ipaddress
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from dewledge.errors import ErrorCode, Finding, InvalidInput
+
+MAX_PORT = 65535
+MIN_SESSION_KEY_CHARACTERS = 32
+NAME_PATTERN = r"^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$"
+SHA256_PATTERN = r"^[0-9a-f]{64}$"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits "ip:port" or "[ipv6]:port". Raises ValueError if it is neither."""
+    host, separator, port_text = address.rpartition(":")
+    if not separator or not (port_text.isascii() and port_text.isdigit()):
+        raise ValueError("must be an IP number and a port, such as 10.0.0.7:7400")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        raise ValueError("an IPv6 number stands in brackets, such as [::1]:7400")
+    ipaddress.ip_address(host)
+    port = int(port_text)
+    if port > MAX_PORT:
+        raise ValueError(f"port {port} is over {MAX_PORT}")
+    return host, port
+
+
+def _listen_address(address: str) -> str:
+    split_address(address)
+    return address
+
+
+def _remote_address(address: str) -> str:
+    _, port = split_address(address)
+    if port == 0:
+        raise ValueError("port 0 cannot be connected to")
+    return address
+
+
+ListenAddress = Annotated[str, AfterValidator(_listen_address)]
+RemoteAddress = Annotated[str, AfterValidator(_remote_address)]
+Seconds = Annotated[float, Field(gt=0, le=86_400, allow_inf_nan=False)]
+Count = Annotated[int, Field(ge=1, le=100_000_000)]
+Share = Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(frozen=True, extra="forbid", validate_default=True)
+
+
+class LimitSettings(_Section):
+    """What bounds memory and waiting; what comes on top is refused with a code."""
+
+    max_body_bytes: Count = Field(default=1024 * 1024, description="Largest request body, bytes.")
+    max_header_bytes: Count = Field(default=16 * 1024, description="Largest request head, bytes.")
+    max_connections: Count = Field(default=20_000, description="Callers' connections open at once.")
+    max_pipelined_requests: Count = Field(
+        default=64, description="Unanswered requests read from one connection."
+    )
+    max_requests_in_flight: Count = Field(
+        default=20_000, description="Unanswered requests of this proxy as entry."
+    )
+    max_queue_per_database: Count = Field(
+        default=512, description="Requests waiting for a slot of one database at its gateway."
+    )
+    max_retry_share: Share = Field(
+        default=0.1, description="Retries as a share of first attempts, over the last seconds."
+    )
+    max_pending_changes: Count = Field(
+        default=16, description="Operators' changes waiting to be proposed by this proxy."
+    )
+    platform_threads: Count = Field(default=4, description="Threads for calls to the platform.")
+
+
+class TimingSettings(_Section):
+    """Bounds and intervals, in seconds."""
+
+    default_deadline: Seconds = Field(
+        default=5.0, description="Deadline of a request that names none."
+    )
+    max_deadline: Seconds = Field(
+        default=60.0, description="Longest deadline a request may ask for."
+    )
+    idle_connection_timeout: Seconds = Field(
+        default=600.0, description="After this a caller's silent connection is closed."
+    )
+    request_read_timeout: Seconds = Field(
+        default=10.0, description="A request that has begun must have arrived within this."
+    )
+    probe_interval: Seconds = Field(default=1.0, description="Between two membership probes.")
+    machine_list_interval: Seconds = Field(
+        default=30.0, description="Between two reads of the platform's machine list."
+    )
+    status_interval: Seconds = Field(
+        default=0.25, description="Between two status rounds of a group without writes."
+    )
+    status_timeout: Seconds = Field(
+        default=0.5, description="How long a database may take to answer one."
+    )
+    transaction_idle_timeout: Seconds = Field(
+        default=30.0, description="A transaction without a statement for this long is rolled back."
+    )
+    drain_bound: Seconds = Field(
+        default=30.0,
+        description="Open transactions on a drained database have this long to finish.",
+    )
+    leave_bound: Seconds = Field(
+        default=30.0, description="A stopping proxy waits this long for accepted requests."
+    )
+    isolation_bound: Seconds = Field(
+        default=5.0, description="Without store and peers for this long, new work is refused."
+    )
+    store_call_timeout: Seconds = Field(
+        default=2.0, description="Longest single call to the platform."
+    )
+    proposal_bound: Seconds = Field(
+        default=10.0, description="Longest attempt to have a change accepted, retries included."
+    )
+    configuration_poll_interval: Seconds = Field(
+        default=2.0,
+        description="Between two reads of the newest revision, at the few proxies that poll.",
+    )
+
+
+class ProxySettings(_Section):
+    """All settings of `dewledge proxy`."""
+
+    name: Annotated[str, Field(pattern=NAME_PATTERN)] = Field(
+        description="Unique name of this proxy; a Proxy resource of the same name labels it."
+    )
+    zone: Annotated[str, Field(pattern=NAME_PATTERN)] = Field(
+        description="Zone of this machine, as databases name theirs."
+    )
+    region: str = Field(default="", max_length=63, description="Region of this machine.")
+    caller_address: ListenAddress = Field(
+        description="ip:port for callers and operators (HTTP, TCP)."
+    )
+    peer_address: ListenAddress = Field(description="ip:port for links between proxies (TCP).")
+    gossip_address: ListenAddress = Field(description="ip:port for membership (UDP).")
+    platform_address: RemoteAddress = Field(description="ip:port of the platform's service (HTTP).")
+    seeds: tuple[RemoteAddress, ...] = Field(
+        default=(), description="Gossip addresses of proxies to join, besides the machine list."
+    )
+    session_keys: tuple[Annotated[str, Field(min_length=MIN_SESSION_KEY_CHARACTERS)], ...] = Field(
+        min_length=1,
+        repr=False,
+        description="Secrets that seal session tokens, the same on every proxy; the first seals, "
+        "all open. To change them, add the new one last everywhere, then move it first, "
+        "then remove the old one.",
+    )
+    bootstrap_operator_token_sha256: Annotated[str, Field(pattern=SHA256_PATTERN)] | None = Field(
+        default=None,
+        repr=False,
+        description="SHA-256 (hexadecimal) of a token that may operate with any configuration, "
+        "also the empty one.",
+    )
+    log_level: Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"] = Field(
+        default="INFO", description="Least severe events that are logged."
+    )
+    limits: LimitSettings = Field(default=LimitSettings(), description="See below.")
+    timings: TimingSettings = Field(default=TimingSettings(), description="See below.")
+
+
+def load_settings(
+    path: Path | str | None, overrides: Mapping[str, object] | None = None
+) -> ProxySettings:
+    """Reads a settings file (none: everything comes from `overrides`) and checks all of it.
+
+    overrides: by dotted name, such as "limits.max_body_bytes"; None leaves the file's value.
+    Raises InvalidInput with every finding; a place is the file's name and the setting's.
+    """
+    source = "flags" if path is None else Path(path).name
+    values = {} if path is None else _read_toml(Path(path))
+    for name, value in (overrides or {}).items():
+        if value is not None:
+            _override(values, name, value)
+    return check_settings(values, source)
+
+
+def check_settings(values: Mapping[str, object], source: str) -> ProxySettings:
+    """Checks values that were read already. Raises InvalidInput with every finding."""
+    try:
+        return ProxySettings.model_validate(values)
+    except ValidationError as error:
+        raise InvalidInput([_finding(source, dict(item)) for item in error.errors()]) from error
+
+
+def _read_toml(path: Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise _single_finding(path.name, f"cannot be read: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise _single_finding(path.name, f"is not UTF-8: {error.reason}") from error
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
+        raise _single_finding(path.name, f"is not TOML: {error}") from error
+
+
+def _single_finding(place: str, message: str) -> InvalidInput:
+    return InvalidInput([Finding(place, ErrorCode.INVALID_SETTING, message)])
+
+
+def _override(values: dict[str, Any], name: str, value: object) -> None:
+    *sections, last = name.split(".")
+    target = values
+    for section in sections:
+        inner = target.setdefault(section, {})
+        if not isinstance(inner, dict):
+            return  # the file's value is no section, which the check reports
+        target = inner
+    target[last] = value
+
+
+def _finding(source: str, error: Mapping[str, Any]) -> Finding:
+    path = ""
+    for part in error["loc"]:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}" if path else str(part)
+    is_unknown = error["type"] == "extra_forbidden"
+    code = ErrorCode.UNKNOWN_FIELD if is_unknown else ErrorCode.INVALID_SETTING
+    message = (
+        "there is no such setting"
+        if is_unknown
+        else str(error["msg"]).removeprefix("Value error, ")
+    )
+    return Finding(f"{source} {path}".strip(), code, message)
