--- a/src/dewledge/errors.py
+++ b/src/dewledge/errors.py
@@ -176,3 +176,13 @@
     """The database ran into an error in the statement itself, and undid it."""
 
     code = ErrorCode.STATEMENT_FAILED
+
+
+class TransactionConflict(StatementFailed):
+    """The database undid the whole transaction for another one; running it again can succeed."""
+
+
+class ConnectionClosed(StatementRefused):
+    """The connection was found closed before the statement was sent."""
+
+    code = ErrorCode.CONNECTION_LOST
