Add the shell's event loop, HTTP connections and links between proxies

One loop thread; answers in order on pipelined connections; links used in one sense only, so that the end of a link tells which requests are in doubt and which never left.

--- /dev/null
+++ b/src/dewledge/shell/event_loop.py
@@ -0,0 +1,161 @@
+"""One thread that waits for sockets, timers and completions from other threads.
+
+Everything that touches the decision core runs on this thread, so the core needs no lock. Threads
+of executors hand their results over with `post`; a sleeping loop is woken once for any number of
+posts, a busy one not at all.
+"""
+
+import contextlib
+import heapq
+import selectors
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+
+from loguru import logger
+
+READABLE = selectors.EVENT_READ
+WRITABLE = selectors.EVENT_WRITE
+
+MAX_SLEEP_SECONDS = 3600.0
+
+SocketCallback = Callable[[int], None]
+Callback = Callable[[], None]
+
+
+class Timer:
+    """A callback that is due at a time; `cancel` makes it do nothing."""
+
+    __slots__ = ("callback", "due")
+
+    def __init__(self, due: float, callback: Callback) -> None:
+        self.due = due
+        self.callback: Callback | None = callback
+
+    def __lt__(self, other: "Timer") -> bool:
+        return self.due < other.due
+
+    def cancel(self) -> None:
+        """Keeps the callback from being called."""
+        self.callback = None
+
+
+class EventLoop:
+    """A selector loop with timers. All methods but `post` and `stop` belong to its own thread."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.now = clock
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[Timer] = []
+        self._posted: deque[Callback] = deque()
+        self._before_sleep: list[Callback] = []
+        self._asleep = False
+        self._stopping = False
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._selector.register(self._wake_reader, READABLE, self._drain_wakes)
+
+    def watch(self, sock: socket.socket, events: int, callback: SocketCallback) -> None:
+        """Calls `callback(ready events)` whenever `sock` is ready; replaces an earlier watch."""
+        try:
+            self._selector.modify(sock, events, callback)
+        except KeyError:
+            self._selector.register(sock, events, callback)
+
+    def unwatch(self, sock: socket.socket) -> None:
+        """Stops watching `sock`; harmless if it is not watched."""
+        with contextlib.suppress(KeyError, ValueError):
+            self._selector.unregister(sock)
+
+    def call_later(self, delay: float, callback: Callback) -> Timer:
+        """Calls `callback` after `delay` seconds."""
+        timer = Timer(self.now() + delay, callback)
+        heapq.heappush(self._timers, timer)
+        return timer
+
+    def call_before_sleep(self, callback: Callback) -> None:
+        """Calls `callback` once, when the work at hand is done: the place to flush buffers."""
+        self._before_sleep.append(callback)
+
+    def post(self, callback: Callback) -> None:
+        """Calls `callback` on the loop's thread soon. May be called from any thread."""
+        self._posted.append(callback)
+        if self._asleep:
+            self._wake()
+
+    def run(self) -> None:
+        """Runs until `stop` is called, then closes the loop."""
+        while not self._stopping:
+            self.run_once()
+        self._close()
+
+    def stop(self) -> None:
+        """Ends `run` after the work at hand. May be called from any thread."""
+        self.post(self._mark_stopping)
+
+    def run_once(self) -> None:
+        """Waits once for anything to do, and does it."""
+        self._run_due_timers()
+        self._run_posted()
+        self._run_before_sleep()
+        for key, events in self._wait():
+            self._call(key.data, events)
+
+    def _wait(self) -> list[tuple[selectors.SelectorKey, int]]:
+        # Threads look at `_asleep` after appending, so the flag goes up before the last look.
+        self._asleep = True
+        timeout = 0.0 if self._posted or self._before_sleep else self._seconds_until_timer()
+        ready = self._selector.select(timeout)
+        self._asleep = False
+        return ready
+
+    def _seconds_until_timer(self) -> float:
+        if self._stopping:
+            return 0.0
+        while self._timers and self._timers[0].callback is None:
+            heapq.heappop(self._timers)
+        if not self._timers:
+            return MAX_SLEEP_SECONDS
+        return min(max(self._timers[0].due - self.now(), 0.0), MAX_SLEEP_SECONDS)
+
+    def _run_due_timers(self) -> None:
+        now = self.now()
+        while self._timers and self._timers[0].due <= now:
+            callback = heapq.heappop(self._timers).callback
+            if callback is not None:
+                self._call(callback)
+
+    def _run_posted(self) -> None:
+        for _ in range(len(self._posted)):
+            self._call(self._posted.popleft())
+
+    def _run_before_sleep(self) -> None:
+        callbacks, self._before_sleep = self._before_sleep, []
+        for callback in callbacks:
+            self._call(callback)
+
+    @staticmethod
+    def _call(callback: Callable[..., None], *arguments: int) -> None:
+        # One connection's fault must not end the process that serves all the others.
+        try:
+            callback(*arguments)
+        except Exception:
+            logger.exception("loop_callback_failed")
+
+    def _wake(self) -> None:
+        with contextlib.suppress(BlockingIOError, OSError):
+            self._wake_writer.send(b"\0")
+
+    def _drain_wakes(self, _events: int) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self._wake_reader.recv(4096)
+
+    def _mark_stopping(self) -> None:
+        self._stopping = True
+
+    def _close(self) -> None:
+        self._selector.close()
+        self._wake_reader.close()
+        self._wake_writer.close()
--- /dev/null
+++ b/src/dewledge/shell/http_messages.py
@@ -0,0 +1,136 @@
+"""One HTTP request and the exchange that answers it."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import msgspec
+
+from dewledge.errors import ErrorCode, Finding
+
+JSON_TYPE = "application/json"
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class HttpLimits(msgspec.Struct, frozen=True):
+    """What one caller's connection may ask of the process. Sizes in bytes, times in seconds.
+
+    max_in_flight: pipelined requests of one connection that are being answered at once; further
+        ones wait unread.
+    receive_seconds: from the first byte of a request to its last.
+    idle_seconds: between requests.
+    write_stall_seconds: how long a caller may leave its answer unread.
+    linger_seconds: how long a closing connection is read on, so that no reset destroys the answer.
+    """
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 1024 * 1024
+    max_in_flight: int = 32
+    max_connections: int = 10_000
+    receive_seconds: float = 10.0
+    idle_seconds: float = 600.0
+    write_stall_seconds: float = 30.0
+    linger_seconds: float = 2.0
+
+
+class HttpRequest(msgspec.Struct, frozen=True):
+    """A whole request. `path` is without the query, `authorization` the header or None."""
+
+    method: str
+    path: str
+    query: str = ""
+    body: bytes = b""
+    authorization: str | None = None
+    keep_alive: bool = True
+
+
+class HttpResponse(msgspec.Struct, frozen=True):
+    """An answer; the connection adds the length and whether it closes."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON_TYPE
+    headers: Headers = ()
+
+
+class FindingBody(msgspec.Struct, frozen=True):
+    """One finding in a JSON answer."""
+
+    place: str
+    code: ErrorCode
+    message: str
+
+
+class RefusalBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The JSON body of a refusal: the request was not run."""
+
+    outcome: str
+    code: ErrorCode
+    message: str
+    findings: tuple[FindingBody, ...] = ()
+
+
+def finding_bodies(findings: tuple[Finding, ...]) -> tuple[FindingBody, ...]:
+    """Returns the JSON forms of findings."""
+    return tuple(FindingBody(item.place, item.code, item.message) for item in findings)
+
+
+def refusal(
+    status: int,
+    code: ErrorCode,
+    message: str,
+    findings: tuple[Finding, ...] = (),
+    headers: Headers = (),
+) -> HttpResponse:
+    """Returns the answer that a request was not run, with a code and the findings, if any."""
+    body = RefusalBody("not_run", code, message, finding_bodies(findings))
+    return HttpResponse(status, msgspec.json.encode(body), JSON_TYPE, headers)
+
+
+def json_response(status: int, body: msgspec.Struct, headers: Headers = ()) -> HttpResponse:
+    """Returns an answer with the JSON form of `body`."""
+    return HttpResponse(status, msgspec.json.encode(body), JSON_TYPE, headers)
+
+
+class Exchange:
+    """One request and the place of its answer in the connection's order.
+
+    `respond` is called once, on the loop's thread, at once or later; further calls do nothing.
+    `on_gone` is called if the caller's connection closes first.
+    """
+
+    __slots__ = ("_on_response", "on_gone", "request", "response")
+
+    def __init__(self, request: HttpRequest, on_response: Callable[[], None]) -> None:
+        self.request = request
+        self.response: HttpResponse | None = None
+        self.on_gone: Callable[[], None] | None = None
+        self._on_response = on_response
+
+    def respond(self, response: HttpResponse) -> None:
+        """Gives the answer; it leaves once those before it on the connection have left."""
+        if self.response is not None:
+            return
+        self.response = response
+        self.on_gone = None
+        self._on_response()
+
+
+_STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n" for status in HTTPStatus
+}
+
+
+def render(response: HttpResponse, close: bool, without_body: bool) -> bytes:
+    """Returns the bytes of a response."""
+    head = (
+        f"{_STATUS_LINES[response.status]}"
+        f"Content-Type: {response.content_type}\r\n"
+        f"Content-Length: {len(response.body)}\r\n"
+    )
+    for name, value in response.headers:
+        head += f"{name}: {value}\r\n"
+    if close:
+        head += "Connection: close\r\n"
+    head += "\r\n"
+    return head.encode("latin-1") + (b"" if without_body else response.body)
--- /dev/null
+++ b/src/dewledge/shell/http_server.py
@@ -0,0 +1,114 @@
+"""Listens for callers and keeps their connections within the stated bounds."""
+
+import contextlib
+import socket
+
+from loguru import logger
+
+from dewledge.errors import ErrorCode
+from dewledge.shell.event_loop import READABLE, EventLoop, Timer
+from dewledge.shell.http_connection import Handler, HttpConnection
+from dewledge.shell.http_messages import HttpLimits, refusal
+from dewledge.shell.sockets import listen_tcp
+
+SWEEP_SECONDS = 1.0
+ACCEPT_BATCH = 64
+ACCEPT_PAUSE_SECONDS = 0.1
+SERVICE_UNAVAILABLE = 503
+
+
+class HttpServer:
+    """One listening address. All methods belong to the loop's thread once it runs."""
+
+    def __init__(self, loop: EventLoop, address: str, limits: HttpLimits, handler: Handler) -> None:
+        """Binds `address` ("ip:port", port 0 for any). Raises OSError if it cannot."""
+        self._loop = loop
+        self._limits = limits
+        self._handler = handler
+        self._listener, self.address = listen_tcp(address)
+        self._connections: set[HttpConnection] = set()
+        self._leaving = False
+        self._sweep_timer: Timer | None = None
+
+    @property
+    def connection_count(self) -> int:
+        """The callers' connections that are open."""
+        return len(self._connections)
+
+    @property
+    def in_flight(self) -> int:
+        """The requests taken whose answers have not left."""
+        return sum(connection.in_flight for connection in self._connections)
+
+    def start(self) -> None:
+        """Starts to accept connections."""
+        self._loop.watch(self._listener, READABLE, self._accept)
+        self._sweep_timer = self._loop.call_later(SWEEP_SECONDS, self._sweep)
+
+    def leave(self) -> None:
+        """Ends each connection with its next answer; new connections are still answered."""
+        self._leaving = True
+        for connection in self._connections:
+            connection.want_close()
+
+    def close_idle(self) -> None:
+        """Accepts no more, and ends the connections that are between requests."""
+        self._loop.unwatch(self._listener)
+        self._listener.close()
+        for connection in list(self._connections):
+            connection.close_idle()
+
+    def close(self) -> None:
+        """Closes everything at once."""
+        self.close_idle()
+        for connection in list(self._connections):
+            connection.close()
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+
+    def _accept(self, _events: int) -> None:
+        for _ in range(ACCEPT_BATCH):
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                logger.bind(error=str(error)).warning("accept_failed")
+                self._pause_accepting()
+                return
+            self._add(sock)
+
+    def _pause_accepting(self) -> None:
+        self._loop.unwatch(self._listener)
+        self._loop.call_later(ACCEPT_PAUSE_SECONDS, self._resume_accepting)
+
+    def _resume_accepting(self) -> None:
+        if self._listener.fileno() >= 0:
+            self._loop.watch(self._listener, READABLE, self._accept)
+
+    def _add(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = HttpConnection(
+            self._loop, sock, self._limits, self._handler, self._connections.discard
+        )
+        self._connections.add(connection)
+        if len(self._connections) > self._limits.max_connections:
+            message = "the proxy holds as many connections as it may"
+            connection.refuse(
+                refusal(
+                    SERVICE_UNAVAILABLE,
+                    ErrorCode.OVERLOADED,
+                    message,
+                    headers=(("Retry-After", "1"),),
+                )
+            )
+        elif self._leaving:
+            connection.want_close()
+
+    def _sweep(self) -> None:
+        now = self._loop.now()
+        for connection in list(self._connections):
+            connection.check_time(now)
+        self._sweep_timer = self._loop.call_later(SWEEP_SECONDS, self._sweep)
--- /dev/null
+++ b/src/dewledge/shell/outbound_peer.py
@@ -0,0 +1,223 @@
+"""The outbound link to one peer: dialled when first needed, dialled again after it breaks.
+
+Messages wait for the link within a bound. A statement request that no byte of has left when the
+link fails is reported as unsent, so that the entry may truthfully call it not run.
+"""
+
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from dewledge.core.messages import (
+    PROTOCOL_VERSION,
+    GroupStatusAnswer,
+    Hello,
+    PeerMessage,
+    StatementDone,
+    StatementNotRun,
+    StatementRequest,
+    StatementUnknown,
+)
+from dewledge.shell.event_loop import WRITABLE, EventLoop, Timer
+from dewledge.shell.peer_link import LinkClosed, PeerLink
+from dewledge.shell.sockets import family_of, parse_address, tune_link
+
+DIAL_SECONDS = 1.0
+HEARTBEAT_AFTER_SECONDS = 0.3
+DEAD_AFTER_SECONDS = 1.0
+FIRST_BACKOFF_SECONDS = 0.05
+MAX_BACKOFF_SECONDS = 1.0
+MAX_WAITING_MESSAGES = 4096
+
+REPLIES = (StatementDone, StatementNotRun, StatementUnknown, GroupStatusAnswer)
+"""Answers: they travel on the link that brought the request."""
+
+
+class OutboundLost(msgspec.Struct, frozen=True):
+    """The link to a peer ended, or could not be made."""
+
+    peer: str
+    reason: str
+    unsent_requests: tuple[int, ...]
+
+
+class OutboundPeer:
+    """Dials one peer and keeps what waits for the link."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        hello: Hello,
+        peer: str,
+        address: str,
+        random: Random,
+        on_message: Callable[[str, PeerMessage], None],
+        on_lost: Callable[[OutboundLost], None],
+    ) -> None:
+        self._loop = loop
+        self._hello = hello
+        self._random = random
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._waiting: deque[PeerMessage] = deque()
+        self._dialling: socket.socket | None = None
+        self._link: PeerLink | None = None
+        self._is_greeted = False
+        self._dial_timer: Timer | None = None
+        self._backoff = 0.0
+        self._not_before = 0.0
+        self._awaited = 0
+        self._awaited_until = 0.0
+        self._awaiting_since = 0.0
+        self.peer = peer
+        self.address = address
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages leave at once."""
+        return self._is_greeted
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether there is neither a link nor anything that waits for one."""
+        return self._link is None and self._dialling is None and not self._waiting
+
+    @property
+    def awaits_answers(self) -> bool:
+        """Whether an answer is due on this link, so that its silence means something."""
+        if self._awaited and self._loop.now() > self._awaited_until:
+            self._awaited = 0
+        return self._awaited > 0
+
+    def send(self, message: PeerMessage) -> None:
+        """Sends now or when the link is made."""
+        if self._is_greeted and self._link is not None:
+            self._send_now(self._link, message)
+            return
+        if len(self._waiting) >= MAX_WAITING_MESSAGES:
+            self._loop.post(lambda: self._report_lost("too much waits for the link", (message,)))
+            return
+        self._waiting.append(message)
+        if self._dial_timer is None:
+            delay = max(self._not_before - self._loop.now(), 0.0)
+            self._dial_timer = self._loop.call_later(delay, self._dial)
+
+    def check_silence(self) -> None:
+        """Asks for a sign of life when an answer is overdue, and gives the link up without one."""
+        if self._link is None or not self.awaits_answers:
+            return
+        heard = max(self._link.last_received, self._awaiting_since)
+        silence = self._loop.now() - heard
+        if silence > DEAD_AFTER_SECONDS:
+            self._link.close(f"silent for {silence:.1f} s")
+        elif silence > HEARTBEAT_AFTER_SECONDS:
+            self._link.send_heartbeat()
+
+    def forgive_silence(self) -> None:
+        """Starts the silence anew: this process itself was held up."""
+        self._awaiting_since = self._loop.now()
+
+    def close(self, reason: str) -> None:
+        """Closes the link and reports what waited."""
+        if self._link is not None:
+            self._link.close(reason)
+        else:
+            self._fail(reason)
+
+    def _send_now(self, link: PeerLink, message: PeerMessage) -> None:
+        if not isinstance(message, StatementRequest):
+            link.send(message)
+            return
+        now = self._loop.now()
+        if not self.awaits_answers:
+            self._awaiting_since = now
+        self._awaited += 1
+        self._awaited_until = max(self._awaited_until, now + message.remaining)
+        link.send(message, message.correlation)
+
+    def _dial(self) -> None:
+        if self._link is not None or self._dialling is not None:
+            return
+        host, port = parse_address(self.address)
+        sock = socket.socket(family_of(host), socket.SOCK_STREAM)
+        sock.setblocking(False)
+        tune_link(sock)
+        self._dialling = sock
+        self._dial_timer = self._loop.call_later(DIAL_SECONDS, self._dial_timed_out)
+        code = sock.connect_ex((host, port))
+        if code not in (0, errno.EINPROGRESS):
+            self._loop.post(lambda: self._fail(f"connect failed: {errno.errorcode.get(code)}"))
+            return
+        self._loop.watch(sock, WRITABLE, self._connected)
+
+    def _connected(self, _events: int) -> None:
+        sock = self._dialling
+        assert sock is not None
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._fail(f"connect failed: {errno.errorcode.get(code)}")
+            return
+        self._loop.unwatch(sock)
+        self._dialling = None
+        self._link = PeerLink(self._loop, sock, False, self._take_message, self._link_closed)
+        self._link.send(self._hello)
+
+    def _take_message(self, link: PeerLink, message: PeerMessage) -> None:
+        if self._is_greeted:
+            if isinstance(message, REPLIES) and self._awaited:
+                self._awaited -= 1
+            self._on_message(self.peer, message)
+        elif not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
+            link.close("no greeting of this protocol's version")
+        elif message.proxy != self.peer:
+            link.close(f"the address belongs to {message.proxy}")
+        else:
+            self._greeted(link)
+
+    def _greeted(self, link: PeerLink) -> None:
+        self._is_greeted = True
+        self._backoff = 0.0
+        self._cancel_dial_timer()
+        waiting, self._waiting = self._waiting, deque()
+        for message in waiting:
+            self._send_now(link, message)
+
+    def _dial_timed_out(self) -> None:
+        if not self._is_greeted:
+            self.close("no connection in time")
+
+    def _link_closed(self, _link: PeerLink, closed: LinkClosed) -> None:
+        self._link = None
+        self._is_greeted = False
+        self._awaited = 0
+        self._fail(closed.reason, closed.unsent_requests)
+
+    def _fail(self, reason: str, unsent: tuple[int, ...] = ()) -> None:
+        if self._dialling is not None:
+            self._loop.unwatch(self._dialling)
+            self._dialling.close()
+            self._dialling = None
+        self._cancel_dial_timer()
+        self._grow_backoff()
+        waiting, self._waiting = tuple(self._waiting), deque()
+        self._report_lost(reason, waiting, unsent)
+
+    def _report_lost(
+        self, reason: str, waiting: tuple[PeerMessage, ...], unsent: tuple[int, ...] = ()
+    ) -> None:
+        never_sent = [item.correlation for item in waiting if isinstance(item, StatementRequest)]
+        self._on_lost(OutboundLost(self.peer, reason, (*unsent, *never_sent)))
+
+    def _grow_backoff(self) -> None:
+        doubled = max(2 * self._backoff, FIRST_BACKOFF_SECONDS)
+        self._backoff = min(doubled, MAX_BACKOFF_SECONDS)
+        self._not_before = self._loop.now() + self._backoff * self._random.uniform(0.5, 1.0)
+
+    def _cancel_dial_timer(self) -> None:
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+            self._dial_timer = None
