--- a/src/dewledge/core/ports.py
+++ b/src/dewledge/core/ports.py
@@ -108,12 +108,16 @@
 
 
 class MachineState(msgspec.Struct, frozen=True):
-    """A machine as the platform lists it; the list lags behind reality."""
+    """A machine as the platform lists it; the list lags behind reality.
+
+    gossip_address: UDP address of membership, "ip:port"; empty if it equals the peer address.
+    """
 
     name: str
     peer_address: str
     zone: str
     leaving: bool = False
+    gossip_address: str = ""
 
 
 class MachineList(ABC):
