--- a/src/dewledge/core/membership_dialogue.py
+++ b/src/dewledge/core/membership_dialogue.py
@@ -60,9 +60,9 @@
         refuted = self._view.refutations > refutations
         if refuted:
             self._prober.health.change(1)
+        self._handle_body(envelope, address, refuted, now)
         if self._view.table.get(envelope.sender) is not None:
             self._note_revision(envelope)
-        self._handle_body(envelope, address, refuted, now)
 
     def expire_relays(self, now: float) -> None:
         """Tells those who asked for a ping that it was not answered."""
