--- /dev/null
+++ b/src/dewledge/core/addresses.py
@@ -0,0 +1,27 @@
+"""Addresses as settings, resources and messages write them: an IP number and a port."""
+
+import ipaddress
+
+MAX_PORT = 65535
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits "ip:port" or "[ipv6]:port". Raises ValueError if it is neither."""
+    host, separator, port_text = address.rpartition(":")
+    if not separator or not (port_text.isascii() and port_text.isdigit()):
+        raise ValueError("must be an IP number and a port, such as 10.0.0.7:7400")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        raise ValueError("an IPv6 number stands in brackets, such as [::1]:7400")
+    ipaddress.ip_address(host)
+    if len(port_text) > len(str(MAX_PORT)) or int(port_text) > MAX_PORT:
+        raise ValueError(f"a port is at most {MAX_PORT}")
+    return host, int(port_text)
+
+
+def check_remote_address(address: str) -> None:
+    """Checks an address to connect to. Raises ValueError."""
+    _, port = split_address(address)
+    if port == 0:
+        raise ValueError("port 0 cannot be connected to")
--- a/src/dewledge/settings.py
+++ b/src/dewledge/settings.py
@@ -1,6 +1,5 @@
 """The settings of one proxy process: a TOML file, overridden by flags, checked as a whole."""
 
-import ipaddress
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
@@ -8,39 +7,21 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
+from dewledge.core.addresses import check_remote_address, split_address
 from dewledge.errors import ErrorCode, Finding, InvalidInput
 
-MAX_PORT = 65535
 MIN_SESSION_KEY_CHARACTERS = 32
 NAME_PATTERN = r"^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$"
 SHA256_PATTERN = r"^[0-9a-f]{64}$"
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits "ip:port" or "[ipv6]:port". Raises ValueError if it is neither."""
-    host, separator, port_text = address.rpartition(":")
-    if not separator or not (port_text.isascii() and port_text.isdigit()):
-        raise ValueError("must be an IP number and a port, such as 10.0.0.7:7400")
-    if host.startswith("[") and host.endswith("]"):
-        host = host[1:-1]
-    elif ":" in host:
-        raise ValueError("an IPv6 number stands in brackets, such as [::1]:7400")
-    ipaddress.ip_address(host)
-    port = int(port_text)
-    if port > MAX_PORT:
-        raise ValueError(f"port {port} is over {MAX_PORT}")
-    return host, port
-
-
 def _listen_address(address: str) -> str:
     split_address(address)
     return address
 
 
 def _remote_address(address: str) -> str:
-    _, port = split_address(address)
-    if port == 0:
-        raise ValueError("port 0 cannot be connected to")
+    check_remote_address(address)
     return address
 
 
