--- /dev/null
+++ b/src/dewledge/adapters/http_database.py
@@ -0,0 +1,164 @@
+"""The driver for the stand-in databases."""
+
+import threading
+import time
+
+import msgspec
+
+from dewledge.adapters.database_protocol import (
+    BEGIN_PATH,
+    COMMIT_PATH,
+    EXECUTE_PATH,
+    NO_BODY,
+    OK_STATUS,
+    OPEN_PATH,
+    ROLLBACK_PATH,
+    STATUS_PATH,
+    ExecuteBody,
+    decode_failure,
+    decode_result,
+    decode_status,
+    encode_body,
+    error_of,
+    with_place,
+)
+from dewledge.adapters.http_exchange import (
+    AnswerMissing,
+    ClosedBeforeSending,
+    HttpAnswer,
+    HttpExchange,
+)
+from dewledge.core.calls import Access, Statement
+from dewledge.core.database_status import DatabaseStatus
+from dewledge.core.ports import DatabaseConnection, DatabaseDriver, ExecutionResult
+from dewledge.errors import (
+    ConnectionBroken,
+    ConnectionClosed,
+    ConnectRefused,
+    DatabaseError,
+    ProtocolError,
+)
+
+MAX_IDLE_STATUS_CONNECTIONS = 4
+"""Idle connections for status requests that are kept for each database."""
+
+
+class HttpDatabaseConnection(DatabaseConnection):
+    """One session on a stand-in database."""
+
+    def __init__(self, exchange: HttpExchange) -> None:
+        self._exchange = exchange
+
+    def execute(self, statement: Statement, access: Access, timeout: float) -> ExecutionResult:
+        """Runs one statement; see DatabaseConnection."""
+        return self._call(EXECUTE_PATH, encode_body(ExecuteBody(statement, access)), timeout)
+
+    def begin(self, timeout: float) -> ExecutionResult:
+        """Begins a transaction; see DatabaseConnection."""
+        return self._call(BEGIN_PATH, NO_BODY, timeout)
+
+    def commit(self, timeout: float) -> ExecutionResult:
+        """Commits; see DatabaseConnection."""
+        return self._call(COMMIT_PATH, NO_BODY, timeout)
+
+    def rollback(self, timeout: float) -> ExecutionResult:
+        """Rolls back; see DatabaseConnection."""
+        return self._call(ROLLBACK_PATH, NO_BODY, timeout)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._exchange.close()
+
+    def _call(self, path: str, body: bytes, timeout: float) -> ExecutionResult:
+        try:
+            answer = self._exchange.request("POST", path, body, timeout)
+            if answer.status == OK_STATUS:
+                return decode_result(answer.body)
+        except ClosedBeforeSending as error:
+            raise ConnectionClosed(str(error)) from error
+        except (AnswerMissing, ProtocolError, msgspec.DecodeError) as error:
+            self.close()
+            raise ConnectionBroken(str(error)) from error
+        raise self._failure(answer)
+
+    def _failure(self, answer: HttpAnswer) -> DatabaseError:
+        try:
+            return error_of(decode_failure(answer.body))
+        except msgspec.DecodeError:
+            self.close()
+            return ConnectionBroken(f"the database answered with status {answer.status}")
+
+
+class HttpDatabaseDriver(DatabaseDriver):
+    """Opens sessions on stand-in databases, as a client in the given zone and region."""
+
+    def __init__(self, zone: str = "", region: str = "") -> None:
+        self._open_target = with_place(OPEN_PATH, zone, region)
+        self._status_target = with_place(STATUS_PATH, zone, region)
+        self._idle: dict[str, list[HttpExchange]] = {}
+        self._lock = threading.Lock()
+
+    def connect(self, address: str, timeout: float) -> HttpDatabaseConnection:
+        """Opens a session; see DatabaseDriver."""
+        deadline = time.monotonic() + timeout
+        try:
+            exchange = HttpExchange(address, timeout)
+        except (OSError, ValueError) as error:
+            raise ConnectRefused(f"cannot connect to {address}: {error}") from error
+        connection = HttpDatabaseConnection(exchange)
+        try:
+            time_left = deadline - time.monotonic()
+            answer = exchange.request("POST", self._open_target, NO_BODY, time_left)
+            if answer.status == OK_STATUS:
+                return connection
+            raise error_of(decode_failure(answer.body))
+        except ConnectRefused:
+            connection.close()
+            raise
+        except (
+            ClosedBeforeSending,
+            AnswerMissing,
+            ProtocolError,
+            DatabaseError,
+            msgspec.DecodeError,
+        ) as error:
+            connection.close()
+            raise ConnectRefused(f"no session at {address}: {error}") from error
+
+    def read_status(self, address: str, timeout: float) -> DatabaseStatus:
+        """Asks for the status over a connection kept for that; see DatabaseDriver."""
+        exchange = self._take_idle(address)
+        try:
+            if exchange is None:
+                exchange = HttpExchange(address, timeout)
+            answer = exchange.request("GET", self._status_target, NO_BODY, timeout)
+            status = decode_status(answer.body)
+        except ClosedBeforeSending:
+            return self.read_status(address, timeout)
+        except (OSError, ValueError, AnswerMissing, ProtocolError, msgspec.DecodeError) as error:
+            if exchange is not None:
+                exchange.close()
+            raise ConnectRefused(f"no status from {address}: {error}") from error
+        self._keep_idle(address, exchange)
+        return status
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        with self._lock:
+            idle = [exchange for kept in self._idle.values() for exchange in kept]
+            self._idle.clear()
+        for exchange in idle:
+            exchange.close()
+
+    def _take_idle(self, address: str) -> HttpExchange | None:
+        with self._lock:
+            kept = self._idle.get(address)
+            return kept.pop() if kept else None
+
+    def _keep_idle(self, address: str, exchange: HttpExchange) -> None:
+        with self._lock:
+            kept = self._idle.setdefault(address, [])
+            if len(kept) < MAX_IDLE_STATUS_CONNECTIONS and not exchange.closed:
+                kept.append(exchange)
+                return
+        exchange.close()
--- /dev/null
+++ b/src/dewledge/adapters/http_exchange.py
@@ -0,0 +1,144 @@
+"""One persistent HTTP/1.1 connection, for one exchange at a time.
+
+A connection on which anything went wrong is closed and never used again, so that a late answer
+cannot be taken for the answer to a later request.
+"""
+
+import select
+import socket
+import time
+
+import httptools
+import msgspec
+
+from dewledge.errors import ProtocolError
+
+RECEIVE_BYTES = 65536
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MIN_WAIT_SECONDS = 0.001
+
+
+class HttpAnswer(msgspec.Struct, frozen=True):
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class ClosedBeforeSending(Exception):
+    """The connection was found closed; nothing of the request was sent."""
+
+
+class AnswerMissing(Exception):
+    """The request was sent, at least in part, and no whole answer came in time."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits "ip:port" or "[ipv6]:port". Raises ValueError."""
+    host, _, port = address.rpartition(":")
+    return host.removeprefix("[").removesuffix("]"), int(port)
+
+
+class HttpExchange:
+    """A client's end of one connection; used by one thread at a time."""
+
+    def __init__(self, address: str, timeout: float) -> None:
+        """Connects within `timeout` seconds. Raises OSError or ValueError."""
+        self._socket = socket.create_connection(split_address(address), timeout)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._readable = select.poll()
+        self._readable.register(self._socket, select.POLLIN)
+        self._host = address.encode()
+        self.closed = False
+
+    def request(self, method: str, target: str, body: bytes, timeout: float) -> HttpAnswer:
+        """Sends one request and waits for its answer, `timeout` seconds in all.
+
+        Raises ClosedBeforeSending, AnswerMissing or ProtocolError; the connection is then closed.
+        """
+        if self.closed or self._readable.poll(0):
+            self.close()
+            raise ClosedBeforeSending("the connection was closed by the other side")
+        try:
+            return self._exchange(self._encode(method, target, body), time.monotonic() + timeout)
+        except OSError as error:
+            self.close()
+            raise AnswerMissing(f"no answer: {error}") from error
+        except (AnswerMissing, ProtocolError):
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if not self.closed:
+            self.closed = True
+            self._socket.close()
+
+    def _encode(self, method: str, target: str, body: bytes) -> bytes:
+        return b"%b %b HTTP/1.1\r\nHost: %b\r\nContent-Length: %d\r\n\r\n%b" % (
+            method.encode(),
+            target.encode(),
+            self._host,
+            len(body),
+            body,
+        )
+
+    def _exchange(self, request: bytes, deadline: float) -> HttpAnswer:
+        self._set_time_left(deadline)
+        self._socket.sendall(request)
+        reader = _AnswerReader()
+        while not reader.complete:
+            self._set_time_left(deadline)
+            data = self._socket.recv(RECEIVE_BYTES)
+            if not data:
+                raise AnswerMissing("the connection was closed before the answer was whole")
+            reader.feed(data)
+        if reader.last:
+            self.close()
+        return reader.answer()
+
+    def _set_time_left(self, deadline: float) -> None:
+        # A socket timeout of zero would mean "do not block" instead of "too late".
+        self._socket.settimeout(max(deadline - time.monotonic(), MIN_WAIT_SECONDS))
+
+
+class _AnswerReader:
+    """Gathers one answer through httptools.
+
+    complete: the answer is whole. last: the other side closes the connection after it.
+    """
+
+    def __init__(self) -> None:
+        self.complete = False
+        self.last = False
+        self._body: list[bytes] = []
+        self._size = 0
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Parses more bytes. Raises ProtocolError."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise ProtocolError(f"not an HTTP answer: {error}") from error
+        if self._size > MAX_ANSWER_BYTES:
+            raise ProtocolError(f"an answer of more than {MAX_ANSWER_BYTES} bytes")
+
+    def answer(self) -> HttpAnswer:
+        """Returns the whole answer."""
+        return HttpAnswer(self._parser.get_status_code(), b"".join(self._body))
+
+    def on_body(self, data: bytes) -> None:
+        """Called by httptools with a piece of the body."""
+        self._size += len(data)
+        self._body.append(data)
+
+    def on_message_begin(self) -> None:
+        """Called by httptools; a second answer to one request breaks the protocol."""
+        if self.complete:
+            raise ProtocolError("two answers to one request")
+
+    def on_message_complete(self) -> None:
+        """Called by httptools at the end of the answer."""
+        self.complete = True
+        self.last = not self._parser.should_keep_alive()
--- a/src/dewledge/standin/group_model.py
+++ b/src/dewledge/standin/group_model.py
@@ -84,6 +84,14 @@
             return None
         return node.status()
 
+    def require_answering(self, database: str) -> None:
+        """Raises DatabaseNotAnswering if requests wait, ConnectionBroken if it is down."""
+        faults = self._nodes[database].faults
+        if faults.down:
+            raise ConnectionBroken(f"{database} is down")
+        if faults.hidden:
+            raise DatabaseNotAnswering(f"{database} does not answer")
+
     def open_session(self, database: str, now: float) -> int:
         """Opens a connection.
 
