--- /dev/null
+++ b/src/dewledge/core/proxy_core.py
@@ -0,0 +1,240 @@
+"""One proxy as one state machine: entry, gateway, membership and configuration put together.
+
+The daemon, the simulator and embedding programs drive it alike: give it an event and `now`, carry
+out the effects it returns.
+"""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+from dewledge.core.authorization import AccessPolicy
+from dewledge.core.calls import CallerRequest, Outcome
+from dewledge.core.configuration import Configuration
+from dewledge.core.configuration_store import (
+    ProposalFinished,
+    ProposedChange,
+    StoreCaller,
+    StoreResult,
+)
+from dewledge.core.effects import SendToPeer
+from dewledge.core.jobs import JobResult, StatusReading
+from dewledge.core.member import Member
+from dewledge.core.messages import Leaving, PeerMessage, StatementNotRun
+from dewledge.core.placement import GatewayPlacement
+from dewledge.core.ports import MachineState
+from dewledge.core.proxy_effects import ProxyEffect
+from dewledge.core.proxy_parts import ProxyCoreSettings, ProxyParts
+from dewledge.core.proxy_router import ProxyRouter
+from dewledge.core.session_token import SessionTokenCodec
+from dewledge.errors import ErrorCode
+
+MAX_PEERS_TOLD_OF_LEAVING = 64
+"""Peers told directly that this proxy leaves; the others learn it from membership and redirects."""
+
+
+class ProxyCore:
+    """The whole decision core of one proxy. Every event returns the effects to carry out."""
+
+    def __init__(
+        self,
+        me: Member,
+        settings: ProxyCoreSettings,
+        session_codec: SessionTokenCodec,
+        random: Random,
+    ) -> None:
+        self.me = me.name
+        self._random = random
+        self._parts = ProxyParts(me, settings, session_codec, random)
+        self._timed = self._parts.timed
+        self._router = ProxyRouter(self._parts)
+        self.is_leaving = False
+
+    # What the shell may ask.
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force here."""
+        return self._router.configuration
+
+    @property
+    def policy(self) -> AccessPolicy:
+        """Who may do what, under the configuration in force."""
+        return self._router.policy
+
+    @property
+    def placement(self) -> GatewayPlacement:
+        """Which proxy is gateway of which database, as seen here."""
+        return self._router.placement
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The members that are not gone, this one included, sorted by name."""
+        return self._parts.membership.members
+
+    @property
+    def has_configuration(self) -> bool:
+        """Whether any revision has been learned: before that, nothing can be served."""
+        return self.configuration.revision > 0
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether new work was taken as of the latest event."""
+        return self._router.is_serving and not self.is_leaving
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether neither entry nor gateway has anything unfinished."""
+        return self._parts.entry.in_flight == 0 and self._parts.gateway.is_idle
+
+    @property
+    def in_flight(self) -> int:
+        """The callers' requests taken and not yet answered."""
+        return self._parts.entry.in_flight
+
+    # Start, time and end.
+
+    def start(self, seeds: Iterable[str], now: float) -> list[ProxyEffect]:
+        """Begins to take part. seeds: gossip addresses, which may be out of date."""
+        known_seeds = tuple(seeds)
+        effects: list[Any] = self._router.put_in_force(now)
+        effects += self._parts.membership.start(known_seeds, now)
+        effects += self._parts.poller.start(bool(known_seeds), now)
+        effects += self._parts.machine_list.start(now)
+        effects += self._router.check_serving(now)
+        return self._router.finish(effects, now)
+
+    def tick(self, now: float) -> list[ProxyEffect]:
+        """Does what is due. Call it at `next_wake`, or earlier without harm."""
+        effects: list[Any] = []
+        for part in self._timed:
+            wake = part.next_wake()
+            if wake is not None and wake <= now:
+                effects += part.tick(now)
+        self._router.note_members(now)
+        effects += self._router.check_serving(now)
+        return self._router.finish(effects, now)
+
+    def next_wake(self) -> float | None:
+        """Returns when `tick` is next due, or None."""
+        wakes = [wake for part in self._timed if (wake := part.next_wake()) is not None]
+        return min(wakes, default=None)
+
+    def leave(self, now: float) -> list[ProxyEffect]:
+        """Begins a planned stop: no new work, gateway roles handed over, the rest finished."""
+        self.is_leaving = True
+        effects: list[Any] = list(self._parts.membership.leave(now))
+        effects += [SendToPeer(peer, Leaving(self.me)) for peer in self._peers_to_tell()]
+        effects += self._parts.entry.leave(now)
+        effects += self._parts.gateway.leave(now)
+        return self._router.finish(effects, now)
+
+    def stop(self, now: float) -> list[ProxyEffect]:
+        """Announces the end of the process; the last call."""
+        return self._router.finish(self._parts.membership.stop(now), now)
+
+    # Events from callers and operators.
+
+    def handle_call(self, request: CallerRequest, now: float) -> list[ProxyEffect]:
+        """Takes one caller's request; ends with one AnswerCaller."""
+        effects: list[Any] = self._router.check_serving(now)
+        effects += self._parts.entry.handle_call(request, now)
+        return self._router.finish(effects, now)
+
+    def handle_caller_gone(self, request_id: int, now: float) -> list[ProxyEffect]:
+        """Notes that a caller no longer waits for its answer."""
+        effects = self._parts.entry.handle_caller_gone(request_id, now)
+        return self._router.finish(effects, now)
+
+    def propose(self, change: ProposedChange, now: float) -> list[ProxyEffect]:
+        """Asks for a change of configuration; ends with one ProposalFinished."""
+        if not self._parts.isolation.may_accept(now):
+            message = "this proxy does not reach a majority of its peers"
+            code = ErrorCode.NO_MAJORITY
+            return [ProposalFinished(change.change_id, Outcome.NOT_RUN, None, code, message)]
+        effects = self._parts.acceptance.propose(change, self.configuration, now)
+        return self._router.finish(effects, now)
+
+    def look_up_change(self, change_id: str, now: float) -> list[ProxyEffect]:
+        """Asks the store whether a change stands; ends with one ChangeLookedUp."""
+        return self._router.finish(self._parts.acceptance.look_up(change_id, now), now)
+
+    # Events from peers.
+
+    def handle_peer_message(self, peer: str, message: PeerMessage, now: float) -> list[ProxyEffect]:
+        """Takes a message from a peer's link."""
+        return self._router.finish(self._router.deliver(peer, message, now), now)
+
+    def handle_outbound_lost(
+        self, peer: str, unsent_requests: Iterable[int], now: float
+    ) -> list[ProxyEffect]:
+        """Notes the end of the link for requests to `peer`.
+
+        unsent_requests: correlations of statement requests of which no byte had left.
+        """
+        effects: list[Any] = []
+        for correlation in unsent_requests:
+            refused = StatementNotRun(correlation, ErrorCode.GATEWAY_UNREACHABLE, "never sent")
+            effects += self._parts.entry.handle_peer_message(peer, refused, now)
+        effects += self._parts.entry.handle_peer_lost(peer, now)
+        effects += self._parts.membership.note_peer_lost(peer, now)
+        return self._router.finish(effects, now)
+
+    def handle_inbound_lost(self, peer: str, now: float) -> list[ProxyEffect]:
+        """Notes the end of the link that brought requests from `peer`."""
+        return self._router.finish(self._parts.gateway.handle_peer_lost(peer, now), now)
+
+    def handle_datagram(self, data: bytes, address: str, now: float) -> list[ProxyEffect]:
+        """Takes a datagram of membership."""
+        effects = self._parts.membership.handle_datagram(data, address, now)
+        self._router.note_members(now)
+        return self._router.finish(effects, now)
+
+    # Events from the platform and the databases.
+
+    def handle_machine_list(
+        self, machines: tuple[MachineState, ...] | None, now: float
+    ) -> list[ProxyEffect]:
+        """Takes the answer to ReadMachineList; None if there was none."""
+        self._parts.machine_list.handle_answer(len(self.members), now)
+        if machines is None:
+            return []
+        effects = self._parts.membership.update_machine_list(machines, now)
+        return self._router.finish(effects, now)
+
+    def handle_store_result(self, result: StoreResult, now: float) -> list[ProxyEffect]:
+        """Takes the result of a StoreCall."""
+        if result.caller is StoreCaller.POLLER:
+            effects: list[Any] = list(self._parts.poller.handle_store_result(result, now))
+        else:
+            effects = list(self._parts.acceptance.handle_store_result(result, now))
+        return self._router.finish(effects, now)
+
+    def handle_connection_opened(self, connection_id: int, now: float) -> list[ProxyEffect]:
+        """Notes that a back-end connection is open."""
+        effects = self._parts.gateway.handle_connection_opened(connection_id, now)
+        return self._router.finish(effects, now)
+
+    def handle_connection_failed(
+        self, connection_id: int, code: ErrorCode, now: float
+    ) -> list[ProxyEffect]:
+        """Notes that a back-end connection could not be opened."""
+        effects = self._parts.gateway.handle_connection_failed(connection_id, code, now)
+        return self._router.finish(effects, now)
+
+    def handle_job_result(self, result: JobResult, now: float) -> list[ProxyEffect]:
+        """Takes the result of a job."""
+        return self._router.finish(self._parts.gateway.handle_job_result(result, now), now)
+
+    def handle_status_reading(
+        self, round_id: int, reading: StatusReading, now: float
+    ) -> list[ProxyEffect]:
+        """Takes one reading of a status round."""
+        effects = self._parts.gateway.handle_status_reading(round_id, reading, now)
+        return self._router.finish(effects, now)
+
+    def _peers_to_tell(self) -> list[str]:
+        peers = [member.name for member in self.members if member.name != self.me]
+        if len(peers) <= MAX_PEERS_TOLD_OF_LEAVING:
+            return peers
+        return self._random.sample(peers, MAX_PEERS_TOLD_OF_LEAVING)
--- /dev/null
+++ b/src/dewledge/shell/log.py
@@ -0,0 +1,63 @@
+"""The log: one line of key=value pairs for each event, through loguru."""
+
+import json
+import sys
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, TextIO
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Message, Record
+
+_PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@+-")
+
+
+def format_value(value: object) -> str:
+    """Returns a value as it stands after "=": quoted unless it is a plain word or number."""
+    text = "" if value is None else str(value)
+    if text and _PLAIN.issuperset(text):
+        return text
+    return json.dumps(text)
+
+
+def format_line(record: "Record") -> str:
+    """Returns the line of one event, without line end."""
+    fields: dict[str, object] = {
+        "time": record["time"].strftime("%Y-%m-%dT%H:%M:%S.%f%z"),
+        "level": record["level"].name.lower(),
+        "event": record["message"],
+        **_public(record["extra"]),
+    }
+    exception = record["exception"]
+    if exception is not None:
+        fields["error"] = repr(exception.value)
+        fields["at"] = _place(exception.traceback)
+    return " ".join(f"{name}={format_value(value)}" for name, value in fields.items())
+
+
+def configure_log(level: str, stream: TextIO | None = None) -> None:
+    """Sends events of at least `level` to `stream` (standard error), one line each."""
+    target = stream or sys.stderr
+
+    def write(message: "Message") -> None:
+        target.write(format_line(message.record) + "\n")
+        target.flush()
+
+    logger.remove()
+    logger.add(write, level=level, format="{message}", catch=True)
+
+
+def _public(extra: Mapping[str, object]) -> dict[str, object]:
+    return {name: value for name, value in extra.items() if value is not None}
+
+
+def _place(traceback: object) -> str:
+    """Returns "file:line" of the innermost frame."""
+    place = ""
+    while traceback is not None:
+        frame = getattr(traceback, "tb_frame", None)
+        if frame is not None:
+            place = f"{frame.f_code.co_filename.rpartition('/')[2]}:{traceback.tb_lineno}"  # type: ignore[attr-defined]
+        traceback = getattr(traceback, "tb_next", None)
+    return place
