--- a/src/dewledge/standin/group_client.py
+++ b/src/dewledge/standin/group_client.py
@@ -4,9 +4,8 @@
 
 import msgspec
 
-from dewledge.adapters.http_exchange import ClosedBeforeSending, HttpAnswer, HttpExchange
 from dewledge.core.database_status import DatabaseStatus
-from dewledge.errors import ErrorCode, ProtocolError
+from dewledge.standin.admin_connection import AdminConnection
 from dewledge.standin.group_admin import (
     ACTIVITY_PATH,
     DATABASES_PATH,
@@ -19,38 +18,10 @@
     FaultRequest,
 )
 from dewledge.standin.group_types import ActivityEntry, HistoryEntry, LagStage, LogEntry
-from dewledge.standin.http_server import OK
-
-CALL_TIMEOUT_SECONDS = 30.0
 
 Report = TypeVar("Report")
 
 
-class AdminConnection:
-    """Calls an admin address over one connection, opened anew when it was closed."""
-
-    def __init__(self, address: str) -> None:
-        self._address = address
-        self._exchange: HttpExchange | None = None
-
-    def call(self, method: str, target: str, body: bytes = b"") -> HttpAnswer:
-        """Makes one call. Raises OSError, AnswerMissing, or ProtocolError unless it succeeded."""
-        if self._exchange is None or self._exchange.closed:
-            self._exchange = HttpExchange(self._address, CALL_TIMEOUT_SECONDS)
-        try:
-            answer = self._exchange.request(method, target, body, CALL_TIMEOUT_SECONDS)
-        except ClosedBeforeSending:
-            return self.call(method, target, body)
-        if answer.status != OK:
-            raise ProtocolError(f"{target} answered {answer.status}", ErrorCode.PROTOCOL)
-        return answer
-
-    def close(self) -> None:
-        """Closes the connection."""
-        if self._exchange is not None:
-            self._exchange.close()
-
-
 class GroupClient:
     """Switches faults of a group and reads its history."""
 
