--- /dev/null
+++ b/src/dewledge/core/group_monitor.py
@@ -0,0 +1,275 @@
+"""One group as a gateway sees it: heartbeat, status requests, and results waiting for proof."""
+
+from collections.abc import Callable, Mapping
+
+from dewledge.core.confirmation import Claim, Verdict, judge
+from dewledge.core.effects import SendToPeer
+from dewledge.core.gateway_context import GatewayContext, Timer
+from dewledge.core.jobs import StatusReading
+from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest
+from dewledge.core.resources import Confirmation
+from dewledge.core.status_cache import StatusCache
+from dewledge.core.status_rounds import StatusRound, StatusRounds
+
+RETRY_GROWTH = 1.5
+NO_PRIMARY_GROWTH = 1.1
+
+
+class _Waiter:
+    """A claim that waits for a round later than `after_round`."""
+
+    __slots__ = ("after_round", "claim", "on_verdict", "timer")
+
+    def __init__(
+        self, claim: Claim, after_round: int, on_verdict: Callable[[Verdict, float], None]
+    ) -> None:
+        self.claim = claim
+        self.after_round = after_round
+        self.on_verdict = on_verdict
+        self.timer: Timer | None = None
+
+
+class _StatusWaiter:
+    """A peer's status request that waits for a round later than `after_round`."""
+
+    __slots__ = ("after_round", "message", "peer")
+
+    def __init__(self, peer: str, message: GroupStatusRequest, after_round: int) -> None:
+        self.peer = peer
+        self.message = message
+        self.after_round = after_round
+
+
+class GroupMonitor:
+    """Watches one group. One round at a time serves everyone who waits for one."""
+
+    def __init__(self, context: GatewayContext, group: str) -> None:
+        self._context = context
+        self._group = group
+        self._policy = Confirmation.MAJORITY_POSITION
+        self._active: frozenset[str] = frozenset()
+        self._rounds = StatusRounds(context, group, self._on_reading, self._on_abandoned)
+        self._waiters: dict[int, _Waiter] = {}
+        self._status_waiters: list[_StatusWaiter] = []
+        self._latest: StatusRound | None = None
+        self._last_waiter = 0
+        self._retry_pause = 0.0
+        self._heartbeat_timer: Timer | None = None
+        self._last_use = float("-inf")
+        self._no_primary_pause = context.settings.no_primary_interval
+        self._known_primary: str | None = None
+        self.statuses = StatusCache()
+
+    @property
+    def newest_round(self) -> int:
+        """The id of the newest round; whoever must see a later one notes it."""
+        return self._rounds.newest_round
+
+    @property
+    def waiting(self) -> int:
+        """Results that wait for confirmation."""
+        return len(self._waiters)
+
+    @property
+    def primary(self) -> str | None:
+        """The primary that the latest statuses show, or None."""
+        return self.statuses.primary(self._rounds.group_size)
+
+    def configure(
+        self,
+        addresses: Mapping[str, str],
+        policy: Confirmation,
+        active: frozenset[str],
+        now: float,
+    ) -> None:
+        """Sets the group's databases, and those of them whose active gateway this is."""
+        self._rounds.configure(addresses)
+        self.statuses.keep_only(addresses)
+        self._policy = policy
+        self._active = active
+        if active and self._heartbeat_timer is None:
+            self._heartbeat_timer = self._context.call_at(now, self._heartbeat)
+        if not active:
+            self._context.cancel(self._heartbeat_timer)
+            self._heartbeat_timer = None
+
+    def note_use(self, now: float) -> None:
+        """Notes a request for this group, which makes its heartbeat the quicker one."""
+        was_idle = now - self._last_use > self._context.settings.in_use_period
+        self._last_use = now
+        if was_idle and self._heartbeat_timer is not None:
+            self._context.cancel(self._heartbeat_timer)
+            self._heartbeat_timer = self._context.call_at(
+                now + self._heartbeat_pause(now), self._heartbeat
+            )
+
+    def request_round(self, now: float) -> None:
+        """Asks for a round at once, for instance because a statement failed."""
+        self._rounds.want(now)
+
+    def handle_reading(self, round_id: int, reading: StatusReading, now: float) -> None:
+        """Takes one reading of a round."""
+        self._rounds.handle_reading(round_id, reading, now)
+
+    def confirm(
+        self,
+        claim: Claim,
+        after_round: int,
+        deadline: float,
+        on_verdict: Callable[[Verdict, float], None],
+        now: float,
+    ) -> None:
+        """Calls `on_verdict(verdict, now)` once a round later than `after_round` proves the claim.
+
+        The verdict is SUPERSEDED as soon as a later term is seen, EXPIRED at the deadline.
+        """
+        waiter = _Waiter(claim, after_round, on_verdict)
+        if self._latest is not None and self._judge(waiter, self._latest, now):
+            return
+        self._last_waiter += 1
+        number = self._last_waiter
+        self._waiters[number] = waiter
+        waiter.timer = self._context.call_at(deadline, lambda at: self._expire(number, at))
+        if self._retry_pause == 0.0:
+            self._rounds.want(now)
+
+    def answer_status(self, peer: str, message: GroupStatusRequest, now: float) -> None:
+        """Answers from the cache if it will do, else after a round that starts from now on."""
+        if not message.fresh and self._cache_is_recent(now):
+            self._send_status(peer, message, now)
+            return
+        self._status_waiters.append(_StatusWaiter(peer, message, self.newest_round))
+        self._rounds.want(now)
+
+    def forget_peer(self, peer: str) -> None:
+        """Drops the status requests of a peer that is gone."""
+        self._status_waiters = [item for item in self._status_waiters if item.peer != peer]
+
+    def _on_reading(self, status_round: StatusRound, reading: StatusReading, now: float) -> None:
+        self.statuses.note(reading.database, reading.status, status_round.started_at)
+        if self._latest is None or status_round.round_id > self._latest.round_id:
+            self._latest = status_round
+        self._judge_waiters(status_round, now)
+        if status_round.conclusive:
+            self._answer_status_waiters(status_round, now)
+        self._note_primary(now)
+        self._plan_confirming_round(status_round, now)
+
+    def _on_abandoned(self, status_round: StatusRound, now: float) -> None:
+        self._answer_status_waiters(status_round, now)
+        if self._waiters or self._status_waiters:
+            self._rounds.want(now)
+
+    def _judge_waiters(self, status_round: StatusRound, now: float) -> None:
+        for number, waiter in list(self._waiters.items()):
+            if number in self._waiters and self._judge(waiter, status_round, now):
+                self._context.cancel(waiter.timer)
+                del self._waiters[number]
+                self._retry_pause = 0.0
+
+    def _judge(self, waiter: _Waiter, status_round: StatusRound, now: float) -> bool:
+        """Tells the waiter its verdict if the round gives one."""
+        if status_round.round_id <= waiter.after_round:
+            return False
+        if now - status_round.started_at > self._context.settings.round_max_age:
+            return False
+        statuses = [
+            status
+            for name, status in status_round.statuses.items()
+            if self._rounds.is_configured(name)
+        ]
+        verdict = judge(waiter.claim, statuses, self._rounds.group_size, self._policy)
+        if verdict is Verdict.UNDECIDED:
+            return False
+        waiter.on_verdict(verdict, now)
+        return True
+
+    def _expire(self, number: int, now: float) -> None:
+        waiter = self._waiters.pop(number, None)
+        if waiter is not None:
+            waiter.on_verdict(Verdict.EXPIRED, now)
+
+    def _plan_confirming_round(self, status_round: StatusRound, now: float) -> None:
+        """Those the round came too early for get one at once, those it left open after a pause."""
+        if not status_round.settled or status_round.round_id < self.newest_round:
+            return
+        if not self._waiters:
+            self._retry_pause = 0.0
+            if self._status_waiters:
+                self._rounds.want(now)
+            return
+        newest = next(reversed(self._waiters.values()))
+        oldest = next(iter(self._waiters.values()))
+        if oldest.after_round < status_round.round_id:
+            self._plan_repeat(now)
+        elif newest.after_round >= status_round.round_id:
+            self._rounds.want(now)
+
+    def _plan_repeat(self, now: float) -> None:
+        settings = self._context.settings
+        grown = max(settings.confirmation_retry_min, self._retry_pause * RETRY_GROWTH)
+        self._retry_pause = min(grown, settings.confirmation_retry_max)
+        self._rounds.want_at(now + self._context.jittered(self._retry_pause), now)
+
+    def _answer_status_waiters(self, status_round: StatusRound, now: float) -> None:
+        waiting = self._status_waiters
+        if not waiting:
+            return
+        self._status_waiters = []
+        for item in waiting:
+            if item.after_round < status_round.round_id:
+                self._send_status(item.peer, item.message, now)
+            else:
+                self._status_waiters.append(item)
+
+    def _send_status(self, peer: str, message: GroupStatusRequest, now: float) -> None:
+        known = self.statuses.all()
+        answer = GroupStatusAnswer(
+            message.correlation,
+            message.group,
+            tuple(cached.status for cached in known),
+            tuple(now - cached.asked_at for cached in known),
+        )
+        self._context.emit(SendToPeer(peer, answer))
+
+    def _cache_is_recent(self, now: float) -> bool:
+        if self._latest is None or not self._latest.conclusive:
+            return False
+        return now - self._latest.started_at <= self._context.settings.status_cache_age
+
+    def _note_primary(self, now: float) -> None:
+        primary = self.primary
+        if primary is None or primary == self._known_primary:
+            return
+        self._context.log(
+            "primary_seen",
+            group=self._group,
+            primary=primary,
+            term=self.statuses.term(primary),
+            previous=self._known_primary,
+        )
+        self._known_primary = primary
+
+    def _heartbeat(self, now: float) -> None:
+        pause = self._heartbeat_pause(now)
+        due = self._rounds.last_started_at + pause
+        if due <= now:
+            self._rounds.want(now)
+            due = now + pause
+        self._heartbeat_timer = self._context.call_at(due, self._heartbeat)
+
+    def _heartbeat_pause(self, now: float) -> float:
+        settings = self._context.settings
+        in_use = now - self._last_use <= settings.in_use_period
+        primary = self.primary
+        if primary is not None:
+            self._no_primary_pause = settings.no_primary_interval
+        if not in_use:
+            return self._context.jittered(settings.idle_heartbeat_interval)
+        if primary is None:
+            pause = self._no_primary_pause
+            self._no_primary_pause = min(pause * NO_PRIMARY_GROWTH, settings.heartbeat_interval)
+            return self._context.jittered(pause)
+        if primary in self._active:
+            return self._context.jittered(settings.heartbeat_interval)
+        return self._context.jittered(settings.idle_heartbeat_interval)
--- /dev/null
+++ b/src/dewledge/core/status_rounds.py
@@ -0,0 +1,188 @@
+"""Status rounds of one group: when one starts, whom it asks, which readings belong to it.
+
+A round asks every database of the group that is not being asked already, so a database that does
+not answer has one read pending and not one per round. The next round may start once the last one
+is settled: a majority answered in the same term, or nobody is left to answer.
+"""
+
+from collections.abc import Callable, Mapping
+
+from dewledge.core.confirmation import highest_term, majority_of, primary_of
+from dewledge.core.database_status import DatabaseStatus
+from dewledge.core.effects import ReadStatuses
+from dewledge.core.gateway_context import GatewayContext, Timer
+from dewledge.core.jobs import StatusReading
+
+
+class StatusRound:
+    """One round: who was asked, and what came back so far."""
+
+    __slots__ = ("answered", "asked", "group_size", "round_id", "started_at", "statuses", "timer")
+
+    def __init__(
+        self, round_id: int, started_at: float, asked: frozenset[str], group_size: int
+    ) -> None:
+        self.round_id = round_id
+        self.started_at = started_at
+        self.asked = asked
+        self.group_size = group_size
+        self.answered: set[str] = set()
+        self.statuses: dict[str, DatabaseStatus] = {}
+        self.timer: Timer | None = None
+
+    @property
+    def complete(self) -> bool:
+        """Everyone asked has answered or timed out."""
+        return len(self.answered) == len(self.asked)
+
+    @property
+    def settled(self) -> bool:
+        """Complete, or a majority of the group answered in the highest term seen."""
+        if self.complete:
+            return True
+        term = highest_term(self.statuses.values())
+        in_term = sum(1 for status in self.statuses.values() if status.term == term)
+        return in_term >= majority_of(self.group_size)
+
+    @property
+    def conclusive(self) -> bool:
+        """Complete, or it shows a primary with a majority."""
+        return self.complete or primary_of(self.statuses.values(), self.group_size) is not None
+
+
+class StatusRounds:
+    """Starts the rounds of one group; `on_reading(round, reading, now)` gets each reading."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        group: str,
+        on_reading: Callable[[StatusRound, StatusReading, float], None],
+        on_abandoned: Callable[[StatusRound, float], None],
+    ) -> None:
+        self._context = context
+        self._group = group
+        self._on_reading = on_reading
+        self._on_abandoned = on_abandoned
+        self._addresses: dict[str, str] = {}
+        self._rounds: dict[int, StatusRound] = {}
+        self._outstanding: dict[str, int] = {}
+        self._current: StatusRound | None = None
+        self._start_timer: Timer | None = None
+        self._start_at = 0.0
+        self._wanted = False
+        self.newest_round = 0
+        self.last_started_at = float("-inf")
+
+    @property
+    def group_size(self) -> int:
+        """The number of databases configured for the group."""
+        return len(self._addresses)
+
+    def configure(self, addresses: Mapping[str, str]) -> None:
+        """Sets the group's databases, drained ones too."""
+        self._addresses = dict(addresses)
+
+    def is_configured(self, database: str) -> bool:
+        """Tells whether a database belongs to the group."""
+        return database in self._addresses
+
+    def want(self, now: float) -> None:
+        """Starts a round now, or as soon as the last one is settled and the spacing allows."""
+        self._wanted = True
+        self._start_if_allowed(now)
+
+    def want_at(self, when: float, now: float) -> None:
+        """Starts a round at `when` at the latest."""
+        if self._start_timer is not None:
+            if self._start_at <= when:
+                return
+            self._context.cancel(self._start_timer)
+        self._start_at = when
+        self._start_timer = self._context.call_at(max(when, now), self._start_timer_due)
+
+    def handle_reading(self, round_id: int, reading: StatusReading, now: float) -> None:
+        """Takes a reading; doubled, late, foreign and mislabelled ones are dropped."""
+        status_round = self._rounds.get(round_id)
+        if status_round is None or reading.database not in status_round.asked:
+            return
+        if reading.database in status_round.answered:
+            return
+        if now - status_round.started_at > self._context.settings.round_max_age:
+            self._abandon(status_round, now)
+            return
+        reading = self._checked(reading)
+        status = reading.status
+        status_round.answered.add(reading.database)
+        self._outstanding.pop(reading.database, None)
+        if status is not None and self.is_configured(reading.database):
+            status_round.statuses[reading.database] = status
+        if status_round.complete:
+            self._forget(status_round)
+        self._on_reading(status_round, reading, now)
+        if self._current is status_round and status_round.settled:
+            self._current = None
+        if self._wanted:
+            self._start_if_allowed(now)
+
+    def _checked(self, reading: StatusReading) -> StatusReading:
+        """Turns a status that another database gave of itself into no answer."""
+        if reading.status is None or reading.status.database == reading.database:
+            return reading
+        self._context.log(
+            "status_of_other_database", expected=reading.database, found=reading.status.database
+        )
+        return StatusReading(reading.database, None)
+
+    def _start_timer_due(self, now: float) -> None:
+        self._start_timer = None
+        self.want(now)
+
+    def _start_if_allowed(self, now: float) -> None:
+        if self._current is not None:
+            return
+        asked = [name for name in self._addresses if name not in self._outstanding]
+        if not asked:
+            return
+        allowed_at = self.last_started_at + self._context.settings.round_spacing
+        if now < allowed_at:
+            self.want_at(allowed_at, now)
+            return
+        self._start(asked, now)
+
+    def _start(self, asked: list[str], now: float) -> None:
+        self._wanted = False
+        self._context.cancel(self._start_timer)
+        self._start_timer = None
+        settings = self._context.settings
+        round_id = self._context.next_id()
+        status_round = StatusRound(round_id, now, frozenset(asked), self.group_size)
+        status_round.timer = self._context.call_at(
+            now + settings.round_max_age, lambda at: self._abandon(status_round, at)
+        )
+        self._rounds[round_id] = status_round
+        self._outstanding.update(dict.fromkeys(asked, round_id))
+        self._current = status_round
+        self.newest_round = round_id
+        self.last_started_at = now
+        addresses = tuple(self._addresses[name] for name in asked)
+        self._context.round_owners[round_id] = self
+        self._context.emit(
+            ReadStatuses(round_id, self._group, tuple(asked), addresses, settings.status_timeout)
+        )
+
+    def _abandon(self, status_round: StatusRound, now: float) -> None:
+        self._forget(status_round)
+        if self._current is status_round:
+            self._current = None
+        self._on_abandoned(status_round, now)
+        if self._wanted:
+            self._start_if_allowed(now)
+
+    def _forget(self, status_round: StatusRound) -> None:
+        self._context.cancel(status_round.timer)
+        self._rounds.pop(status_round.round_id, None)
+        self._context.round_owners.pop(status_round.round_id, None)
+        for database in status_round.asked:
+            if self._outstanding.get(database) == status_round.round_id:
+                del self._outstanding[database]
--- /dev/null
+++ b/src/dewledge/core/transactions.py
@@ -0,0 +1,107 @@
+"""Open transactions of a gateway, and how ended ones ended.
+
+A transaction owns one connection from begin to end, and belongs to the caller that began it, not
+to the entry through which it came.
+"""
+
+from collections import OrderedDict
+from random import Random
+
+import msgspec
+
+from dewledge.core.gateway_context import Timer
+from dewledge.core.transaction_ids import make_transaction_id
+from dewledge.errors import ErrorCode
+
+SECRET_BITS = 128
+
+
+class Transaction:
+    """One open transaction.
+
+    busy: an operation is running on its connection.
+    wrote: its commit has to be confirmed.
+    ending: why it must end as soon as its running operation has ended, or None.
+    """
+
+    __slots__ = (
+        "age_timer",
+        "bound_timer",
+        "busy",
+        "caller",
+        "commit_sent",
+        "connection",
+        "database",
+        "ending",
+        "idle_timer",
+        "transaction_id",
+        "wrote",
+    )
+
+    def __init__(
+        self, transaction_id: str, caller: str, database: str, connection: int, wrote: bool
+    ) -> None:
+        self.transaction_id = transaction_id
+        self.caller = caller
+        self.database = database
+        self.connection = connection
+        self.wrote = wrote
+        self.busy = False
+        self.commit_sent = False
+        self.ending: ErrorCode | None = None
+        self.idle_timer: Timer | None = None
+        self.age_timer: Timer | None = None
+        self.bound_timer: Timer | None = None
+
+
+class EndedTransaction(msgspec.Struct, frozen=True):
+    """What is left of a transaction: whose it was, why it ended, and if a commit had been sent."""
+
+    caller: str
+    code: ErrorCode
+    commit_sent: bool
+
+
+class TransactionTable:
+    """Transactions by id: all that are open, and a bounded number of ended ones."""
+
+    def __init__(self, gateway: str, random: Random, remembered: int) -> None:
+        self._gateway = gateway
+        self._random = random
+        self._remembered = remembered
+        self._open: dict[str, Transaction] = {}
+        self._ended: OrderedDict[str, EndedTransaction] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def begin(self, caller: str, database: str, connection: int, wrote: bool) -> Transaction:
+        """Opens a transaction under a new id that nobody can guess."""
+        secret = f"{self._random.getrandbits(SECRET_BITS):032x}"
+        transaction_id = make_transaction_id(self._gateway, secret)
+        transaction = Transaction(transaction_id, caller, database, connection, wrote)
+        self._open[transaction_id] = transaction
+        return transaction
+
+    def find(self, transaction_id: str, caller: str) -> Transaction | None:
+        """Returns the open transaction if it is this caller's, else None."""
+        transaction = self._open.get(transaction_id)
+        if transaction is None or transaction.caller != caller:
+            return None
+        return transaction
+
+    def find_ended(self, transaction_id: str, caller: str) -> EndedTransaction | None:
+        """Tells how this caller's transaction ended; None if it never was or is forgotten."""
+        ended = self._ended.get(transaction_id)
+        if ended is None or ended.caller != caller:
+            return None
+        return ended
+
+    def end(self, transaction: Transaction, code: ErrorCode) -> None:
+        """Closes a transaction; `code` is what later operations on it are told."""
+        if self._open.pop(transaction.transaction_id, None) is None:
+            return
+        ended = EndedTransaction(transaction.caller, code, transaction.commit_sent)
+        self._ended[transaction.transaction_id] = ended
+        if len(self._ended) > self._remembered:
+            self._ended.popitem(last=False)
