--- /dev/null
+++ b/src/dewledge/cli/main.py
@@ -0,0 +1,123 @@
+"""The `dewledge` command: its sub-commands are imported only when one of them is run."""
+
+import importlib
+import importlib.util
+import sys
+from importlib.metadata import version as package_version
+from typing import Annotated, Any
+
+import msgspec
+import typer
+from typer.core import TyperGroup
+
+from dewledge.cli.output import print_error
+
+SUMMARY = """A database proxy with session consistency.
+
+Check a settings file, then run a proxy:
+
+\b
+    dewledge check proxy.toml
+    dewledge proxy --config proxy.toml
+
+Operators describe databases, callers and rules, and change them through any proxy:
+
+\b
+    export DEWLEDGE_PROXY=127.0.0.1:7400 DEWLEDGE_TOKEN=...
+    dewledge apply permits.yaml
+    dewledge get databases
+    dewledge drain database permits-accra-1
+
+See all of it at work, in one process: dewledge demo
+"""
+
+
+class CommandSource(msgspec.Struct, frozen=True):
+    """Where a sub-command is: a function, or a typer app with sub-commands of its own."""
+
+    module: str
+    attribute: str
+    is_group: bool = False
+
+
+COMMANDS: dict[str, CommandSource] = {
+    "proxy": CommandSource("dewledge.cli.proxy_command", "proxy"),
+    "check": CommandSource("dewledge.cli.check", "check"),
+    "apply": CommandSource("dewledge.cli.operator_commands", "apply"),
+    "get": CommandSource("dewledge.cli.operator_commands", "get"),
+    "label": CommandSource("dewledge.cli.operator_commands", "label"),
+    "drain": CommandSource("dewledge.cli.operator_commands", "drain"),
+    "delete": CommandSource("dewledge.cli.operator_commands", "delete"),
+    "status": CommandSource("dewledge.cli.operator_commands", "status"),
+    "query": CommandSource("dewledge.cli.query", "query"),
+    "demo": CommandSource("dewledge.cli.demo_command", "demo"),
+    "bench": CommandSource("dewledge.cli.bench_command", "bench"),
+    "scale": CommandSource("dewledge.cli.scale_command", "scale"),
+    "standin": CommandSource("dewledge.cli.standin_commands", "app", is_group=True),
+}
+"""Sub-commands, in the order of the help page; one whose module is not installed is left out."""
+
+
+class LazyCommands(TyperGroup):
+    """A group that imports a sub-command when it is asked for."""
+
+    def list_commands(self, ctx: Any) -> list[str]:
+        """Returns the names of the sub-commands that are installed."""
+        return [name for name, source in COMMANDS.items() if _is_installed(source)]
+
+    def get_command(self, ctx: Any, cmd_name: str) -> Any:
+        """Imports one sub-command; None if there is none of that name."""
+        source = COMMANDS.get(cmd_name)
+        if source is None or not _is_installed(source):
+            return None
+        target = getattr(importlib.import_module(source.module), source.attribute)
+        if source.is_group:
+            command: Any = typer.main.get_command(target)
+        else:
+            single = typer.Typer(add_completion=False, rich_markup_mode=None)
+            single.command(cmd_name)(target)
+            command = typer.main.get_command(single)
+        command.name = cmd_name
+        return command
+
+
+def _is_installed(source: CommandSource) -> bool:
+    return importlib.util.find_spec(source.module) is not None
+
+
+app = typer.Typer(
+    cls=LazyCommands,
+    help=SUMMARY,
+    no_args_is_help=True,
+    add_completion=False,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+)
+
+
+def _print_version(value: bool) -> None:
+    if value:
+        typer.echo(f"dewledge {package_version('dewledge')}")
+        raise typer.Exit()
+
+
+@app.callback()
+def _options(
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version", callback=_print_version, is_eager=True, help="Print the version and exit."
+        ),
+    ] = False,
+) -> None:
+    pass
+
+
+def main() -> None:
+    """Runs the command line. Exit codes: 0 done, 2 bad input or findings, 1 anything else."""
+    try:
+        app()
+    except KeyboardInterrupt:
+        sys.exit(130)
+    except Exception as error:
+        sys.exit(print_error(error))
