Add the entry: sessions, read routing, retries, failover wait, outcomes

The decision core had no entry half.

Ruled out: telling "not run" for a statement of a transaction whose gateway link broke after sending. The link may be broken on one side only, the transaction still open, and another entry could commit it; so it is unknown.

--- /dev/null
+++ b/src/dewledge/core/request_router.py
@@ -0,0 +1,246 @@
+"""Decides where each request goes next: to a replica, to the primary, or into the wait for one."""
+
+from dewledge.core.calls import Operation
+from dewledge.core.entry_group import EntryGroup
+from dewledge.core.entry_state import EntryState
+from dewledge.core.pending_requests import PendingRequest, RequestState
+from dewledge.core.request_finish import RequestFinisher
+from dewledge.core.request_sender import RequestSender
+from dewledge.core.server_selection import (
+    Freshness,
+    ReadChoice,
+    ReadQuery,
+    choose_replica,
+    readable_replicas,
+)
+from dewledge.core.status_watch import StatusWatch
+from dewledge.errors import ErrorCode
+
+DEFAULT_READ_WAIT = 0.01
+
+
+class RequestRouter:
+    """Routes requests by the view of their group."""
+
+    def __init__(self, state: EntryState, finisher: RequestFinisher) -> None:
+        self._state = state
+        self._finisher = finisher
+        self._watch = StatusWatch(state, self.release)
+        self._sender = RequestSender(state)
+
+    @property
+    def sender(self) -> RequestSender:
+        """Sends what was routed."""
+        return self._sender
+
+    @property
+    def watch(self) -> StatusWatch:
+        """Keeps the views that are routed by."""
+        return self._watch
+
+    def dispatch(self, pending: PendingRequest, now: float) -> None:
+        """Sends the request on its way, or lets it wait, or answers it."""
+        if now >= pending.request.deadline:
+            self._finisher.expire(pending)
+            return
+        if pending.transaction_gateway is not None:
+            # The gateway knows the database of its transaction.
+            self._sender.send_to(pending, pending.transaction_gateway, "", now)
+            return
+        group = self._state.group(pending.request.group, now)
+        self._watch.note_use(group, now)
+        if pending.is_read and pending.floor is not None:
+            self._dispatch_read(pending, group, now)
+        else:
+            self._dispatch_to_primary(pending, group, now)
+
+    def retry(self, pending: PendingRequest, code: ErrorCode, now: float, at_once: bool) -> None:
+        """Sends the request again, if its attempts and the budget allow, else answers it."""
+        attempts_left = pending.attempts < self._state.settings.max_attempts
+        if not attempts_left or not self._state.budget.take():
+            self._state.log("retry_refused", ("group", pending.request.group), ("code", code))
+            self._finisher.not_run(pending, code, retry_after=self._state.retry_after())
+        elif at_once:
+            self.dispatch(pending, now)
+        else:
+            self._sender.back_off(pending, now)
+
+    def wait_for_primary(
+        self, pending: PendingRequest, group: EntryGroup, code: ErrorCode, now: float
+    ) -> None:
+        """Lets the request wait for a primary, if one can still be found in time."""
+        wait = group.wait
+        if wait.start(now):
+            self._state.log("failover_started", ("group", group.description.group))
+        until = self._wait_until(pending, now)
+        if until <= now or wait.is_full or wait.is_hopeless(until, now):
+            self._finisher.not_run(
+                pending, code, "the group has no primary", self._primary_retry_after(group, now)
+            )
+        else:
+            pending.state = RequestState.WAITING
+            pending.last_code = code
+            self._sender.set_timer(pending, until)
+            wait.add(pending)
+        self._watch.search_primary(group, now)
+
+    def wait_for_gateway(self, pending: PendingRequest, now: float) -> None:
+        """Lets the request wait until the placement has a gateway that can be reached."""
+        pending.avoided_gateways = ()
+        if self._wait_until(pending, now) > now:
+            self._sender.back_off(pending, now)
+            return
+        code = ErrorCode.GATEWAY_UNREACHABLE
+        message = "no gateway of the database can be reached"
+        self._finisher.not_run(pending, code, message, self._state.retry_after())
+
+    def release(self, group: EntryGroup, now: float) -> None:
+        """Sends waiting requests on, as far as the view of the group allows."""
+        claim = group.primary_claim()
+        if claim is None or self._state.policy.is_drained(claim.database):
+            self._release_reads(group, now)
+            return
+        had_waiters = len(group.wait) > 0
+        taken = group.wait.take(claim)
+        if not len(group.wait):
+            self._note_failover_over(group, had_waiters, now)
+        for pending in taken:
+            self.dispatch(pending, now)
+
+    def _release_reads(self, group: EntryGroup, now: float) -> None:
+        for pending in group.wait.floored_reads():
+            choice = self._choose_replica(pending, group, now)
+            if choice is not None and choice.freshness is Freshness.KNOWN:
+                group.wait.discard(pending)
+                self._send_read(pending, group, choice, now)
+
+    def _note_failover_over(self, group: EntryGroup, had_waiters: bool, now: float) -> None:
+        if group.wait.started_at is None:
+            return
+        duration = group.wait.end(now)
+        if had_waiters and group.had_primary:
+            group.wait.learn_duration(duration)
+        group.had_primary = True
+        primary = group.description.primary
+        self._state.log(
+            "failover_ended",
+            ("group", group.description.group),
+            ("primary", primary),
+            ("seconds", round(duration, 4)),
+        )
+
+    def _dispatch_read(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
+        choice = self._choose_replica(pending, group, now)
+        if choice is None:
+            self._dispatch_to_primary(pending, group, now)
+            return
+        if choice.delay > 0 and now + choice.delay < pending.request.deadline:
+            pending.held += choice.delay
+            self._sender.hold(pending, now + choice.delay)
+            return
+        self._send_read(pending, group, choice, now)
+
+    def _send_read(
+        self, pending: PendingRequest, group: EntryGroup, choice: ReadChoice, now: float
+    ) -> None:
+        pending.freshness = choice.freshness
+        if self._sender.send(pending, choice.database, False, now):
+            return
+        pending.excluded += (choice.database,)
+        self._dispatch_read(pending, group, now)
+
+    def _choose_replica(
+        self, pending: PendingRequest, group: EntryGroup, now: float
+    ) -> ReadChoice | None:
+        state = self._state
+        floor = pending.floor
+        if floor is None or pending.stale_answers >= state.settings.max_stale_answers:
+            return None
+        request = pending.request
+        allowed = state.policy.read_databases(request.caller, request.group)
+        replicas = readable_replicas(allowed, group.description.primary, pending.excluded)
+        candidates = [name for name in replicas if not state.policy.is_drained(name)]
+        if not candidates:
+            return None
+        age = group.head.age_of(floor, now)
+        pending.floor_age = state.settings.unseen_floor_age if age is None else age
+        spec = state.configuration.group(request.group)
+        read_wait = DEFAULT_READ_WAIT if spec is None else spec.read_wait
+        query = ReadQuery(
+            floor=floor,
+            floor_age=pending.floor_age,
+            candidates=candidates,
+            read_wait=read_wait - pending.held,
+            zone=state.zone,
+            now=now,
+        )
+        return choose_replica(group.description, query, group.outstanding, state.random.random)
+
+    def _dispatch_to_primary(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
+        primary = group.description.primary
+        if primary is None:
+            self.wait_for_primary(pending, group, ErrorCode.NO_PRIMARY, now)
+            return
+        if self._state.policy.is_drained(primary):
+            self.wait_for_primary(pending, group, ErrorCode.DATABASE_DRAINED, now)
+            return
+        if pending.is_read and not self._may_read(pending, primary):
+            self._refuse_stale(pending)
+            return
+        group.had_primary = True
+        pending.freshness = None
+        if not self._sender.send(pending, primary, pending.is_read, now):
+            self.wait_for_gateway(pending, now)
+            return
+        self._watch.note_sent_to_primary(group, now)
+
+    def _may_read(self, pending: PendingRequest, database: str) -> bool:
+        request = pending.request
+        return database in self._state.policy.read_databases(request.caller, request.group)
+
+    def _refuse_stale(self, pending: PendingRequest) -> None:
+        code = ErrorCode.NO_FRESH_REPLICA
+        message = "no replica that the rules allow is known to be fresh enough"
+        self._finisher.not_run(pending, code, message, self._state.retry_after())
+
+    def _wait_until(self, pending: PendingRequest, now: float) -> float:
+        """The end of all waiting for this request, fixed when it first waits."""
+        if pending.wait_until is None:
+            settings = self._state.settings
+            latest = pending.request.deadline - settings.failover_margin
+            pending.wait_until = min(now + settings.failover_wait_limit, latest)
+        return pending.wait_until
+
+    def _primary_retry_after(self, group: EntryGroup, now: float) -> float:
+        return self._state.retry_after(group.wait.remaining(now))
+
+    def wake(self, pending: PendingRequest, now: float) -> None:
+        """Goes on with a request whose timer fired."""
+        if now >= pending.request.deadline:
+            self._finisher.expire(pending)
+        elif pending.state is RequestState.HELD:
+            self.dispatch(pending, now)
+        elif pending.state is RequestState.WAITING:
+            self._give_up_waiting(pending, now)
+        else:
+            self._attempt_timed_out(pending, now)
+
+    def _give_up_waiting(self, pending: PendingRequest, now: float) -> None:
+        group = self._state.group(pending.request.group, now)
+        retry_after = self._primary_retry_after(group, now)
+        message = "no primary was found in time"
+        self._finisher.not_run(pending, pending.last_code, message, retry_after)
+
+    def _attempt_timed_out(self, pending: PendingRequest, now: float) -> None:
+        """A replica that does not answer is left for another; the primary only for a new one."""
+        group = self._state.group(pending.request.group, now)
+        same_primary = group.description.primary == pending.database
+        if same_primary or pending.request.operation is Operation.BEGIN:
+            self._sender.extend_attempt(pending, now)
+            return
+        if not self._state.budget.take():
+            self._sender.extend_attempt(pending, now)
+            return
+        self._finisher.cancel(pending)
+        pending.excluded += (pending.database,)
+        self.dispatch(pending, now)
--- /dev/null
+++ b/src/dewledge/core/request_sender.py
@@ -0,0 +1,112 @@
+"""Sends requests to gateways, one attempt at a time, and holds them in between."""
+
+from dewledge.core.calls import Operation
+from dewledge.core.entry_state import EntryState
+from dewledge.core.messages import StatementRequest
+from dewledge.core.pending_requests import PendingRequest, RequestState
+
+_MARGIN_SHARE = 0.1
+_CANDIDATE_GATEWAYS = 2
+
+
+class RequestSender:
+    """Chooses gateways and keeps each request's one timer."""
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+        self._avoid_until: dict[str, float] = {}
+
+    def avoid_gateway(self, gateway: str, now: float) -> None:
+        """Prefers other gateways to this one for a while."""
+        self._avoid_until[gateway] = now + self._state.settings.gateway_avoid_time
+
+    def note_alive(self, gateway: str) -> None:
+        """Ends the avoiding of a gateway that answered."""
+        self._avoid_until.pop(gateway, None)
+
+    def send(self, pending: PendingRequest, database: str, confirm: bool, now: float) -> bool:
+        """Sends the request to the database's gateway; returns False if it has none to use."""
+        gateway = self._choose_gateway(pending, database, now)
+        if gateway is None:
+            return False
+        pending.attempts += 1
+        pending.confirm = confirm
+        self.send_to(pending, gateway, database, now)
+        return True
+
+    def send_to(self, pending: PendingRequest, gateway: str, database: str, now: float) -> None:
+        """Sends the request to this gateway, in place of any attempt before."""
+        correlation = self._state.next_correlation()
+        self._state.pending.attach(pending, correlation, gateway)
+        pending.state = RequestState.IN_FLIGHT
+        pending.database = database
+        pending.sent_at = now
+        group = self._state.group(pending.request.group, now)
+        group.note_sent(database, correlation, now)
+        self._state.send(gateway, self._message(pending, now))
+        self.set_timer(pending, self._attempt_end(pending, now))
+
+    def hold(self, pending: PendingRequest, until: float) -> None:
+        """Holds the request until a time, or its deadline."""
+        pending.state = RequestState.HELD
+        self.set_timer(pending, until)
+
+    def back_off(self, pending: PendingRequest, now: float) -> None:
+        """Holds the request for a random while, growing with its attempts (full jitter)."""
+        settings = self._state.settings
+        longest = min(
+            settings.retry_backoff_limit, settings.retry_backoff * 2.0 ** max(1, pending.attempts)
+        )
+        self.hold(pending, now + longest * self._state.random.random())
+
+    def set_timer(self, pending: PendingRequest, when: float) -> None:
+        """Sets the request's timer, in place of any before, at the latest to its deadline."""
+        self._state.timers.set(pending, min(when, pending.request.deadline))
+
+    def extend_attempt(self, pending: PendingRequest, now: float) -> None:
+        """Goes on waiting for the attempt in flight."""
+        self.set_timer(pending, self._attempt_end(pending, now))
+
+    def _choose_gateway(self, pending: PendingRequest, database: str, now: float) -> str | None:
+        ranked = self._state.placement.ranked(database)[:_CANDIDATE_GATEWAYS]
+        usable = [gateway for gateway in ranked if gateway not in pending.avoided_gateways]
+        for gateway in usable:
+            if not self._is_avoided(gateway, now):
+                return gateway
+        return usable[0] if usable else None
+
+    def _is_avoided(self, gateway: str, now: float) -> bool:
+        until = self._avoid_until.get(gateway)
+        if until is None:
+            return False
+        if until > now:
+            return True
+        del self._avoid_until[gateway]
+        return False
+
+    def _attempt_end(self, pending: PendingRequest, now: float) -> float:
+        """Reads time out early and go elsewhere; nothing else may be sent twice."""
+        settings = self._state.settings
+        if not pending.is_repeatable or pending.attempts >= settings.max_attempts:
+            return pending.request.deadline
+        return now + settings.read_attempt_timeout * 2.0 ** max(0, pending.attempts - 1)
+
+    def _message(self, pending: PendingRequest, now: float) -> StatementRequest:
+        request = pending.request
+        remaining = request.deadline - now
+        margin = min(self._state.settings.answer_margin, remaining * _MARGIN_SHARE)
+        carries_floor = pending.is_read or request.operation is Operation.BEGIN
+        return StatementRequest(
+            correlation=pending.correlation,
+            caller=request.caller,
+            group=request.group,
+            database=pending.database,
+            operation=request.operation,
+            access=request.access,
+            remaining=remaining - margin,
+            statement=request.statement,
+            floor=pending.floor if carries_floor else None,
+            confirm=pending.confirm,
+            idempotency_key=request.idempotency_key,
+            transaction=request.transaction,
+        )
--- /dev/null
+++ b/src/dewledge/core/status_watch.py
@@ -0,0 +1,139 @@
+"""Keeps the views of the groups in use fresh, and searches for a primary while requests wait."""
+
+from collections.abc import Callable
+
+from dewledge.core.entry_group import EntryGroup
+from dewledge.core.entry_state import EntryState
+from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest
+
+POLL_JITTER = 0.25
+
+
+class StatusWatch:
+    """Asks gateways for group statuses: rarely in peace, often while a primary is missing.
+
+    on_status: called with (group, now) after a status answer was taken in.
+    """
+
+    def __init__(self, state: EntryState, on_status: Callable[[EntryGroup, float], None]) -> None:
+        self._state = state
+        self._on_status = on_status
+        self._next_poll_at = float("-inf")
+
+    def note_use(self, group: EntryGroup, now: float) -> None:
+        """Notes that a request uses the group."""
+        group.last_used = now
+        if not group.timer_id:
+            self._arm(group, now)
+
+    def note_sent_to_primary(self, group: EntryGroup, now: float) -> None:
+        """Makes sure that the group is probed if the primary does not answer in time."""
+        self._arm_by(group, now + self._state.settings.suspect_after)
+
+    def search_primary(self, group: EntryGroup, now: float) -> None:
+        """Asks every gateway of the group at once, and again until the wait ends."""
+        if now < group.wait.next_probe_at:
+            return
+        self._ask_all(group, now)
+        group.wait.next_probe_at = now + self._probe_pause()
+        self._arm_by(group, group.wait.next_probe_at)
+
+    def handle_status(self, message: GroupStatusAnswer, now: float) -> None:
+        """Takes a gateway's statuses in; those of groups not in use are ignored."""
+        group = self._state.groups.get(message.group)
+        if group is None:
+            return
+        for status, age in zip(message.statuses, message.ages, strict=False):
+            group.learn_status(status, now - max(0.0, age), now)
+        group.last_refreshed = now
+        self._on_status(group, now)
+
+    def wake(self, group: EntryGroup, now: float) -> None:
+        """Asks what is due for a group whose timer fired."""
+        if len(group.wait):
+            self.search_primary(group, now)
+        elif self._is_suspect(group, now):
+            self._ask_all(group, now)
+        elif self._is_stale(group, now) and self._may_poll(now):
+            self._ask_one(group, now)
+        self._arm(group, now)
+
+    def _arm(self, group: EntryGroup, now: float) -> None:
+        settings = self._state.settings
+        if group.timer_id:
+            return
+        if len(group.wait):
+            self._set_timer(group, max(now, group.wait.next_probe_at))
+            return
+        if now - group.last_used > settings.group_idle_after and not group.unanswered_primary:
+            return
+        jitter = 1.0 + POLL_JITTER * (2.0 * self._state.random.random() - 1.0)
+        due = max(now, group.last_refreshed) + settings.poll_interval * jitter
+        suspect_at = self._suspect_at(group)
+        if suspect_at is not None:
+            due = min(due, max(now, suspect_at))
+        self._set_timer(group, due)
+
+    def _arm_by(self, group: EntryGroup, when: float) -> None:
+        if group.timer_id and group.timer_due <= when:
+            return
+        self._set_timer(group, when)
+
+    def _set_timer(self, group: EntryGroup, when: float) -> None:
+        group.timer_due = when
+        self._state.timers.set(group, when)
+
+    def _suspect_at(self, group: EntryGroup) -> float | None:
+        oldest = group.oldest_unanswered()
+        if oldest is None:
+            return None
+        settings = self._state.settings
+        suspect_at = oldest + settings.suspect_after
+        return max(suspect_at, group.last_probed + settings.probe_interval_most)
+
+    def _is_suspect(self, group: EntryGroup, now: float) -> bool:
+        suspect_at = self._suspect_at(group)
+        return suspect_at is not None and suspect_at <= now
+
+    def _is_stale(self, group: EntryGroup, now: float) -> bool:
+        least_age = self._state.settings.poll_interval * (1.0 - POLL_JITTER)
+        return now - group.last_refreshed >= least_age
+
+    def _may_poll(self, now: float) -> bool:
+        """Bounds the refreshes of all groups together, for the control traffic's sake."""
+        if now < self._next_poll_at:
+            return False
+        self._next_poll_at = now + 1.0 / self._state.settings.poll_rate
+        return True
+
+    def _probe_pause(self) -> float:
+        settings = self._state.settings
+        spread = settings.probe_interval_most - settings.probe_interval_least
+        return settings.probe_interval_least + spread * self._state.random.random()
+
+    def _gateways(self, group: EntryGroup) -> list[str]:
+        """The group's gateways without doubles, in the order of its databases."""
+        found: dict[str, None] = {}
+        for database in group.description.databases:
+            gateway = self._state.placement.active(database)
+            if gateway is not None:
+                found[gateway] = None
+        return list(found)
+
+    def _ask_all(self, group: EntryGroup, now: float) -> None:
+        group.last_probed = now
+        for gateway in self._gateways(group):
+            self._ask(gateway, group, fresh=True)
+
+    def _ask_one(self, group: EntryGroup, now: float) -> None:
+        gateways = self._gateways(group)
+        if not gateways:
+            return
+        group.last_refreshed = now
+        group.next_gateway += 1
+        self._ask(gateways[group.next_gateway % len(gateways)], group, fresh=False)
+
+    def _ask(self, gateway: str, group: EntryGroup, fresh: bool) -> None:
+        correlation = self._state.next_correlation()
+        request = GroupStatusRequest(correlation, group.description.group, fresh)
+        self._state.send(gateway, request)
