--- a/src/dewledge/simulation/deployments.py
+++ b/src/dewledge/simulation/deployments.py
@@ -17,26 +17,21 @@
     RuleSpec,
     Spec,
 )
+from dewledge.standin.link_delays import LinkDelays, Place
 
 LOCAL_DELAY = 0.0001
 """One-way delay within a zone, seconds."""
 
 
-class Location(msgspec.Struct, frozen=True):
-    """Where a node stands. A site of the brief is one region; its machines span two zones."""
-
-    zone: str
-    region: str
-
-
 class Deployment(msgspec.Struct, frozen=True):
-    """Sites, delays (one-way, seconds) and sizes of one deployment."""
+    """Sites, link delays and sizes of one deployment; times in seconds.
+
+    A site of the brief is one region here; its machines span two zones.
+    """
 
     name: str
     sites: tuple[str, ...]
-    between_zones: float
-    between_regions: float
-    to_clients: float
+    links: LinkDelays
     groups: tuple[str, ...]
     slots: int
     max_connections: int
@@ -46,31 +41,17 @@
     read_service_time: float = 0.002
     write_service_time: float = 0.004
 
-    def locations(self) -> tuple[Location, ...]:
-        """Returns the zones, site by site."""
-        return tuple(
-            Location(zone=f"{site}-{letter}", region=site) for site in self.sites for letter in "ab"
-        )
-
-    def delay(self, first: Location, second: Location) -> float:
-        """Returns the one-way delay between two places."""
-        if first.region != second.region:
-            return self.between_regions
-        if first.zone != second.zone:
-            return self.between_zones
-        return LOCAL_DELAY
-
-    def proxies(self) -> dict[str, Location]:
+    def proxies(self) -> dict[str, Place]:
         """Returns the proxies by name, spread over the zones."""
         return {
-            f"proxy-{site}-{number}": Location(f"{site}-{'ab'[number % 2]}", site)
+            f"proxy-{site}-{number}": Place(f"{site}-{'ab'[number % 2]}", site)
             for site in self.sites
             for number in range(self.proxies_per_site)
         }
 
-    def databases(self, group: str) -> dict[str, Location]:
+    def databases(self, group: str) -> dict[str, Place]:
         """Returns a group's databases by name: one in each site, or by zone with fewer sites."""
-        return {f"{group}-{site}": Location(f"{site}-a", site) for site in self.sites}
+        return {f"{group}-{site}": Place(f"{site}-a", site) for site in self.sites}
 
 
 class DeploymentName(StrEnum):
@@ -83,9 +64,7 @@
 PERMITS = Deployment(
     name=DeploymentName.PERMITS,
     sites=("accra", "kumasi", "tamale"),
-    between_zones=0.0015,
-    between_regions=0.020,
-    to_clients=0.003,
+    links=LinkDelays(LOCAL_DELAY, 0.0015, 0.020, 0.003),
     groups=("accra-cases", "kumasi-cases", "tamale-cases"),
     slots=5,
     max_connections=40,
@@ -95,9 +74,7 @@
 MENUS = Deployment(
     name=DeploymentName.MENUS,
     sites=("suva", "labasa", "lautoka"),
-    between_zones=0.0005,
-    between_regions=0.010,
-    to_clients=0.003,
+    links=LinkDelays(LOCAL_DELAY, 0.0005, 0.010, 0.003),
     groups=("suva-meals", "labasa-meals", "lautoka-meals"),
     slots=10,
     max_connections=100,
--- a/src/dewledge/simulation/network.py
+++ b/src/dewledge/simulation/network.py
@@ -71,9 +71,9 @@
         if self._random.random() < self._faults.duplicate:
             self._schedule(source, destination, deliver)
 
-    def send_reliably(self, source: str, destination: str, deliver: Action) -> None:
-        """Like `send` on a link that only a cut can harm, such as a caller's own connection."""
-        if self.is_cut(source, destination):
+    def send_stream(self, source: str, destination: str, deliver: Action) -> None:
+        """Like `send` on one connection whose reader would notice a doubled or swapped message."""
+        if self.is_cut(source, destination) or self._random.random() < self._faults.loss:
             self.lost += 1
             return
         self._schedule_in_order(source, destination, self._delay(source, destination), deliver)
--- /dev/null
+++ b/src/dewledge/simulation/simulated_proxy.py
@@ -0,0 +1,344 @@
+"""A proxy as a process: it runs the decision core, and can be killed, frozen and restarted."""
+
+from collections.abc import Callable, Iterable
+from enum import StrEnum
+from random import Random
+from typing import TYPE_CHECKING
+
+from dewledge.core.calls import CallerAnswer, CallerRequest
+from dewledge.core.configuration_spread import ConfigurationChanged
+from dewledge.core.configuration_store import ProposalFinished, ProposedChange, StoreCall
+from dewledge.core.effects import (
+    AnswerCaller,
+    CloseConnection,
+    LogEvent,
+    OpenConnection,
+    ReadStatuses,
+    RunJob,
+    SendToPeer,
+)
+from dewledge.core.member import Member
+from dewledge.core.membership_messages import SendDatagram
+from dewledge.core.messages import decode
+from dewledge.core.proxy_core import ProxyCore
+from dewledge.core.proxy_effects import ProxyEffect, ReadMachineList
+from dewledge.simulation.clock import Action, ScheduledEvent
+from dewledge.simulation.database_client import ClientReports, DatabaseClient
+from dewledge.simulation.history import AbsenceRecord, RevisionRecord, StopRecord
+from dewledge.standin.link_delays import Place
+
+if TYPE_CHECKING:
+    from dewledge.simulation.world import World
+
+STOP_CHECK_INTERVAL = 0.05
+
+STOP_BOUND = 15.0
+"""Seconds after which a proxy that leaves ends, whatever it still has."""
+
+MILLISECONDS = 1000
+
+AnswerReply = Callable[[CallerAnswer], None]
+ProposalReply = Callable[[ProposalFinished], None]
+Handler = Callable[[ProxyCore, float], Iterable[ProxyEffect]]
+
+
+class ProcessState(StrEnum):
+    """Whether the process exists and runs."""
+
+    RUNNING = "running"
+    FROZEN = "frozen"
+    DEAD = "dead"
+
+
+class SimulatedProxy:
+    """One proxy. What reaches it while frozen waits, and is handled in order when it thaws.
+
+    leaving: a planned stop has begun. store_cut: its calls to the platform are lost.
+    """
+
+    def __init__(self, name: str, place: Place, world: "World", random: Random) -> None:
+        self.name = name
+        self.place = place
+        self.incarnation = 0
+        self.state = ProcessState.DEAD
+        self.leaving = False
+        self.store_cut = False
+        self.log: list[tuple[float, LogEvent]] = []
+        self._world = world
+        self._random = random
+        self._parked: list[Action] = []
+        self._wake: ScheduledEvent | None = None
+        self._calls: dict[int, AnswerReply] = {}
+        self._ended_watchers: dict[int, Action] = {}
+        self._proposals: dict[str, ProposalReply] = {}
+        self._peer_incarnations: dict[str, int] = {}
+        self._absent_since: float | None = None
+        self._restart_after_stop = False
+
+    # The process.
+
+    def start(self) -> None:
+        """Starts a new process under the same name."""
+        self._record_absence()
+        self.incarnation += 1
+        self.state = ProcessState.RUNNING
+        self.leaving = False
+        self._restart_after_stop = False
+        self._parked = []
+        self._calls = {}
+        self._proposals = {}
+        self._peer_incarnations = {}
+        world = self._world
+        number = int(self._now() * MILLISECONDS) + 1
+        me = Member(self.name, self.name, self.name, self.place.zone, number)
+        self._core = world.make_core(me, world.settings, self._random)
+        self._database = DatabaseClient(
+            self.name, world.servers, world.network, world.queue, self._reports()
+        )
+        seeds = [name for name in world.proxies if name != self.name]
+        self._handle(lambda core, now: core.start(seeds, now))
+
+    def kill(self) -> None:
+        """Ends the process at once; its connections break."""
+        if self.state is not ProcessState.DEAD:
+            self._end()
+            self._world.proxy_ended(self)
+
+    def freeze(self) -> None:
+        """Stops the process where it stands."""
+        if self.state is ProcessState.RUNNING:
+            self.state = ProcessState.FROZEN
+            self._absent_since = self._now()
+
+    def thaw(self) -> None:
+        """Lets a frozen process go on."""
+        if self.state is not ProcessState.FROZEN:
+            return
+        self.state = ProcessState.RUNNING
+        self._record_absence()
+        parked, self._parked = self._parked, []
+        for action in parked:
+            self._run(action)
+
+    def stop(self) -> None:
+        """Begins a planned stop: announces it, finishes what was accepted, then ends."""
+        announced_at = self._now()
+        self.leaving = True
+        self._handle(lambda core, now: core.leave(now))
+        self._check_stop(announced_at, self.incarnation)
+
+    def restart_when_ended(self) -> None:
+        """Starts a new process, at once or when the planned stop is over."""
+        if self.state is ProcessState.DEAD:
+            self.start()
+        else:
+            self._restart_after_stop = True
+
+    def begin_absence(self) -> None:
+        """Notes that it is cut off from the others and the store."""
+        self._absent_since = self._now()
+
+    def end_absence(self) -> None:
+        """Notes that it has rejoined."""
+        if self.state is ProcessState.RUNNING:
+            self._record_absence()
+
+    def record_open_absence(self) -> None:
+        """Records an absence that lasts until the end of the run."""
+        self._record_absence()
+
+    @property
+    def core(self) -> ProxyCore:
+        """The decision core of the present process."""
+        return self._core
+
+    # What reaches it.
+
+    def receive_call(self, request: CallerRequest, reply: AnswerReply, ended: Action) -> None:
+        """Takes a caller's request; `ended` runs if the process ends before its answer."""
+        self._calls[request.request_id] = reply
+        self._ended_watchers[request.request_id] = ended
+        self._handle(lambda core, now: core.handle_call(request, now))
+
+    def receive_from_peer(self, peer: str, incarnation: int, data: bytes) -> None:
+        """Takes an encoded message of another proxy; `incarnation` is that of its process."""
+        message = decode(data)
+        self._handle(lambda core, now: self._note_peer(peer, incarnation, now))
+        self._handle(lambda core, now: core.handle_peer_message(peer, message, now))
+
+    def receive_datagram(self, address: str, data: bytes) -> None:
+        """Takes a membership datagram."""
+        self._handle(lambda core, now: core.handle_datagram(data, address, now))
+
+    def peer_lost(self, peer: str, unsent_requests: tuple[int, ...] = ()) -> None:
+        """Learns that the link for its requests to a peer broke."""
+        self._handle(lambda core, now: core.handle_outbound_lost(peer, unsent_requests, now))
+
+    def peer_ended(self, peer: str) -> None:
+        """Learns that both links with a peer broke."""
+        self.peer_lost(peer)
+        self._handle(lambda core, now: core.handle_inbound_lost(peer, now))
+
+    def propose(self, change: ProposedChange, reply: ProposalReply) -> None:
+        """Takes an operator's change."""
+        self._proposals[change.change_id] = reply
+        self._handle(lambda core, now: core.propose(change, now))
+
+    # Running the core.
+
+    def _handle(self, handler: Handler) -> None:
+        """Gives the core an event: now, after the thaw, or never if the process has ended."""
+        incarnation = self.incarnation
+
+        def act() -> None:
+            if incarnation != self.incarnation:
+                return
+            for effect in handler(self._core, self._now()):
+                self._carry_out(effect)
+
+        self._run(act)
+
+    def _run(self, action: Action) -> None:
+        if self.state is ProcessState.FROZEN:
+            self._parked.append(action)
+        elif self.state is ProcessState.RUNNING:
+            action()
+            self._schedule_wake()
+
+    def _now(self) -> float:
+        return self._world.queue.now
+
+    def _schedule_wake(self) -> None:
+        if self._wake is not None:
+            self._wake.cancel()
+        next_wake = self._core.next_wake()
+        if next_wake is not None:
+            self._wake = self._world.queue.call_at(
+                next_wake, lambda: self._handle(lambda core, now: core.tick(now))
+            )
+
+    def _note_peer(self, peer: str, incarnation: int, now: float) -> Iterable[ProxyEffect]:
+        if self._peer_incarnations.get(peer) == incarnation:
+            return ()
+        self._peer_incarnations[peer] = incarnation
+        return self._core.handle_peer_connected(peer, incarnation, now)
+
+    def _carry_out(self, effect: ProxyEffect) -> None:
+        match effect:
+            case AnswerCaller():
+                self._answer(effect)
+            case SendToPeer():
+                self._world.send_to_peer(self, effect.peer, effect.message)
+            case SendDatagram():
+                self._world.send_datagram(self, effect.address, effect.data)
+            case OpenConnection():
+                self._database.open(effect)
+            case CloseConnection():
+                self._database.close(effect)
+            case RunJob():
+                self._database.run(effect)
+            case ReadStatuses():
+                self._database.read_statuses(effect)
+            case StoreCall():
+                self._call_store(effect)
+            case ReadMachineList():
+                self._read_machine_list()
+            case ConfigurationChanged():
+                self._record_revision(effect.configuration.revision)
+            case ProposalFinished():
+                self._finish_proposal(effect)
+            case LogEvent():
+                self.log.append((self._now(), effect))
+
+    def _answer(self, effect: AnswerCaller) -> None:
+        self._ended_watchers.pop(effect.request_id, None)
+        reply = self._calls.get(effect.request_id)
+        if reply is not None:
+            reply(effect.answer)
+
+    def _finish_proposal(self, finished: ProposalFinished) -> None:
+        reply = self._proposals.pop(finished.change_id, None)
+        if reply is not None:
+            reply(finished)
+
+    def _call_store(self, call: StoreCall) -> None:
+        run = self._reporter()
+        if not self.store_cut:
+            self._world.platform.call(
+                call, lambda result: run(lambda core, now: core.handle_store_result(result, now))
+            )
+
+    def _read_machine_list(self) -> None:
+        run = self._reporter()
+        self._world.read_machine_list(
+            lambda machines: run(lambda core, now: core.handle_machine_list(machines, now))
+        )
+
+    def _reporter(self) -> Callable[[Handler], None]:
+        """Returns what reports to this process; for one that has ended it does nothing."""
+        incarnation = self.incarnation
+
+        def report(handler: Handler) -> None:
+            if incarnation == self.incarnation:
+                self._handle(handler)
+
+        return report
+
+    def _reports(self) -> ClientReports:
+        run = self._reporter()
+        return ClientReports(
+            opened=lambda connection: run(
+                lambda core, now: core.handle_connection_opened(connection, now)
+            ),
+            open_failed=lambda connection, code: run(
+                lambda core, now: core.handle_connection_failed(connection, code, now)
+            ),
+            job_result=lambda result: run(lambda core, now: core.handle_job_result(result, now)),
+            status_reading=lambda number, reading: run(
+                lambda core, now: core.handle_status_reading(number, reading, now)
+            ),
+        )
+
+    # The planned stop.
+
+    def _check_stop(self, announced_at: float, incarnation: int) -> None:
+        if incarnation != self.incarnation or self.state is ProcessState.DEAD:
+            return
+        if self._core.is_idle or self._now() > announced_at + STOP_BOUND:
+            self._finish_stop(announced_at)
+            return
+        self._world.queue.call_after(
+            STOP_CHECK_INTERVAL, lambda: self._check_stop(announced_at, incarnation)
+        )
+
+    def _finish_stop(self, announced_at: float) -> None:
+        self._handle(lambda core, now: core.stop(now))
+        self._world.history.stops.append(StopRecord(self.name, announced_at, self._now()))
+        self.kill()
+        if self._restart_after_stop:
+            self.start()
+
+    # Inside.
+
+    def _end(self) -> None:
+        if self._absent_since is None:
+            self._absent_since = self._now()
+        self.state = ProcessState.DEAD
+        self._parked = []
+        self._calls = {}
+        watchers, self._ended_watchers = self._ended_watchers, {}
+        for watcher in watchers.values():
+            watcher()
+        self._database.close_all()
+        if self._wake is not None:
+            self._wake.cancel()
+
+    def _record_absence(self) -> None:
+        if self._absent_since is not None:
+            absence = AbsenceRecord(self.name, self._absent_since, self._now())
+            self._world.history.absences.append(absence)
+        self._absent_since = None
+
+    def _record_revision(self, revision: int) -> None:
+        record = RevisionRecord(self._now(), self.name, self.incarnation, revision)
+        self._world.history.revisions.append(record)
