--- a/src/dewledge/standin/group_settings.py
+++ b/src/dewledge/standin/group_settings.py
@@ -2,15 +2,19 @@
 
 import tomllib
 from pathlib import Path
+from typing import TypeVar
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from dewledge.core.resource_documents import findings_of_validation
 from dewledge.errors import ErrorCode, Finding, InvalidInput
 from dewledge.standin.group_types import GroupTiming, ModelDatabase
 from dewledge.standin.link_delays import LinkDelays
 
 LOOPBACK = "127.0.0.1:0"
 
+Model = TypeVar("Model", bound=BaseModel)
+
 
 class _Settings(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -81,17 +85,15 @@
 
 def load_group_settings(path: Path) -> GroupSettings:
     """Reads a TOML file. Raises InvalidInput with every finding and its place, or OSError."""
+    return load_toml(path, GroupSettings)
+
+
+def load_toml(path: Path, model: type[Model]) -> Model:
+    """Reads a TOML file as `model`. Raises InvalidInput with every finding, or OSError."""
     try:
-        return GroupSettings.model_validate(tomllib.loads(path.read_text()))
+        return model.model_validate(tomllib.loads(path.read_text()))
     except tomllib.TOMLDecodeError as error:
         raise InvalidInput([Finding(str(path), ErrorCode.INVALID_SETTING, str(error))]) from error
     except ValidationError as error:
-        findings = [
-            Finding(
-                place=f"{path} {'.'.join(str(part) for part in item['loc'])}",
-                code=ErrorCode.INVALID_SETTING,
-                message=item["msg"],
-            )
-            for item in error.errors()
-        ]
+        findings = findings_of_validation(error, str(path), ErrorCode.INVALID_SETTING)
         raise InvalidInput(findings) from error
