--- a/src/dewledge/core/proxy_core.py
+++ b/src/dewledge/core/proxy_core.py
@@ -18,6 +18,7 @@
     StoreResult,
 )
 from dewledge.core.effects import SendToPeer
+from dewledge.core.gateway_database import DatabaseReport
 from dewledge.core.jobs import JobResult, StatusReading
 from dewledge.core.member import Member
 from dewledge.core.messages import Leaving, PeerMessage, StatementNotRun
@@ -87,6 +88,10 @@
         """Whether neither entry nor gateway has anything unfinished."""
         return self._parts.entry.in_flight == 0 and self._parts.gateway.is_idle
 
+    def database_reports(self) -> tuple[DatabaseReport, ...]:
+        """Returns the figures of the databases this proxy is gateway of, or stands by for."""
+        return self._parts.gateway.reports()
+
     @property
     def in_flight(self) -> int:
         """The callers' requests taken and not yet answered."""
@@ -165,6 +170,11 @@
         """Takes a message from a peer's link."""
         return self._router.finish(self._router.deliver(peer, message, now), now)
 
+    def handle_peer_connected(self, peer: str, incarnation: int, now: float) -> list[ProxyEffect]:
+        """Notes a link on which `peer` will send requests, and which process of it that is."""
+        effects = self._parts.gateway.handle_peer_connected(peer, incarnation, now)
+        return self._router.finish(effects, now)
+
     def handle_outbound_lost(
         self, peer: str, unsent_requests: Iterable[int], now: float
     ) -> list[ProxyEffect]:
--- a/src/dewledge/core/proxy_router.py
+++ b/src/dewledge/core/proxy_router.py
@@ -43,7 +43,6 @@
 from dewledge.core.placement import GatewayPlacement
 from dewledge.core.proxy_effects import ProxyEffect
 from dewledge.core.proxy_parts import ProxyParts
-from dewledge.errors import ErrorCode
 
 InwardHandler = Callable[[Any, float], Iterable[Any]]
 
@@ -126,14 +125,17 @@
         return effects
 
     def check_serving(self, now: float) -> list[Any]:
-        """Tells the entry when contact with store and peers has been lost, or is back."""
+        """Tells entry and gateway when contact with store and peers is lost or back."""
         serving = self._parts.isolation.may_serve(now)
         if serving == self._serving:
             return []
         self._serving = serving
         age = round(self._parts.isolation.age(now), 3)
         event = LogEvent("serving_changed", (("serving", str(serving)), ("contact_age", age)))
-        return [event, *self._parts.entry.set_serving(serving, now)]
+        effects: list[Any] = [event]
+        effects += self._parts.entry.set_serving(serving, now)
+        effects += self._parts.gateway.set_serving(serving, now)
+        return effects
 
     def note_members(self, now: float) -> None:
         """Tells the isolation guard how much of the membership is within reach."""
@@ -201,12 +203,9 @@
     # Messages that are not for one part alone.
 
     def _statement_request(self, peer: str, request: StatementRequest, now: float) -> Iterable[Any]:
-        begins_work = request.transaction is None
-        if begins_work and not self._parts.isolation.may_serve(now):
-            message = "the gateway has lost contact with store and peers"
-            refused = StatementNotRun(request.correlation, ErrorCode.ISOLATED, message)
-            return (SendToPeer(peer, refused),)
-        return self._parts.gateway.handle_request(peer, request, now)
+        # A process that was frozen finds its contacts stale before it takes anything new.
+        effects = self.check_serving(now)
+        return [*effects, *self._parts.gateway.handle_request(peer, request, now)]
 
     def _peer_leaves(self, peer: str, _message: Leaving, now: float) -> Iterable[Any]:
         for member in self._parts.membership.members:
--- a/src/dewledge/shell/database_workers.py
+++ b/src/dewledge/shell/database_workers.py
@@ -202,8 +202,12 @@
 
     def _close(self, connection_id: int, connection: _Connection) -> None:
         self._forget(connection_id, connection)
-        if connection.wrapped is not None:
+        if connection.wrapped is None:
+            return
+        try:
             connection.threads.jobs.submit(connection.wrapped.close)
+        except RuntimeError:  # the threads are ending already
+            connection.wrapped.close()
 
     def _forget(self, connection_id: int, connection: _Connection) -> None:
         self._connections.pop(connection_id, None)
--- a/src/dewledge/shell/peer_links.py
+++ b/src/dewledge/shell/peer_links.py
@@ -28,6 +28,9 @@
     def peer_message(self, peer: str, message: PeerMessage) -> None:
         """A message came from `peer`."""
 
+    def inbound_opened(self, peer: str, incarnation: int) -> None:
+        """A link was made on which `peer` will send requests."""
+
     def outbound_lost(self, lost: OutboundLost) -> None:
         """The link for this proxy's requests to a peer ended or could not be made."""
 
@@ -176,6 +179,7 @@
         link.peer = message.proxy
         self._inbound[link.peer] = link
         link.send(self._hello)
+        self._handler.inbound_opened(link.peer, message.incarnation)
 
     def _inbound_closed(self, link: PeerLink, closed: LinkClosed) -> None:
         if self._closing:
--- /dev/null
+++ b/src/dewledge/shell/proxy_driver.py
@@ -0,0 +1,295 @@
+"""Drives one ProxyCore on the loop's thread: brings it events and carries out its effects."""
+
+import itertools
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from loguru import logger
+
+from dewledge.core.authorization import AccessPolicy
+from dewledge.core.calls import CallerAnswer, CallerRequest
+from dewledge.core.configuration import Configuration
+from dewledge.core.configuration_spread import ConfigurationChanged
+from dewledge.core.configuration_store import (
+    ChangeLookedUp,
+    ProposalFinished,
+    ProposedChange,
+    StoreCall,
+    StoreResult,
+)
+from dewledge.core.effects import (
+    AnswerCaller,
+    CloseConnection,
+    LogEvent,
+    OpenConnection,
+    ReadStatuses,
+    RunJob,
+    SendToPeer,
+)
+from dewledge.core.gateway_database import DatabaseReport
+from dewledge.core.jobs import JobResult, StatusReading
+from dewledge.core.member import Member
+from dewledge.core.membership_messages import MembersChanged, SendDatagram
+from dewledge.core.messages import PeerMessage
+from dewledge.core.ports import MachineState
+from dewledge.core.proxy_core import ProxyCore
+from dewledge.core.proxy_effects import ProxyEffect, ReadMachineList
+from dewledge.errors import ErrorCode
+from dewledge.shell.database_workers import DatabaseWorkers
+from dewledge.shell.datagrams import DatagramSocket
+from dewledge.shell.event_loop import EventLoop, Timer
+from dewledge.shell.metrics import ProxyMetrics
+from dewledge.shell.outbound_peer import OutboundLost
+from dewledge.shell.peer_links import PeerLinks
+from dewledge.shell.proxy_services import DeadlineBounds
+from dewledge.shell.store_calls import StoreCalls
+
+
+class ProxyDriver:
+    """The running core as the rest of the shell sees it. Belongs to the loop's thread.
+
+    `connect` gives it the means to carry out effects, before `start`.
+    """
+
+    def __init__(self, loop: EventLoop, name: str, zone: str, deadlines: DeadlineBounds) -> None:
+        self.name = name
+        self.zone = zone
+        self.deadlines = deadlines
+        self.metrics = ProxyMetrics()
+        self.now = loop.now
+        self._loop = loop
+        self._core: ProxyCore
+        self._links: PeerLinks
+        self._datagrams: DatagramSocket
+        self._workers: DatabaseWorkers
+        self._store: StoreCalls
+        self._request_ids = itertools.count(1)
+        self._callers: dict[int, Callable[[CallerAnswer], None]] = {}
+        self._proposers: dict[str, list[Callable[[ProposalFinished], None]]] = {}
+        self._askers: dict[str, list[Callable[[ChangeLookedUp], None]]] = {}
+        self._timer: Timer | None = None
+        self._reschedule_planned = False
+
+    def connect(
+        self,
+        core: ProxyCore,
+        links: PeerLinks,
+        datagrams: DatagramSocket,
+        workers: DatabaseWorkers,
+        store: StoreCalls,
+    ) -> None:
+        """Takes the core and what carries out its effects."""
+        self._core = core
+        self._links = links
+        self._datagrams = datagrams
+        self._workers = workers
+        self._store = store
+        self._carriers: dict[type, Callable[[Any], None]] = {
+            AnswerCaller: self._answer_caller,
+            SendToPeer: self._send_to_peer,
+            OpenConnection: workers.open,
+            CloseConnection: workers.close,
+            RunJob: workers.run,
+            ReadStatuses: workers.read_statuses,
+            LogEvent: self._log,
+            SendDatagram: self._send_datagram,
+            MembersChanged: self._members_changed,
+            ConfigurationChanged: self._ignore,
+            StoreCall: self._call_store,
+            ReadMachineList: self._read_machine_list,
+            ProposalFinished: self._proposal_finished,
+            ChangeLookedUp: self._change_looked_up,
+        }
+
+    def start(self, seeds: Iterable[str]) -> None:
+        """Begins to take part."""
+        self._carry_out(self._core.start(seeds, self.now()))
+
+    def leave(self) -> None:
+        """Begins the planned stop."""
+        self._carry_out(self._core.leave(self.now()))
+
+    def stop(self) -> None:
+        """Announces the end of the process."""
+        self._carry_out(self._core.stop(self.now()))
+
+    # ProxyServices, for the HTTP handlers.
+
+    @property
+    def policy(self) -> AccessPolicy:
+        """Who may do what."""
+        return self._core.policy
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self._core.configuration
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The members that are not gone."""
+        return self._core.members
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop is under way."""
+        return self._core.is_leaving
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether new work is taken."""
+        return self._core.is_serving
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is unfinished in the core."""
+        return self._core.is_idle
+
+    @property
+    def in_flight(self) -> int:
+        """The callers' requests that the entry has not answered."""
+        return self._core.in_flight
+
+    @property
+    def has_configuration(self) -> bool:
+        """Whether any configuration has been learned."""
+        return self._core.has_configuration
+
+    def database_reports(self) -> tuple[DatabaseReport, ...]:
+        """The figures of the databases this proxy is gateway of."""
+        return self._core.database_reports()
+
+    def next_request_id(self) -> int:
+        """A number for one caller's request."""
+        return next(self._request_ids)
+
+    def submit_call(
+        self, request: CallerRequest, on_answer: Callable[[CallerAnswer], None]
+    ) -> None:
+        """Hands a caller's request to the core."""
+        self._callers[request.request_id] = on_answer
+        self._carry_out(self._core.handle_call(request, self.now()))
+
+    def abandon_call(self, request_id: int) -> None:
+        """Tells the core that the caller is gone."""
+        if self._callers.pop(request_id, None) is not None:
+            self._carry_out(self._core.handle_caller_gone(request_id, self.now()))
+
+    def propose(
+        self, change: ProposedChange, on_finished: Callable[[ProposalFinished], None]
+    ) -> None:
+        """Asks for a change of configuration."""
+        self._proposers.setdefault(change.change_id, []).append(on_finished)
+        self._carry_out(self._core.propose(change, self.now()))
+
+    def look_up_change(self, change_id: str, on_answer: Callable[[ChangeLookedUp], None]) -> None:
+        """Asks whether a change stands."""
+        self._askers.setdefault(change_id, []).append(on_answer)
+        self._carry_out(self._core.look_up_change(change_id, self.now()))
+
+    # PeerHandler, for the links.
+
+    def peer_message(self, peer: str, message: PeerMessage) -> None:
+        """Brings a peer's message to the core."""
+        self._carry_out(self._core.handle_peer_message(peer, message, self.now()))
+
+    def inbound_opened(self, peer: str, incarnation: int) -> None:
+        """Tells the core that a peer will send requests."""
+        self._carry_out(self._core.handle_peer_connected(peer, incarnation, self.now()))
+
+    def outbound_lost(self, lost: OutboundLost) -> None:
+        """Tells the core which requests are in doubt, and which never left."""
+        effects = self._core.handle_outbound_lost(lost.peer, lost.unsent_requests, self.now())
+        self._carry_out(effects)
+
+    def inbound_lost(self, peer: str) -> None:
+        """Tells the core that a peer no longer awaits answers."""
+        self._carry_out(self._core.handle_inbound_lost(peer, self.now()))
+
+    def datagram(self, data: bytes, address: str) -> None:
+        """Brings a datagram to the core."""
+        self._carry_out(self._core.handle_datagram(data, address, self.now()))
+
+    # DatabaseHandler, for the workers; and the store's results.
+
+    def connection_opened(self, connection_id: int) -> None:
+        """Tells the core that a back-end connection is open."""
+        self._carry_out(self._core.handle_connection_opened(connection_id, self.now()))
+
+    def connection_failed(self, connection_id: int, code: ErrorCode) -> None:
+        """Tells the core that a back-end connection could not be opened."""
+        self._carry_out(self._core.handle_connection_failed(connection_id, code, self.now()))
+
+    def job_result(self, result: JobResult) -> None:
+        """Brings a job's result to the core."""
+        self._carry_out(self._core.handle_job_result(result, self.now()))
+
+    def status_reading(self, round_id: int, reading: StatusReading) -> None:
+        """Brings a status reading to the core."""
+        self._carry_out(self._core.handle_status_reading(round_id, reading, self.now()))
+
+    def _store_result(self, result: StoreResult) -> None:
+        self._carry_out(self._core.handle_store_result(result, self.now()))
+
+    def _machines_read(self, machines: tuple[MachineState, ...] | None) -> None:
+        self._carry_out(self._core.handle_machine_list(machines, self.now()))
+
+    # Carrying out effects.
+
+    def _carry_out(self, effects: Iterable[ProxyEffect]) -> None:
+        for effect in effects:
+            self._carriers[type(effect)](effect)
+        if not self._reschedule_planned:
+            self._reschedule_planned = True
+            self._loop.call_before_sleep(self._reschedule)
+
+    def _reschedule(self) -> None:
+        # A timer that is due too early only ticks too early; that is cheaper than replacing it.
+        self._reschedule_planned = False
+        wake = self._core.next_wake()
+        if wake is None or (self._timer is not None and self._timer.due <= wake):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(wake - self.now(), self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._carry_out(self._core.tick(self.now()))
+
+    def _answer_caller(self, effect: AnswerCaller) -> None:
+        on_answer = self._callers.pop(effect.request_id, None)
+        if on_answer is not None:
+            on_answer(effect.answer)
+
+    def _send_to_peer(self, effect: SendToPeer) -> None:
+        self._links.send(effect.peer, effect.message)
+
+    def _send_datagram(self, effect: SendDatagram) -> None:
+        self._datagrams.send(effect.address, effect.data)
+
+    def _members_changed(self, effect: MembersChanged) -> None:
+        addresses = {member.name: member.peer_address for member in effect.members}
+        addresses.pop(self.name, None)
+        self._links.set_addresses(addresses)
+
+    def _ignore(self, _effect: ProxyEffect) -> None:
+        """What is told for information only."""
+
+    def _log(self, effect: LogEvent) -> None:
+        self.metrics.count_event(effect.name)
+        logger.bind(**dict(effect.fields)).info(effect.name)
+
+    def _call_store(self, effect: StoreCall) -> None:
+        self._store.call(effect, self._store_result)
+
+    def _read_machine_list(self, _effect: ReadMachineList) -> None:
+        self._store.read_machines(self._machines_read)
+
+    def _proposal_finished(self, effect: ProposalFinished) -> None:
+        for on_finished in self._proposers.pop(effect.change_id, ()):
+            on_finished(effect)
+
+    def _change_looked_up(self, effect: ChangeLookedUp) -> None:
+        for on_answer in self._askers.pop(effect.change_id, ()):
+            on_answer(effect)
--- /dev/null
+++ b/src/dewledge/shell/proxy_server.py
@@ -0,0 +1,221 @@
+"""One whole proxy: binds its addresses, runs its loop, and stops as planned."""
+
+import threading
+import time
+from functools import partial
+from random import Random
+
+from loguru import logger
+
+from dewledge.adapters.http_database import HttpDatabaseDriver
+from dewledge.adapters.http_platform import (
+    HttpMachineList,
+    HttpObjectStore,
+    HttpTableService,
+    PlatformClient,
+)
+from dewledge.core.member import Member
+from dewledge.core.messages import PROTOCOL_VERSION, Hello
+from dewledge.core.ports import DatabaseDriver
+from dewledge.core.proxy_core import ProxyCore
+from dewledge.core.session_token import SessionTokenCodec
+from dewledge.settings import ProxySettings
+from dewledge.shell.core_settings import core_settings, deadline_bounds, http_limits
+from dewledge.shell.database_workers import DatabaseWorkers
+from dewledge.shell.datagrams import DatagramSocket
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.http_edge import HttpEdge
+from dewledge.shell.http_server import HttpServer
+from dewledge.shell.peer_links import PeerLinks
+from dewledge.shell.proxy_driver import ProxyDriver
+from dewledge.shell.store_calls import StoreCalls
+
+STOP_CHECK_SECONDS = 0.02
+LEAVE_GRACE_SECONDS = 1.0
+"""A leaving proxy answers on for so long at least, until peers and callers know."""
+
+IDLE_GRACE_SECONDS = 2.0
+"""Callers' connections that stay idle for so long after leaving began are closed."""
+
+FAREWELL_SECONDS = 0.5
+"""How long callers get to read their last answers and hang up."""
+
+INCARNATIONS_PER_SECOND = 1000
+
+
+class ProxyServer:
+    """A proxy from start to end. `run` blocks; `start` runs it on a thread of its own.
+
+    caller_address, peer_address, gossip_address: as bound, with the real ports.
+    """
+
+    def __init__(self, settings: ProxySettings, driver: DatabaseDriver | None = None) -> None:
+        """Binds the addresses. Raises OSError if one cannot be bound."""
+        self.settings = settings
+        self._loop = EventLoop()
+        self._random = Random()
+        self._driver = ProxyDriver(
+            self._loop, settings.name, settings.zone, deadline_bounds(settings)
+        )
+        incarnation = int(time.time() * INCARNATIONS_PER_SECOND)
+        hello = Hello(PROTOCOL_VERSION, settings.name, incarnation)
+        edge = HttpEdge(self._driver)
+        self._http = HttpServer(
+            self._loop, settings.caller_address, http_limits(settings), edge.handle
+        )
+        self._links = PeerLinks(
+            self._loop, hello, settings.peer_address, self._random, self._driver
+        )
+        self._datagrams = DatagramSocket(self._loop, settings.gossip_address)
+        self._workers = DatabaseWorkers(
+            self._loop,
+            driver or HttpDatabaseDriver(settings.zone, settings.region),
+            self._driver,
+        )
+        self._store = self._make_store()
+        self._connect_core(incarnation)
+        self._add_gauges()
+        self._thread: threading.Thread | None = None
+        self._leaving_since: float | None = None
+
+    @property
+    def name(self) -> str:
+        """The proxy's name."""
+        return self.settings.name
+
+    @property
+    def caller_address(self) -> str:
+        """Where callers and operators ask."""
+        return self._http.address
+
+    @property
+    def peer_address(self) -> str:
+        """Where other proxies dial."""
+        return self._links.address
+
+    @property
+    def gossip_address(self) -> str:
+        """Where membership datagrams arrive."""
+        return self._datagrams.address
+
+    def run(self) -> None:
+        """Serves until `stop` or `leave` has ended it."""
+        with logger.contextualize(proxy=self.name):
+            self._loop.post(self._begin)
+            self._loop.run()
+
+    def start(self) -> None:
+        """Serves on a thread of its own."""
+        self._thread = threading.Thread(target=self.run, name=f"proxy-{self.name}", daemon=True)
+        self._thread.start()
+
+    def leave(self) -> None:
+        """Begins a planned stop. May be called from any thread or a signal handler."""
+        self._loop.post(self._leave)
+
+    def stop(self) -> None:
+        """Ends at once, without a word to anybody. May be called from any thread."""
+        self._loop.post(self._end)
+
+    def join(self, timeout: float | None = None) -> bool:
+        """Waits until the thread of `start` has ended; returns whether it has."""
+        if self._thread is None:
+            return True
+        self._thread.join(timeout)
+        return not self._thread.is_alive()
+
+    def _make_store(self) -> StoreCalls:
+        client = PlatformClient(self.settings.platform_address)
+        return StoreCalls(
+            self._loop,
+            HttpTableService(client),
+            HttpObjectStore(client),
+            HttpMachineList(client),
+            self.settings.limits.platform_threads,
+        )
+
+    def _connect_core(self, incarnation: int) -> None:
+        settings = self.settings
+        me = Member(
+            name=settings.name,
+            peer_address=self._links.address,
+            gossip_address=self._datagrams.address,
+            zone=settings.zone,
+            incarnation=incarnation,
+        )
+        codec = SessionTokenCodec([key.encode() for key in settings.session_keys])
+        core = ProxyCore(me, core_settings(settings), codec, self._random)
+        self._driver.connect(core, self._links, self._datagrams, self._workers, self._store)
+
+    def _add_gauges(self) -> None:
+        driver, metrics = self._driver, self._driver.metrics
+        gauges = (
+            (
+                "caller_connections",
+                "Callers' open connections.",
+                lambda: self._http.connection_count,
+            ),
+            ("requests_in_flight", "Callers' requests not answered.", lambda: driver.in_flight),
+            ("peer_links", "Open links to and from peers.", lambda: self._links.link_count),
+            ("members", "Members that are not gone.", lambda: len(driver.members)),
+            ("database_connections", "Open back-end connections.", self._database_connections),
+            ("configuration_revision", "Revision in force.", lambda: driver.configuration.revision),
+            ("serving", "1 while new work is taken.", lambda: float(driver.is_serving)),
+        )
+        for name, description, read in gauges:
+            metrics.add_gauge(name, description, read)
+
+    def _database_connections(self) -> float:
+        return self._workers.connection_count
+
+    # On the loop's thread.
+
+    def _begin(self) -> None:
+        self._datagrams.start(self._driver.datagram)
+        self._links.start()
+        self._http.start()
+        self._driver.start(self.settings.seeds)
+        logger.bind(
+            callers=self.caller_address, peers=self.peer_address, gossip=self.gossip_address
+        ).info("proxy_started")
+
+    def _leave(self) -> None:
+        if self._leaving_since is not None:
+            return
+        self._leaving_since = self._loop.now()
+        logger.bind(in_flight=self._driver.in_flight).info("proxy_leaving")
+        self._driver.leave()
+        self._http.leave()
+        self._loop.call_later(STOP_CHECK_SECONDS, self._check_finished)
+
+    def _check_finished(self) -> None:
+        if not self._may_finish():
+            self._loop.call_later(STOP_CHECK_SECONDS, self._check_finished)
+            return
+        self._http.close_idle()
+        self._driver.stop()
+        self._await_farewell(self._loop.now() + FAREWELL_SECONDS)
+
+    def _may_finish(self) -> bool:
+        assert self._leaving_since is not None
+        elapsed = self._loop.now() - self._leaving_since
+        if elapsed >= self.settings.timings.leave_bound:
+            return True
+        if elapsed < LEAVE_GRACE_SECONDS or self._http.in_flight or not self._driver.is_idle:
+            return False
+        return self._http.connection_count == 0 or elapsed >= IDLE_GRACE_SECONDS
+
+    def _await_farewell(self, until: float) -> None:
+        if self._http.connection_count and self._loop.now() < until:
+            self._loop.call_later(STOP_CHECK_SECONDS, partial(self._await_farewell, until))
+            return
+        logger.bind(unfinished=self._http.in_flight).info("proxy_stopped")
+        self._end()
+
+    def _end(self) -> None:
+        self._http.close()
+        self._links.close()
+        self._datagrams.close()
+        self._workers.shut_down()
+        self._store.shut_down()
+        self._loop.stop()
