--- a/src/dewledge/cli/main.py
+++ b/src/dewledge/cli/main.py
@@ -3,6 +3,7 @@
 import importlib
 import importlib.util
 import sys
+from collections.abc import Sequence
 from importlib.metadata import version as package_version
 from typing import Annotated, Any
 
@@ -10,7 +11,7 @@
 import typer
 from typer.core import TyperGroup
 
-from dewledge.cli.output import print_error
+from dewledge.cli.output import EXIT_DONE, EXIT_FAILED, EXIT_INTERRUPTED, print_error
 
 SUMMARY = """A database proxy with session consistency.
 
@@ -113,11 +114,19 @@
     pass
 
 
-def main() -> None:
-    """Runs the command line. Exit codes: 0 done, 2 bad input or findings, 1 anything else."""
+def run(arguments: Sequence[str]) -> int:
+    """Runs one command line and returns its exit code: 0 done, 2 bad input, 1 anything else."""
     try:
-        app()
+        app(list(arguments))
+    except SystemExit as exit_request:
+        return exit_request.code if isinstance(exit_request.code, int) else EXIT_FAILED
     except KeyboardInterrupt:
-        sys.exit(130)
+        return EXIT_INTERRUPTED
     except Exception as error:
-        sys.exit(print_error(error))
+        return print_error(error)
+    return EXIT_DONE
+
+
+def main() -> None:
+    """Runs the command line of this process."""
+    sys.exit(run(sys.argv[1:]))
--- a/src/dewledge/cli/output.py
+++ b/src/dewledge/cli/output.py
@@ -13,6 +13,7 @@
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
+EXIT_INTERRUPTED = 130
 
 
 class OutputFormat(StrEnum):
--- a/src/dewledge/core/configuration_acceptance_steps.py
+++ b/src/dewledge/core/configuration_acceptance_steps.py
@@ -75,6 +75,9 @@
 
 
 def _accept_change(proposal: ProposedChange, known: Configuration) -> StoreSteps[Acceptance]:
+    # The head is read first: a transaction of the same change that was built on an older head and
+    # is not found after this read can no longer take effect, so what is refused below stays so.
+    head = yield from read_head()
     try:
         accepted = yield from read_change(proposal.change_id)
     except ProtocolError as error:
@@ -82,7 +85,6 @@
     if accepted:
         return _already_accepted(proposal, accepted)
 
-    head = yield from read_head()
     if head.value.revision < known.revision:
         raise StoreError(f"the store is at {head.value.revision}, behind {known.revision}")
     base_revision = proposal.base_revision
--- a/src/dewledge/core/configuration_poller.py
+++ b/src/dewledge/core/configuration_poller.py
@@ -51,7 +51,7 @@
 
     pollers: int = 3
     interval: float = 2.0
-    max_interval: float = 8.0
+    max_interval: float = 4.0
     bound: float = 6.0
     peer_start_wait: float = 2.0
     snapshot_every: int = 32
