--- a/src/dewledge/core/admission.py
+++ b/src/dewledge/core/admission.py
@@ -39,7 +39,7 @@
     if expected_wait <= remaining:
         return None
     message = f"expected wait {expected_wait:.3f} s exceeds the remaining {remaining:.3f} s"
-    return Refusal(ErrorCode.OVERLOADED, message, expected_wait - remaining)
+    return Refusal(ErrorCode.OVERLOADED, message, expected_wait)
 
 
 def full_refusal(expected_wait: float) -> Refusal:
--- a/src/dewledge/core/connection_pool.py
+++ b/src/dewledge/core/connection_pool.py
@@ -133,6 +133,13 @@
         self._context.cancel(timer)
         self._note_failure(connection, code, now)
 
+    def retry_soon(self, now: float) -> None:
+        """Tries again now, since the database was seen to answer after it was unreachable."""
+        if self._retry_timer is None or self._failure is not ErrorCode.DATABASE_UNREACHABLE:
+            return
+        self._context.cancel(self._retry_timer)
+        self._retry(now)
+
     def _total(self) -> int:
         return len(self._opening) + len(self._idle) + len(self._lent)
 
@@ -179,12 +186,9 @@
         self._retry_timer = self._context.call_at(now + pause, self._retry)
 
     def _retry(self, now: float) -> None:
+        """Tries one; if that opens, the others follow."""
         self._retry_timer = None
-        if self._target == 0:
-            return
-        if self._failure is None or self._failure is ErrorCode.CONNECTION_LIMIT:
-            self._fill(now)
-        elif self._total() < self._target:
+        if self._total() < self._target:
             self._open(now)
 
     def _replace_all(self) -> None:
--- a/src/dewledge/core/gateway.py
+++ b/src/dewledge/core/gateway.py
@@ -12,7 +12,7 @@
 from dewledge.core.configuration import Configuration
 from dewledge.core.effects import Effect, SendToPeer
 from dewledge.core.gateway_context import GatewayContext
-from dewledge.core.gateway_database import DatabaseReport
+from dewledge.core.gateway_report import DatabaseReport
 from dewledge.core.gateway_request import GatewayRequest, RequestRegistry
 from dewledge.core.gateway_roster import DrainPolicy, GatewayRoster, Placement
 from dewledge.core.gateway_routing import GatewayRouting
--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Callable
-from enum import StrEnum
 
 import msgspec
 
@@ -12,6 +11,7 @@
 from dewledge.core.calls import Access
 from dewledge.core.connection_pool import ConnectionPool
 from dewledge.core.gateway_context import GatewayContext
+from dewledge.core.gateway_report import DatabaseReport, GatewayRole
 from dewledge.core.gateway_request import GatewayRequest, RequestRegistry
 from dewledge.core.gateway_transactions import GatewayTransactions
 from dewledge.core.group_monitor import GroupMonitor
@@ -27,30 +27,6 @@
 """A job that broke later than this share of its timeout timed out; earlier, the link broke."""
 
 
-class GatewayRole(StrEnum):
-    """What the placement makes of this proxy for a database."""
-
-    ACTIVE = "active"
-    STANDBY = "standby"
-    RELEASED = "released"
-
-
-class DatabaseReport(msgspec.Struct, frozen=True):
-    """Figures of one database at this gateway, for status pages and metrics.
-
-    service_time: the running mean of the time a statement holds a slot, seconds.
-    """
-
-    database: str
-    role: GatewayRole
-    drained: bool
-    waiting: int
-    running: int
-    transactions: int
-    connections: int
-    service_time: float
-
-
 class GatewayDatabase:
     """Serves the requests for one database."""
 
@@ -73,10 +49,12 @@
         self._weight_of = weight_of
         self._address = ""
         self._slots = 0
+        self._search_interval = settings.no_primary_interval
         self._connection_bound = 0
         self._running_statements = 0
         self._begin_next = True
         self._pool = ConnectionPool(context, name, self._dispatch, self._open_failed)
+        monitor.on_answer(name, self._pool.retry_soon)
         self._jobs = RunningJobs(context, monitor.request_round)
         self._conclusion = StatementConclusion(name, registry, monitor)
         self._transactions = GatewayTransactions(
@@ -134,7 +112,7 @@
 
     def submit(self, request: GatewayRequest, now: float) -> None:
         """Starts a statement or BEGIN, lets it wait, or refuses it at once."""
-        refusal = self._refusal(request)
+        refusal = self._refusal(request, now)
         if refusal is not None:
             self._refuse(request, refusal)
             return
@@ -183,14 +161,23 @@
     def _new_waiting_room(self, rate: ServiceRate) -> WaitingRoom:
         return WaitingRoom(self._context, rate, self._refuse, self._expire)
 
-    def _refusal(self, request: GatewayRequest) -> Refusal | None:
+    def _refusal(self, request: GatewayRequest, now: float) -> Refusal | None:
         if self._pool.failure is ErrorCode.DATABASE_UNREACHABLE and not self._pool.open_count:
             return msgspec.structs.replace(UNREACHABLE, retry_after=self._pool.retry_pause)
         writes = request.message.access is Access.WRITE
         if writes and self._monitor.waiting >= self._context.settings.max_unconfirmed:
             message = "too many writes wait for confirmation"
             return Refusal(ErrorCode.OVERLOADED, message, self._rate.service_time)
-        return None
+        return self._not_primary_refusal(request, now)
+
+    def _not_primary_refusal(self, request: GatewayRequest, now: float) -> Refusal | None:
+        """Refuses what needs a confirmed primary if a recent round shows that this is none."""
+        if request.message.access is Access.READ and not request.message.confirm:
+            return None
+        code = self._monitor.write_refusal(self.name, now)
+        if code is None:
+            return None
+        return Refusal(code, "not the primary of a majority", self._search_interval)
 
     def _refuse(self, request: GatewayRequest, refusal: Refusal) -> None:
         status = None
@@ -233,7 +220,11 @@
             request = self._next_request(now)
             if request is None:
                 break
-            self._start(request, now)
+            refusal = self._not_primary_refusal(request, now)
+            if refusal is None:
+                self._start(request, now)
+            else:
+                self._refuse(request, refusal)
         if self.role is not GatewayRole.ACTIVE and self.is_idle:
             self._adjust_pool(now)
 
--- a/src/dewledge/core/gateway_roster.py
+++ b/src/dewledge/core/gateway_roster.py
@@ -5,7 +5,8 @@
 
 from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
 from dewledge.core.gateway_context import GatewayContext
-from dewledge.core.gateway_database import DatabaseReport, GatewayDatabase, GatewayRole
+from dewledge.core.gateway_database import GatewayDatabase
+from dewledge.core.gateway_report import DatabaseReport, GatewayRole
 from dewledge.core.gateway_request import RequestRegistry
 from dewledge.core.group_monitor import GroupMonitor
 from dewledge.core.resources import DatabaseSpec, GroupSpec
@@ -48,6 +49,7 @@
         self._placement: Placement | None = None
         self._databases: dict[str, GatewayDatabase] = {}
         self._monitors: dict[str, GroupMonitor] = {}
+        self._policy: DrainPolicy | None = None
         self._active: dict[str, frozenset[str]] = {}
 
     @property
@@ -76,6 +78,7 @@
         self._configuration = configuration
         self._placement = placement
         me = self._context.me
+        self._policy = policy
         roles = dict.fromkeys(self._databases, GatewayRole.RELEASED)
         roles.update(dict.fromkeys(placement.standby_databases_of(me), GatewayRole.STANDBY))
         roles.update(dict.fromkeys(placement.databases_of(me), GatewayRole.ACTIVE))
@@ -87,6 +90,18 @@
         for name in [name for name, item in self._databases.items() if item.is_disposable]:
             del self._databases[name]
 
+    def database(self, name: str, group: str, now: float) -> GatewayDatabase | None:
+        """Returns a database that this gateway serves in `group`.
+
+        None while what it did in another group, before it was moved, is not finished.
+        """
+        database = self._databases.get(name)
+        if database is not None and database.group != group and database.is_disposable:
+            drained = self._policy is not None and self._policy.is_drained(name)
+            self._configure_database(name, GatewayRole.ACTIVE, drained, now)
+            database = self._databases[name]
+        return database if database is not None and database.group == group else None
+
     def spec(self, database: str) -> DatabaseSpec | None:
         """Returns a database's spec, or None."""
         return self._configuration.database(database)
@@ -134,7 +149,10 @@
         spec = self._configuration.database(name)
         database = self._databases.get(name)
         if database is not None and spec is not None and database.group != spec.group:
-            spec = None  # Its old connections and transactions end first, with the old group.
+            if database.is_disposable:
+                database = None
+            else:
+                spec = None  # Its old connections and transactions end first, in the old group.
         if database is not None and spec is None:
             database.configure(None, GatewayRole.RELEASED, True, now)
         elif spec is not None:
--- a/src/dewledge/core/gateway_routing.py
+++ b/src/dewledge/core/gateway_routing.py
@@ -57,8 +57,8 @@
 
     def _submit(self, request: GatewayRequest, now: float) -> None:
         message = request.message
-        database = self._roster.databases.get(message.database)
-        if database is None or database.group != message.group:
+        database = self._roster.database(message.database, message.group, now)
+        if database is None:
             self._registry.not_run(request, ErrorCode.NOT_READY, "the database is being taken over")
             return
         if database.drained:
--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -10,9 +10,10 @@
 from dewledge.core.resources import Confirmation
 from dewledge.core.status_cache import StatusCache
 from dewledge.core.status_rounds import StatusRound, StatusRounds
+from dewledge.errors import ErrorCode
 
 RETRY_GROWTH = 1.5
-NO_PRIMARY_GROWTH = 1.1
+SEARCH_GROWTH = 1.1
 
 
 class _Waiter:
@@ -45,6 +46,7 @@
 
     def __init__(self, context: GatewayContext, group: str) -> None:
         self._context = context
+        self._settings = context.settings
         self._group = group
         self._policy = Confirmation.MAJORITY_POSITION
         self._active: frozenset[str] = frozenset()
@@ -52,11 +54,13 @@
         self._waiters: dict[int, _Waiter] = {}
         self._status_waiters: list[_StatusWaiter] = []
         self._latest: StatusRound | None = None
+        self._seen: StatusRound | None = None
+        self._on_answer: dict[str, Callable[[float], None]] = {}
         self._last_waiter = 0
         self._retry_pause = 0.0
         self._heartbeat_timer: Timer | None = None
         self._last_use = float("-inf")
-        self._no_primary_pause = context.settings.no_primary_interval
+        self._search_pause = context.settings.no_primary_interval
         self._known_primary: str | None = None
         self.statuses = StatusCache()
 
@@ -95,7 +99,7 @@
 
     def note_use(self, now: float) -> None:
         """Notes a request for this group, which makes its heartbeat the quicker one."""
-        was_idle = now - self._last_use > self._context.settings.in_use_period
+        was_idle = now - self._last_use > self._settings.in_use_period
         self._last_use = now
         if was_idle and self._heartbeat_timer is not None:
             self._context.cancel(self._heartbeat_timer)
@@ -130,9 +134,28 @@
         number = self._last_waiter
         self._waiters[number] = waiter
         waiter.timer = self._context.call_at(deadline, lambda at: self._expire(number, at))
-        if self._retry_pause == 0.0:
+        if self._retry_pause == 0.0 and not self._rounds.in_flight_after(after_round):
             self._rounds.want(now)
 
+    def write_refusal(self, database: str, now: float) -> ErrorCode | None:
+        """Tells why a write on `database` could not be confirmed, from a recent round, or None.
+
+        NOT_PRIMARY: another database is primary. NO_PRIMARY: no majority stands behind any.
+        Sparing the database such a write spares the caller an unknown outcome.
+        """
+        if self._seen is None or now - self._seen.started_at > self._settings.status_cache_age:
+            return None
+        primary = self._seen.primary
+        if primary == database:
+            return None
+        if now - self._seen.started_at > self._settings.no_primary_interval:
+            self._rounds.want(now)
+        return ErrorCode.NO_PRIMARY if primary is None else ErrorCode.NOT_PRIMARY
+
+    def on_answer(self, database: str, callback: Callable[[float], None]) -> None:
+        """Calls `callback(now)` whenever `database` answered a status round."""
+        self._on_answer[database] = callback
+
     def answer_status(self, peer: str, message: GroupStatusRequest, now: float) -> None:
         """Answers from the cache if it will do, else after a round that starts from now on."""
         if not message.fresh and self._cache_is_recent(now):
@@ -151,10 +174,21 @@
             self._latest = status_round
         self._judge_waiters(status_round, now)
         if status_round.conclusive:
-            self._answer_status_waiters(status_round, now)
-        self._note_primary(now)
+            self._note_conclusive(status_round, now)
+        if reading.status is not None and reading.database in self._on_answer:
+            self._on_answer[reading.database](now)
         self._plan_confirming_round(status_round, now)
 
+    def _note_conclusive(self, status_round: StatusRound, now: float) -> None:
+        is_newest = self._seen is None or status_round.round_id >= self._seen.round_id
+        if is_newest and status_round.tells_primary:
+            self._seen = status_round
+        self._answer_status_waiters(status_round, now)
+        primary = self.primary
+        if primary is None and self._active and self._in_use(now):
+            self._rounds.want_at(now + self._next_search_pause(), now)
+        self._note_primary(primary)
+
     def _on_abandoned(self, status_round: StatusRound, now: float) -> None:
         self._answer_status_waiters(status_round, now)
         if self._waiters or self._status_waiters:
@@ -171,7 +205,7 @@
         """Tells the waiter its verdict if the round gives one."""
         if status_round.round_id <= waiter.after_round:
             return False
-        if now - status_round.started_at > self._context.settings.round_max_age:
+        if now - status_round.started_at > self._settings.round_max_age:
             return False
         statuses = [
             status
@@ -206,9 +240,8 @@
             self._rounds.want(now)
 
     def _plan_repeat(self, now: float) -> None:
-        settings = self._context.settings
-        grown = max(settings.confirmation_retry_min, self._retry_pause * RETRY_GROWTH)
-        self._retry_pause = min(grown, settings.confirmation_retry_max)
+        grown = max(self._settings.confirmation_retry_min, self._retry_pause * RETRY_GROWTH)
+        self._retry_pause = min(grown, self._settings.confirmation_retry_max)
         self._rounds.want_at(now + self._context.jittered(self._retry_pause), now)
 
     def _answer_status_waiters(self, status_round: StatusRound, now: float) -> None:
@@ -233,12 +266,13 @@
         self._context.emit(SendToPeer(peer, answer))
 
     def _cache_is_recent(self, now: float) -> bool:
-        if self._latest is None or not self._latest.conclusive:
+        if self._seen is None:
             return False
-        return now - self._latest.started_at <= self._context.settings.status_cache_age
+        return now - self._seen.started_at <= self._settings.status_cache_age
 
-    def _note_primary(self, now: float) -> None:
-        primary = self.primary
+    def _note_primary(self, primary: str | None) -> None:
+        if primary is not None:
+            self._search_pause = self._settings.no_primary_interval
         if primary is None or primary == self._known_primary:
             return
         self._context.log(
@@ -259,17 +293,18 @@
         self._heartbeat_timer = self._context.call_at(due, self._heartbeat)
 
     def _heartbeat_pause(self, now: float) -> float:
-        settings = self._context.settings
-        in_use = now - self._last_use <= settings.in_use_period
         primary = self.primary
-        if primary is not None:
-            self._no_primary_pause = settings.no_primary_interval
-        if not in_use:
-            return self._context.jittered(settings.idle_heartbeat_interval)
-        if primary is None:
-            pause = self._no_primary_pause
-            self._no_primary_pause = min(pause * NO_PRIMARY_GROWTH, settings.heartbeat_interval)
-            return self._context.jittered(pause)
-        if primary in self._active:
-            return self._context.jittered(settings.heartbeat_interval)
-        return self._context.jittered(settings.idle_heartbeat_interval)
+        serves = primary is None or primary in self._active
+        if serves and self._in_use(now):
+            return self._context.jittered(self._settings.heartbeat_interval)
+        return self._context.jittered(self._settings.idle_heartbeat_interval)
+
+    def _in_use(self, now: float) -> bool:
+        return now - self._last_use <= self._settings.in_use_period
+
+    def _next_search_pause(self) -> float:
+        """Draws the pause before the next look for a primary; it grows while there is none."""
+        pause = self._search_pause
+        grown = pause * SEARCH_GROWTH
+        self._search_pause = min(grown, self._settings.heartbeat_interval)
+        return self._context.jittered(pause)
--- a/src/dewledge/core/status_rounds.py
+++ b/src/dewledge/core/status_rounds.py
@@ -44,10 +44,21 @@
         in_term = sum(1 for status in self.statuses.values() if status.term == term)
         return in_term >= majority_of(self.group_size)
 
+    @property
+    def primary(self) -> str | None:
+        """The primary that a majority stands behind, as far as the answers go."""
+        return primary_of(self.statuses.values(), self.group_size)
+
     @property
     def conclusive(self) -> bool:
-        """Complete, or it shows a primary with a majority."""
-        return self.complete or primary_of(self.statuses.values(), self.group_size) is not None
+        """Complete, or it shows a primary."""
+        return self.complete or self.primary is not None
+
+    @property
+    def tells_primary(self) -> bool:
+        """It shows a primary, or that there is none, having asked every database."""
+        everyone = len(self.asked) == self.group_size
+        return self.primary is not None or (self.complete and everyone)
 
 
 class StatusRounds:
@@ -83,6 +94,10 @@
         """Sets the group's databases, drained ones too."""
         self._addresses = dict(addresses)
 
+    def in_flight_after(self, round_id: int) -> bool:
+        """Tells whether a round later than `round_id` still waits for answers."""
+        return self._current is not None and self._current.round_id > round_id
+
     def is_configured(self, database: str) -> bool:
         """Tells whether a database belongs to the group."""
         return database in self._addresses
--- a/tests/core/gateway_harness.py
+++ b/tests/core/gateway_harness.py
@@ -198,6 +198,7 @@
         caller: str = "anna",
         database: str = PRIMARY,
         remaining: float = 5.0,
+        group: str = GROUP,
         correlation: int | None = None,
         **fields: object,
     ) -> tuple[str, int]:
@@ -210,7 +211,7 @@
             statement = SELECT if access is Access.READ else INSERT
         fields.setdefault("statement", statement)
         request = StatementRequest(
-            correlation, caller, GROUP, database, operation, access, remaining, **fields
+            correlation, caller, group, database, operation, access, remaining, **fields
         )
         self.take(self.gateway.handle_request(peer, request, self.now))
         return (peer, correlation)
@@ -269,13 +270,19 @@
         self.take(self.gateway.handle_status_reading(status_round.round_id, reading, self.now))
 
     def answer_rounds(self, **fields: object) -> int:
-        """Answers every round that is open now, each database alike; returns how many there were."""
+        """Answers every round that is open now, all alike; returns how many there were."""
         rounds, self.rounds = self.rounds, []
         for status_round in rounds:
             for database in status_round.databases:
                 self.read(status_round, database, **fields)
         return len(rounds)
 
+    def confirm_all(self, **fields: object) -> None:
+        """Lets enough rounds pass, answered alike, for every result that can be confirmed."""
+        for _ in range(4):
+            self.run_until(self.now + 0.03)
+            self.answer_rounds(**fields)
+
     def answer(self, key: tuple[str, int]) -> PeerMessage | None:
         """Returns the one answer to a request, or None; more than one is an error."""
         answers = self.answers.get(key, [])
