--- a/src/dewledge/shell/request_bodies.py
+++ b/src/dewledge/shell/request_bodies.py
@@ -1,10 +1,11 @@
 """The JSON bodies that callers and operators send, checked with every finding at once."""
 
+import math
 from typing import Annotated, Any, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, PlainValidator, ValidationError
 
-from dewledge.core.calls import Access
+from dewledge.core.calls import Access, Scalar
 from dewledge.core.resource_documents import findings_of_validation
 from dewledge.core.resources import Kind
 from dewledge.errors import ErrorCode, Finding, InvalidInput
@@ -18,12 +19,21 @@
 DeadlineMs = Annotated[int, Field(ge=1, le=MAX_INTEGER)]
 """None: the proxy's default; its settings also bound it."""
 
+
+def _check_parameter(value: object) -> Scalar:
+    if isinstance(value, int) and MIN_INTEGER <= value <= MAX_INTEGER:
+        return value
+    if isinstance(value, float) and math.isfinite(value):
+        return value
+    if value is None or isinstance(value, str):
+        return value
+    raise ValueError("must be a string, a finite number of 64 bits, a boolean or null")
+
+
 Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_CHARACTERS)]
 Key = Annotated[str, Field(min_length=1, max_length=MAX_KEY_CHARACTERS)]
 Session = Annotated[str, Field(max_length=MAX_SESSION_CHARACTERS)]
-Integer = Annotated[int, Field(ge=MIN_INTEGER, le=MAX_INTEGER)]
-Number = Annotated[float, Field(allow_inf_nan=False)]
-Parameter = str | bool | Integer | Number | None
+Parameter = Annotated[Any, PlainValidator(_check_parameter)]
 
 
 class _Body(BaseModel):
