--- a/src/dewledge/core/proxy_core.py
+++ b/src/dewledge/core/proxy_core.py
@@ -18,7 +18,7 @@
     StoreResult,
 )
 from dewledge.core.effects import SendToPeer
-from dewledge.core.gateway_database import DatabaseReport
+from dewledge.core.gateway_report import DatabaseReport
 from dewledge.core.jobs import JobResult, StatusReading
 from dewledge.core.member import Member
 from dewledge.core.messages import Leaving, PeerMessage, StatementNotRun
--- a/src/dewledge/shell/proxy_driver.py
+++ b/src/dewledge/shell/proxy_driver.py
@@ -26,7 +26,7 @@
     RunJob,
     SendToPeer,
 )
-from dewledge.core.gateway_database import DatabaseReport
+from dewledge.core.gateway_report import DatabaseReport
 from dewledge.core.jobs import JobResult, StatusReading
 from dewledge.core.member import Member
 from dewledge.core.membership_messages import MembersChanged, SendDatagram
--- a/src/dewledge/shell/proxy_services.py
+++ b/src/dewledge/shell/proxy_services.py
@@ -9,7 +9,7 @@
 from dewledge.core.calls import CallerAnswer, CallerRequest
 from dewledge.core.configuration import Configuration
 from dewledge.core.configuration_store import ChangeLookedUp, ProposalFinished, ProposedChange
-from dewledge.core.gateway_database import DatabaseReport
+from dewledge.core.gateway_report import DatabaseReport
 from dewledge.core.member import Member
 from dewledge.shell.metrics import ProxyMetrics
 
