--- a/src/dewledge/standin/http_server.py
+++ b/src/dewledge/standin/http_server.py
@@ -86,13 +86,15 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Closes the listener and all connections."""
+        """Closes the listener and all connections; a second call does nothing."""
+        if self._stopped:
+            return
         self._stopped = True
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self.close_connections()
+        _shut_down(self._listener)
         if self._thread.is_alive():
             self._thread.join(STOP_WAIT_SECONDS)
+        self._listener.close()
+        self.close_connections()
 
     def close_connections(self) -> None:
         """Breaks every open connection."""
