--- a/src/dewledge/core/answer_handler.py
+++ b/src/dewledge/core/answer_handler.py
@@ -16,6 +16,9 @@
 
 _UNREACHABLE_CODES = frozenset({ErrorCode.DATABASE_UNREACHABLE})
 
+_ANSWERS_OF_THE_DATABASE = frozenset({ErrorCode.STATEMENT_FAILED, ErrorCode.IDEMPOTENCY_MISMATCH})
+"""Refusals that only a primary at work can give."""
+
 
 class AnswerHandler:
     """Matches answers to attempts: one that nobody awaits, or from another peer, is dropped."""
@@ -44,10 +47,7 @@
             group.learn_read(message.database, message.position, now)
         self._note_freshness(pending, group, True)
         self._finisher.done(pending, message)
-        if message.database == group.description.primary:
-            group.wait.note_accepted()
-            if len(group.wait):
-                self._router.release(group, now)
+        self._note_primary_answer(pending, message.database, group, now)
 
     def handle_not_run(self, peer: str, message: StatementNotRun, now: float) -> None:
         """The operation surely did not run."""
@@ -61,6 +61,8 @@
         if pending.transaction_gateway is not None:
             self._finisher.pass_on(pending, message, transaction_code(message.code))
             return
+        if message.code in _ANSWERS_OF_THE_DATABASE:
+            self._note_primary_answer(pending, pending.database, group, now)
         reaction = reaction_to(message.code)
         if reaction not in (Reaction.OTHER_GATEWAY, Reaction.FOLLOW):
             self._router.sender.note_alive(peer)
@@ -72,6 +74,8 @@
         if pending is None:
             return
         self._finisher.detach(pending)
+        if message.code is ErrorCode.NOT_CONFIRMED:
+            self._doubt_primary(pending, now)
         if pending.transaction_gateway is not None or not pending.is_repeatable:
             self._finisher.unknown(pending, message.code, message.message)
             return
@@ -93,6 +97,24 @@
                 code = ErrorCode.CONNECTION_LOST
                 self._finisher.unknown(pending, code, "the link to the gateway broke")
 
+    def _note_primary_answer(
+        self, pending: PendingRequest, database: str, group: EntryGroup, now: float
+    ) -> None:
+        """An answer that only a primary at work can give ends all doubt of it."""
+        if database != group.description.primary:
+            return
+        group.note_primary_answer(now - pending.sent_at, now)
+        group.wait.note_accepted()
+        if len(group.wait):
+            self._router.release(group, now)
+
+    def _doubt_primary(self, pending: PendingRequest, now: float) -> None:
+        group = self._state.group(pending.request.group, now)
+        claim = group.primary_claim()
+        if claim is not None and claim.database == pending.database:
+            group.wait.note_doubt(claim)
+            self._router.watch.suspect(group, now)
+
     def _lose_transaction(self, pending: PendingRequest, was_open: bool) -> None:
         code = ErrorCode.TRANSACTION_LOST
         message = "the link to the transaction's gateway broke"
@@ -130,8 +152,6 @@
 
     def _read_elsewhere(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
         pending.stale_answers += 1
-        # The gateway may have read and thrown the rows away, so "not run" is no longer sure.
-        pending.may_have_run = True
         self._note_freshness(pending, group, False)
         if pending.freshness is None:
             self._find_primary(pending, group, ErrorCode.NOT_FRESH, now)
@@ -147,7 +167,7 @@
         # An attempt that is not counted: it was refused before anything ran.
         pending.attempts -= 1
         if known is not None and database == group.description.primary:
-            group.wait.note_refused(PrimaryClaim(database, known.term))
+            group.wait.note_doubt(PrimaryClaim(database, known.term))
         if code in _UNREACHABLE_CODES:
             group.description = with_unavailable(group.description, database, now)
         else:
--- a/src/dewledge/core/entry.py
+++ b/src/dewledge/core/entry.py
@@ -107,7 +107,7 @@
             case StatementUnknown():
                 self._answers.handle_unknown(peer, message, now)
             case GroupStatusAnswer():
-                self._router.watch.handle_status(message, now)
+                self._router.handle_status(peer, message, now)
         return self._state.take_effects()
 
     def handle_peer_lost(self, peer: str, now: float) -> list[Effect]:
--- a/src/dewledge/core/entry_settings.py
+++ b/src/dewledge/core/entry_settings.py
@@ -23,7 +23,10 @@
     failover_margin: time that must remain before the deadline when a waiting request is sent.
     probe_interval_least, probe_interval_most: bounds of the random pause between status probes
         while requests wait for a primary.
-    suspect_after: a request unanswered by the primary for so long has the group probed.
+    suspect_after: a primary that owes an answer and is silent for so long is doubted: the group is
+        probed and new requests for the primary wait.
+    suspect_latencies: the same as a multiple of the primary's mean time to answer; the longer
+        of the two counts, so that a slow primary is not taken for a lost one.
     poll_interval: age from which the view of a group in use is refreshed.
     poll_rate: refreshes of all groups together, per second.
     group_idle_after: a group not used for so long is no longer refreshed.
@@ -51,6 +54,7 @@
     probe_interval_least: float = 0.05
     probe_interval_most: float = 0.1
     suspect_after: float = 0.2
+    suspect_latencies: float = 4.0
     poll_interval: float = 1.0
     poll_rate: float = 20.0
     group_idle_after: float = 10.0
--- a/src/dewledge/core/failover_wait.py
+++ b/src/dewledge/core/failover_wait.py
@@ -19,14 +19,14 @@
 class FailoverWait:
     """A bounded queue of requests, oldest first.
 
-    After a claimed primary refused a request, the same claim gets one request for trial at a time,
-    so that a false claim costs one request for each status probe and not the whole queue.
+    A claim is doubted after the claimed primary refused a request or fell silent. Then it gets one
+    request for trial at a time, so that a false claim costs one request and not the whole queue.
     """
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self._requests: dict[int, PendingRequest] = {}
-        self._refused: PrimaryClaim | None = None
+        self._doubted: PrimaryClaim | None = None
         self._trial: PendingRequest | None = None
         self._expected_duration: float | None = None
         self.started_at: float | None = None
@@ -79,19 +79,23 @@
         """Removes a request, if it is there."""
         self._requests.pop(pending.request.request_id, None)
 
-    def note_refused(self, claim: PrimaryClaim) -> None:
-        """Notes that the claimed primary refused a request."""
-        self._refused = claim
+    def doubts(self, claim: PrimaryClaim) -> bool:
+        """Tells whether the claim is doubted."""
+        return claim == self._doubted
+
+    def note_doubt(self, claim: PrimaryClaim) -> None:
+        """Notes that the claimed primary refused a request, or is silent."""
+        self._doubted = claim
         self._trial = None
 
     def note_accepted(self) -> None:
         """Notes that the claimed primary did a request."""
-        self._refused = None
+        self._doubted = None
         self._trial = None
 
     def take(self, claim: PrimaryClaim) -> list[PendingRequest]:
         """Takes the requests to send to this primary now, oldest first."""
-        if claim == self._refused:
+        if claim == self._doubted:
             return self._take_for_trial()
         taken = list(self._requests.values())
         self._requests.clear()
--- a/src/dewledge/core/group_description.py
+++ b/src/dewledge/core/group_description.py
@@ -126,13 +126,15 @@
 def with_primary_denied(
     description: GroupDescription, database: str, now: float
 ) -> GroupDescription:
-    """Returns the view after `database` said that it is not the primary."""
+    """Returns the view after `database` turned out not to be the primary.
+
+    It may be cut off from its group, so it serves no reads either until its next status.
+    """
     known = description.databases.get(database)
     if known is None or known.role is DatabaseRole.REPLICA:
         return description
-    return _with_database(
-        description, msgspec.structs.replace(known, role=DatabaseRole.REPLICA, seen_at=now)
-    )
+    denied = msgspec.structs.replace(known, role=DatabaseRole.REPLICA, available=False, seen_at=now)
+    return _with_database(description, denied)
 
 
 def with_unavailable(description: GroupDescription, database: str, now: float) -> GroupDescription:
--- a/src/dewledge/core/pending_requests.py
+++ b/src/dewledge/core/pending_requests.py
@@ -21,6 +21,8 @@
     """For the group to have a primary."""
     IN_FLIGHT = auto()
     """For a gateway's answer."""
+    ENDED = auto()
+    """For nothing: it was answered, or its caller is gone."""
 
 
 @dataclass(slots=True, eq=False)
@@ -57,6 +59,7 @@
     attempts: int = 0
     redirects: int = 0
     stale_answers: int = 0
+    backoffs: int = 0
     held: float = 0.0
     excluded: tuple[str, ...] = ()
     avoided_gateways: tuple[str, ...] = ()
--- a/src/dewledge/core/request_finish.py
+++ b/src/dewledge/core/request_finish.py
@@ -140,3 +140,4 @@
         if group is not None:
             group.wait.discard(pending)
         self._state.pending.remove(pending)
+        pending.state = RequestState.ENDED
--- a/src/dewledge/core/request_router.py
+++ b/src/dewledge/core/request_router.py
@@ -3,7 +3,10 @@
 from dewledge.core.calls import Operation
 from dewledge.core.entry_group import EntryGroup
 from dewledge.core.entry_state import EntryState
+from dewledge.core.failover_wait import PrimaryClaim
+from dewledge.core.messages import GroupStatusAnswer
 from dewledge.core.pending_requests import PendingRequest, RequestState
+from dewledge.core.read_index import ReadIndex
 from dewledge.core.request_finish import RequestFinisher
 from dewledge.core.request_sender import RequestSender
 from dewledge.core.server_selection import (
@@ -27,6 +30,7 @@
         self._finisher = finisher
         self._watch = StatusWatch(state, self.release)
         self._sender = RequestSender(state)
+        self._read_index = ReadIndex(state, self.dispatch)
 
     @property
     def sender(self) -> RequestSender:
@@ -94,6 +98,13 @@
         message = "no gateway of the database can be reached"
         self._finisher.not_run(pending, code, message, self._state.retry_after())
 
+    def handle_status(self, peer: str, message: GroupStatusAnswer, now: float) -> None:
+        """Takes a gateway's statuses; those of groups not in use are ignored."""
+        group = self._state.groups.get(message.group)
+        if group is not None:
+            self._watch.handle_status(group, message, now)
+            self._read_index.handle_status(peer, message, group, now)
+
     def release(self, group: EntryGroup, now: float) -> None:
         """Sends waiting requests on, as far as the view of the group allows."""
         claim = group.primary_claim()
@@ -105,7 +116,10 @@
         if not len(group.wait):
             self._note_failover_over(group, had_waiters, now)
         for pending in taken:
-            self.dispatch(pending, now)
+            if pending.is_read and not self._may_read(pending, claim.database):
+                self._read_without_primary(pending, group, now)
+            else:
+                self._send_to_primary(pending, group, claim, now)
 
     def _release_reads(self, group: EntryGroup, now: float) -> None:
         for pending in group.wait.floored_reads():
@@ -177,31 +191,55 @@
         return choose_replica(group.description, query, group.outstanding, state.random.random)
 
     def _dispatch_to_primary(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
-        primary = group.description.primary
-        if primary is None:
+        claim = group.primary_claim()
+        if claim is None:
             self.wait_for_primary(pending, group, ErrorCode.NO_PRIMARY, now)
-            return
-        if self._state.policy.is_drained(primary):
+        elif self._state.policy.is_drained(claim.database):
             self.wait_for_primary(pending, group, ErrorCode.DATABASE_DRAINED, now)
-            return
-        if pending.is_read and not self._may_read(pending, primary):
-            self._refuse_stale(pending)
-            return
+        elif pending.is_read and not self._may_read(pending, claim.database):
+            self._read_without_primary(pending, group, now)
+        elif self._is_doubted(group, claim, now):
+            self.wait_for_primary(pending, group, ErrorCode.NO_PRIMARY, now)
+        else:
+            self._send_to_primary(pending, group, claim, now)
+
+    def _is_doubted(self, group: EntryGroup, claim: PrimaryClaim, now: float) -> bool:
+        """What a cut-off primary is sent only ends as unknown: better wait a moment to be sure."""
+        suspect_at = group.suspect_at()
+        if suspect_at is not None and suspect_at <= now and not group.wait.doubts(claim):
+            group.wait.note_doubt(claim)
+        return group.wait.doubts(claim)
+
+    def _send_to_primary(
+        self, pending: PendingRequest, group: EntryGroup, claim: PrimaryClaim, now: float
+    ) -> None:
         group.had_primary = True
         pending.freshness = None
-        if not self._sender.send(pending, primary, pending.is_read, now):
+        if not self._sender.send(pending, claim.database, pending.is_read, now):
             self.wait_for_gateway(pending, now)
             return
-        self._watch.note_sent_to_primary(group, now)
+        self._watch.note_sent_to_primary(group)
 
     def _may_read(self, pending: PendingRequest, database: str) -> bool:
         request = pending.request
         return database in self._state.policy.read_databases(request.caller, request.group)
 
-    def _refuse_stale(self, pending: PendingRequest) -> None:
-        code = ErrorCode.NO_FRESH_REPLICA
-        message = "no replica that the rules allow is known to be fresh enough"
-        self._finisher.not_run(pending, code, message, self._state.retry_after())
+    def _read_without_primary(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
+        """Waits until a replica that the rules allow is fresh, as long as there is time."""
+        pending.last_code = ErrorCode.NO_FRESH_REPLICA
+        gateway = self._watch.next_gateway(group)
+        if gateway is None or self._wait_until(pending, now) <= now:
+            message = "no replica that the rules allow is known to be fresh enough"
+            retry_after = self._state.retry_after()
+            self._finisher.not_run(pending, pending.last_code, message, retry_after)
+        elif pending.floor is None:
+            self._read_index.find(pending, gateway, now)
+            self._sender.set_timer(pending, now + self._state.settings.read_attempt_timeout)
+        else:
+            pending.excluded = ()
+            pending.stale_answers = 0
+            self._sender.back_off(pending, now)
+            self._watch.refresh(group, now)
 
     def _wait_until(self, pending: PendingRequest, now: float) -> float:
         """The end of all waiting for this request, fixed when it first waits."""
@@ -221,12 +259,15 @@
         elif pending.state is RequestState.HELD:
             self.dispatch(pending, now)
         elif pending.state is RequestState.WAITING:
-            self._give_up_waiting(pending, now)
+            self._waited(pending, now)
         else:
             self._attempt_timed_out(pending, now)
 
-    def _give_up_waiting(self, pending: PendingRequest, now: float) -> None:
+    def _waited(self, pending: PendingRequest, now: float) -> None:
         group = self._state.group(pending.request.group, now)
+        if pending.last_code is ErrorCode.NO_FRESH_REPLICA:
+            self._read_without_primary(pending, group, now)
+            return
         retry_after = self._primary_retry_after(group, now)
         message = "no primary was found in time"
         self._finisher.not_run(pending, pending.last_code, message, retry_after)
--- a/src/dewledge/core/request_sender.py
+++ b/src/dewledge/core/request_sender.py
@@ -7,6 +7,7 @@
 
 _MARGIN_SHARE = 0.1
 _CANDIDATE_GATEWAYS = 2
+_MOST_DOUBLINGS = 16
 
 
 class RequestSender:
@@ -52,12 +53,15 @@
         self.set_timer(pending, until)
 
     def back_off(self, pending: PendingRequest, now: float) -> None:
-        """Holds the request for a random while, growing with its attempts (full jitter)."""
+        """Holds the request for a random while, growing with each time (full jitter)."""
         settings = self._state.settings
-        longest = min(
-            settings.retry_backoff_limit, settings.retry_backoff * 2.0 ** max(1, pending.attempts)
-        )
-        self.hold(pending, now + longest * self._state.random.random())
+        pending.backoffs += 1
+        growth = 2.0 ** min(pending.backoffs, _MOST_DOUBLINGS)
+        longest = min(settings.retry_backoff_limit, settings.retry_backoff * growth)
+        until = now + longest * self._state.random.random()
+        if pending.wait_until is not None and pending.wait_until > now:
+            until = min(until, pending.wait_until)
+        self.hold(pending, until)
 
     def set_timer(self, pending: PendingRequest, when: float) -> None:
         """Sets the request's timer, in place of any before, at the latest to its deadline."""
--- a/src/dewledge/core/server_selection.py
+++ b/src/dewledge/core/server_selection.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from dewledge.core.database_status import DatabaseRole
 from dewledge.core.group_description import DatabaseDescription, GroupDescription
 from dewledge.core.positions import LogPosition, is_cut_off, satisfies
 
@@ -115,6 +116,9 @@
         database = description.databases.get(name)
         if database is None or not database.available:
             continue
+        if database.role is DatabaseRole.PRIMARY:
+            # Not the one believed in, so most likely cut off with writes that will be lost.
+            continue
         freshness, delay = judge(database, description, query)
         found.append(_Candidate(database, freshness, delay))
     return found
--- a/src/dewledge/core/status_watch.py
+++ b/src/dewledge/core/status_watch.py
@@ -26,9 +26,11 @@
         if not group.timer_id:
             self._arm(group, now)
 
-    def note_sent_to_primary(self, group: EntryGroup, now: float) -> None:
+    def note_sent_to_primary(self, group: EntryGroup) -> None:
         """Makes sure that the group is probed if the primary does not answer in time."""
-        self._arm_by(group, now + self._state.settings.suspect_after)
+        suspect_at = group.suspect_at()
+        if suspect_at is not None:
+            self._arm_by(group, suspect_at)
 
     def search_primary(self, group: EntryGroup, now: float) -> None:
         """Asks every gateway of the group at once, and again until the wait ends."""
@@ -38,11 +40,18 @@
         group.wait.next_probe_at = now + self._probe_pause()
         self._arm_by(group, group.wait.next_probe_at)
 
-    def handle_status(self, message: GroupStatusAnswer, now: float) -> None:
-        """Takes a gateway's statuses in; those of groups not in use are ignored."""
-        group = self._state.groups.get(message.group)
-        if group is None:
-            return
+    def suspect(self, group: EntryGroup, now: float) -> None:
+        """Asks every gateway because an answer casts doubt on the view of the group."""
+        if now - group.last_probed >= self._state.settings.probe_interval_least:
+            self._ask_all(group, now)
+
+    def refresh(self, group: EntryGroup, now: float) -> None:
+        """Asks one gateway, within the bound on refreshes."""
+        if self._may_poll(now):
+            self._ask_one(group, now)
+
+    def handle_status(self, group: EntryGroup, message: GroupStatusAnswer, now: float) -> None:
+        """Takes a gateway's statuses in."""
         for status, age in zip(message.statuses, message.ages, strict=False):
             group.learn_status(status, now - max(0.0, age), now)
         group.last_refreshed = now
@@ -84,12 +93,10 @@
         self._state.timers.set(group, when)
 
     def _suspect_at(self, group: EntryGroup) -> float | None:
-        oldest = group.oldest_unanswered()
-        if oldest is None:
+        suspect_at = group.suspect_at()
+        if suspect_at is None:
             return None
-        settings = self._state.settings
-        suspect_at = oldest + settings.suspect_after
-        return max(suspect_at, group.last_probed + settings.probe_interval_most)
+        return max(suspect_at, group.last_probed + self._state.settings.probe_interval_most)
 
     def _is_suspect(self, group: EntryGroup, now: float) -> bool:
         suspect_at = self._suspect_at(group)
@@ -111,6 +118,14 @@
         spread = settings.probe_interval_most - settings.probe_interval_least
         return settings.probe_interval_least + spread * self._state.random.random()
 
+    def next_gateway(self, group: EntryGroup) -> str | None:
+        """Returns one of the group's gateways, each in its turn; None if it has none."""
+        gateways = self._gateways(group)
+        if not gateways:
+            return None
+        group.next_gateway += 1
+        return gateways[group.next_gateway % len(gateways)]
+
     def _gateways(self, group: EntryGroup) -> list[str]:
         """The group's gateways without doubles, in the order of its databases."""
         found: dict[str, None] = {}
@@ -126,12 +141,10 @@
             self._ask(gateway, group, fresh=True)
 
     def _ask_one(self, group: EntryGroup, now: float) -> None:
-        gateways = self._gateways(group)
-        if not gateways:
-            return
-        group.last_refreshed = now
-        group.next_gateway += 1
-        self._ask(gateways[group.next_gateway % len(gateways)], group, fresh=False)
+        gateway = self.next_gateway(group)
+        if gateway is not None:
+            group.last_refreshed = now
+            self._ask(gateway, group, fresh=False)
 
     def _ask(self, gateway: str, group: EntryGroup, fresh: bool) -> None:
         correlation = self._state.next_correlation()
