--- a/src/dewledge/settings.py
+++ b/src/dewledge/settings.py
@@ -26,8 +26,16 @@
     return address
 
 
+def _not_empty(keys: tuple[str, ...]) -> tuple[str, ...]:
+    if not keys:
+        raise ValueError("name at least one")
+    return keys
+
+
 ListenAddress = Annotated[str, AfterValidator(_listen_address)]
 RemoteAddress = Annotated[str, AfterValidator(_remote_address)]
+SessionKey = Annotated[str, Field(min_length=MIN_SESSION_KEY_CHARACTERS)]
+SessionKeys = Annotated[tuple[SessionKey, ...], AfterValidator(_not_empty)]
 Seconds = Annotated[float, Field(gt=0, le=86_400, allow_inf_nan=False)]
 Count = Annotated[int, Field(ge=1, le=100_000_000)]
 Share = Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)]
@@ -130,8 +138,7 @@
     seeds: tuple[RemoteAddress, ...] = Field(
         default=(), description="Gossip addresses of proxies to join, besides the machine list."
     )
-    session_keys: tuple[Annotated[str, Field(min_length=MIN_SESSION_KEY_CHARACTERS)], ...] = Field(
-        min_length=1,
+    session_keys: SessionKeys = Field(
         repr=False,
         description="Secrets that seal session tokens, the same on every proxy; the first seals, "
         "all open. To change them, add the new one last everywhere, then move it first, "
--- a/tests/core/test_resource_documents.py
+++ b/tests/core/test_resource_documents.py
@@ -1,12 +1,15 @@
 """Documents: every finding with its place, nothing dropped, and back again unchanged."""
 
+import re
 import unittest
+from pathlib import Path
 from typing import Any
 
 import yaml
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import Access
 from dewledge.core.configuration import Configuration
 from dewledge.core.resource_documents import (
@@ -36,6 +39,7 @@
 
 INVALID, UNKNOWN_FIELD = ErrorCode.INVALID_RESOURCE, ErrorCode.UNKNOWN_FIELD
 DIGEST = "ab" * 32
+PAGE = Path(__file__).parent.parent.parent / "docs" / "RESOURCES.md"
 
 # name, text, findings as (place, code), all of them
 FINDINGS_TABLE: list[tuple[str, str, list[tuple[str, ErrorCode]]]] = [
@@ -301,5 +305,22 @@
         self.assertEqual(again, resources)
 
 
+class PageTest(unittest.TestCase):
+    def test_the_example_of_the_page_is_whole_and_right(self) -> None:
+        (example,) = re.findall(r"```yaml\n(.*?)```", PAGE.read_text(), re.DOTALL)
+        resources = load_documents(example, "RESOURCES.md")
+        configuration = Configuration(1, resources)
+        self.assertEqual(check_configuration(configuration), [])
+        policy = AccessPolicy(configuration)
+        self.assertEqual(policy.authenticate("portal-example-token"), "portal")
+        self.assertEqual(
+            policy.read_databases("portal", "applications"),
+            ("applications-kumasi", "applications-tamale"),
+        )
+        self.assertFalse(policy.may_use("portal", "applications", Access.WRITE, "any"))
+        self.assertTrue(policy.may_use("case-system", "applications", Access.WRITE, "any"))
+        self.assertTrue(policy.may_operate("on-call"))
+
+
 if __name__ == "__main__":
     unittest.main()
