--- a/src/dewledge/standin/database_node.py
+++ b/src/dewledge/standin/database_node.py
@@ -4,6 +4,7 @@
 
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.positions import LogPosition, TermStart
+from dewledge.standin.checkpoints import Checkpoint, Checkpoints
 from dewledge.standin.group_log import FIRST_TERM, GroupLog
 from dewledge.standin.group_messages import GroupMessage
 from dewledge.standin.group_types import GroupTiming, ModelDatabase
@@ -54,6 +55,7 @@
         self.sent_lengths: dict[str, int] = {}
         self.waiting_messages: list[GroupMessage] = []
         self._known_term_starts: tuple[TermStart, ...] = ()
+        self._checkpoints = Checkpoints()
         self._random = random
 
     @property
@@ -101,7 +103,13 @@
         """Applies received entries, as far as there are any."""
         for entry in self.log.entries[self.applied_length : length]:
             self.state.apply(entry.statements)
-            self.applied_length += 1
+            self.count_applied()
+
+    def count_applied(self) -> None:
+        """Notes that the data now shows one more entry of the log."""
+        self.applied_length += 1
+        if self._checkpoints.is_due(self.applied_length):
+            self._checkpoints.add(Checkpoint(self.applied_length, self.state.copy()))
 
     def undo_down_to(self, length: int) -> None:
         """Rebuilds the data from the log, when entries already applied were dropped."""
@@ -111,7 +119,11 @@
 
     def rebuild(self, length: int) -> None:
         """Builds the data anew from the first `length` entries of the log."""
+        checkpoint = self._checkpoints.newest_up_to(length)
         self.state.close()
         self.state = SqliteState()
         self.applied_length = 0
+        if checkpoint is not None:
+            self.state.restore(checkpoint.data)
+            self.applied_length = checkpoint.length
         self.apply_up_to(length)
--- a/src/dewledge/standin/group_model.py
+++ b/src/dewledge/standin/group_model.py
@@ -24,6 +24,7 @@
 )
 from dewledge.standin.group_schedule import Schedule
 from dewledge.standin.group_sessions import Session, require_primary, result_of
+from dewledge.standin.group_transport import GroupTransport
 from dewledge.standin.group_types import (
     ActivityEntry,
     ActivityKind,
@@ -60,8 +61,10 @@
         self._last_session = 0
         self._schedule = Schedule()
         names = tuple(self._nodes)
-        self._election = Election(names, self._send, self._end_transactions)
-        self._replication = Replication(self._schedule, self._election, self._send)
+        self._transport = GroupTransport(self._nodes, self._schedule, timing, self._handle)
+        send = self._transport.send
+        self._election = Election(names, send, self._end_transactions)
+        self._replication = Replication(self._schedule, self._election, send)
         self._start(now)
 
     # Time.
@@ -184,9 +187,7 @@
         self.advance(now)
         node = self._nodes[database]
         node.faults.frozen = False
-        waiting, node.waiting_messages = node.waiting_messages, []
-        for message in waiting:
-            self._deliver_later(node, message, self._timing.replication_delay, now)
+        self._transport.deliver_waiting(node, now)
 
     def kill(self, database: str, now: float) -> None:
         """Ends a database's process: its connections break, its log stays."""
@@ -277,7 +278,7 @@
     def _append(self, session: Session, statements: tuple[Statement, ...], now: float) -> None:
         node = session.node
         entry = node.log.append(statements, session.identity)
-        node.applied_length += 1
+        node.count_applied()
         position = entry.position
         self.history.append(HistoryEntry(now, node.name, position, statements, session.identity))
         self._replication.send_log(node, now)
@@ -294,26 +295,7 @@
     def _record(self, session: Session, kind: ActivityKind, now: float) -> None:
         self.activity.append(ActivityEntry(now, session.node.name, kind, session.identity))
 
-    def _send(self, source: str, target: str, message: GroupMessage, now: float) -> None:
-        sender = self._nodes[source]
-        receiver = self._nodes[target]
-        delay = self._timing.replication_delay + self._timing.links.one_way(
-            sender.description.place, receiver.description.place
-        )
-        if not sender.faults.cut_off:
-            self._deliver_later(receiver, message, delay, now)
-
-    def _deliver_later(
-        self, receiver: DatabaseNode, message: GroupMessage, delay: float, now: float
-    ) -> None:
-        self._schedule.add(now + delay, lambda time: self._deliver(receiver, message, time))
-
-    def _deliver(self, node: DatabaseNode, message: GroupMessage, now: float) -> None:
-        if node.faults.down or node.faults.cut_off:
-            return
-        if node.faults.frozen:
-            node.waiting_messages.append(message)
-            return
+    def _handle(self, node: DatabaseNode, message: GroupMessage, now: float) -> None:
         if isinstance(message, Append):
             self._replication.handle_append(node, message, now)
         elif isinstance(message, AppendRejected):
--- a/src/dewledge/standin/sqlite_state.py
+++ b/src/dewledge/standin/sqlite_state.py
@@ -59,6 +59,14 @@
         """Drops the data."""
         self._connection.close()
 
+    def copy(self) -> bytes:
+        """Returns a copy of the data."""
+        return self._connection.serialize()
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the data with a copy taken earlier."""
+        self._connection.deserialize(data)
+
     def read(self, statement: Statement) -> Rows:
         """Runs a read on its own. Raises StatementFailed."""
         return self._run(statement, Access.READ)
--- a/tests/standin/test_group_model.py
+++ b/tests/standin/test_group_model.py
@@ -18,6 +18,7 @@
     StatementRefused,
     TransactionConflict,
 )
+from dewledge.standin.checkpoints import CHECKPOINT_INTERVAL
 from dewledge.standin.group_model import GroupModel
 from dewledge.standin.group_types import (
     DatabaseNotAnswering,
@@ -147,6 +148,21 @@
         self.assertTrue(is_cut_off(dropped, starts))
         self.assertFalse(is_cut_off(start, starts))
 
+    def test_checkpoint_of_a_branch_that_was_cut_off_is_not_used(self) -> None:
+        for _ in range(CHECKPOINT_INTERVAL - 10):
+            self.write(insert("kept"))
+        self.wait(0.1)
+        self.model.cut_off("a", False, self.now)
+        for _ in range(20):
+            self.write(insert("dropped"))
+        self.wait()
+        self.model.heal("a", self.now)
+        self.wait()
+        for fault in (lambda: None, lambda: self.model.kill("a", self.now)):
+            fault()
+            self.model.restart("a", self.now)
+            self.assertEqual(set(self.bodies(self.open("a"))), {"kept"})
+
     def test_majority_is_needed_for_an_election(self) -> None:
         for name in ("a", "b"):
             self.model.kill(name, self.now)
