--- a/tests/adapters/model_connection.py
+++ b/tests/adapters/faulty_connection.py
@@ -1,4 +1,4 @@
-"""A DatabaseConnection straight on the group model, with faults at chosen calls."""
+"""A DatabaseConnection with faults at chosen calls of another one."""
 
 from collections.abc import Callable
 from enum import StrEnum
@@ -13,9 +13,8 @@
     StatementRefused,
     TransactionConflict,
 )
-from dewledge.standin.group_model import GroupModel
 
-NOW = 0.0
+NO_WAIT = 0.0
 
 
 class CallFault(StrEnum):
@@ -40,31 +39,28 @@
 BREAKING = (CallFault.CLOSED_BEFORE_SENDING, CallFault.BROKEN_BEFORE, CallFault.BROKEN_AFTER)
 
 
-class ModelConnection(DatabaseConnection):
+class FaultyConnection(DatabaseConnection):
     """Counts its calls from 0; `faults` says what happens to which."""
 
-    def __init__(
-        self, model: GroupModel, database: str, faults: dict[int, CallFault] | None = None
-    ) -> None:
+    def __init__(self, inner: DatabaseConnection, faults: dict[int, CallFault]) -> None:
         self.calls = 0
-        self._faults = faults or {}
-        self._model = model
-        self._session = model.open_session(database, NOW)
+        self._inner = inner
+        self._faults = faults
 
     def execute(self, statement: Statement, access: Access, timeout: float) -> ExecutionResult:
-        return self._call(lambda: self._model.execute(self._session, statement, access, NOW))
+        return self._call(lambda: self._inner.execute(statement, access, timeout))
 
     def begin(self, timeout: float) -> ExecutionResult:
-        return self._call(lambda: self._model.begin(self._session, NOW))
+        return self._call(lambda: self._inner.begin(timeout))
 
     def commit(self, timeout: float) -> ExecutionResult:
-        return self._call(lambda: self._model.commit(self._session, NOW))
+        return self._call(lambda: self._inner.commit(timeout))
 
     def rollback(self, timeout: float) -> ExecutionResult:
-        return self._call(lambda: self._model.rollback(self._session, NOW))
+        return self._call(lambda: self._inner.rollback(timeout))
 
     def close(self) -> None:
-        self._model.close_session(self._session, NOW)
+        self._inner.close()
 
     def _call(self, operation: Callable[[], ExecutionResult]) -> ExecutionResult:
         fault = self._faults.get(self.calls)
@@ -74,7 +70,7 @@
         if fault in BREAKING:
             self.close()
         if fault is CallFault.CONFLICT:
-            self._model.rollback(self._session, NOW)
+            self._inner.rollback(NO_WAIT)
         if fault is not None:
             raise ERRORS[fault]("fault of the test")
         return operation()
--- a/tests/adapters/test_job_runner.py
+++ b/tests/adapters/test_job_runner.py
@@ -8,15 +8,17 @@
 from dewledge.core.calls import Access, Operation, Statement
 from dewledge.core.jobs import IdempotencyRecord, Job, JobDone, JobNotRun, JobResult, JobUnknown
 from dewledge.errors import ErrorCode
+from dewledge.simulation.model_connection import ModelConnection
 from dewledge.standin.group_model import GroupModel
 from dewledge.standin.group_types import GroupTiming, ModelDatabase
-from tests.adapters.model_connection import NOW, CallFault, ModelConnection
+from tests.adapters.faulty_connection import CallFault, FaultyConnection
 
 CREATE = Statement("CREATE TABLE orders (item TEXT UNIQUE)")
 COUNT = Statement("SELECT COUNT(*) FROM orders")
 ORDER_FISH = Statement("INSERT INTO orders VALUES ('fish') RETURNING item")
 ORDER_RICE = Statement("INSERT INTO orders VALUES ('rice') RETURNING item")
 TIMEOUT = 1.0
+NOW = 0.0
 
 BEGIN, STATEMENT, RECORD, COMMIT = range(4)
 """The calls of a keyed write, in their order."""
@@ -41,10 +43,9 @@
         connection.execute(CREATE, Access.WRITE, TIMEOUT)
         connection.execute(CREATE_RECORD_TABLE, Access.WRITE, TIMEOUT)
 
-    def connect(
-        self, faults: dict[int, CallFault] | None = None, database: str = "a"
-    ) -> ModelConnection:
-        return ModelConnection(self.model, database, faults)
+    def connect(self, faults: dict[int, CallFault] | None = None) -> FaultyConnection:
+        session = self.model.open_session("a", NOW)
+        return FaultyConnection(ModelConnection(self.model, session, lambda: NOW), faults or {})
 
     def orders(self) -> int:
         found = self.connect().execute(COUNT, Access.READ, TIMEOUT)
