--- a/src/dewledge/shell/http_connection.py
+++ b/src/dewledge/shell/http_connection.py
@@ -154,6 +154,7 @@
         except OSError:
             data = b""
         if not data:
+            self._flush()
             self.close()
         elif self.state is ConnectionState.OPEN:
             self._parser.feed(data)
--- a/src/dewledge/shell/http_parser.py
+++ b/src/dewledge/shell/http_parser.py
@@ -65,9 +65,7 @@
         already_whole = len(self.requests)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._set_fault(BAD_REQUEST, ErrorCode.MALFORMED_REQUEST, "no upgrade is offered")
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._set_fault(BAD_REQUEST, ErrorCode.MALFORMED_REQUEST, f"not HTTP/1.1: {error}")
         same_message = was_receiving and len(self.requests) == already_whole
         self._bound_unfinished_header(len(data) if same_message else 0)
@@ -149,6 +147,9 @@
 
     def on_message_complete(self) -> None:
         """The request is whole."""
+        if self._parser.should_upgrade():
+            self._set_fault(BAD_REQUEST, ErrorCode.MALFORMED_REQUEST, "no upgrade is offered")
+            raise _StopParsing
         path, _, query = self._target.decode("latin-1").partition("?")
         request = HttpRequest(
             method=self._parser.get_method().decode("latin-1"),
