--- a/src/dewledge/cli/main.py
+++ b/src/dewledge/cli/main.py
@@ -13,6 +13,8 @@
 
 from dewledge.cli.output import EXIT_DONE, EXIT_FAILED, EXIT_INTERRUPTED, print_error
 
+PROGRAM = "dewledge"
+
 SUMMARY = """A database proxy with session consistency.
 
 Check a settings file, then run a proxy:
@@ -98,7 +100,7 @@
 
 def _print_version(value: bool) -> None:
     if value:
-        typer.echo(f"dewledge {package_version('dewledge')}")
+        typer.echo(f"{PROGRAM} {package_version(PROGRAM)}")
         raise typer.Exit()
 
 
@@ -117,7 +119,7 @@
 def run(arguments: Sequence[str]) -> int:
     """Runs one command line and returns its exit code: 0 done, 2 bad input, 1 anything else."""
     try:
-        app(list(arguments))
+        app(list(arguments), prog_name=PROGRAM)
     except SystemExit as exit_request:
         return exit_request.code if isinstance(exit_request.code, int) else EXIT_FAILED
     except KeyboardInterrupt:
