--- /dev/null
+++ b/tests/shell/test_peer_links.py
@@ -0,0 +1,312 @@
+"""Links between proxies: what is reported when they work, break, fall silent or carry rubbish."""
+
+import socket
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dewledge.core.calls import Access, Operation
+from dewledge.core.database_status import DatabaseRole
+from dewledge.core.messages import (
+    PROTOCOL_VERSION,
+    ConfigurationDigest,
+    Hello,
+    PeerMessage,
+    StatementDone,
+    StatementRequest,
+)
+from dewledge.core.positions import LOG_START
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.frames import FrameReader, encode_frame
+from dewledge.shell.outbound_peer import OutboundLost
+from dewledge.shell.peer_link import MAX_OUTBOUND_BYTES
+from dewledge.shell.peer_links import PeerLinks
+from dewledge.shell.sockets import bound_address, parse_address
+
+PATIENCE_SECONDS = 10.0
+
+
+def request(correlation: int, remaining: float = 5.0, key: str | None = None) -> StatementRequest:
+    return StatementRequest(
+        correlation, "c", "g", "d", Operation.EXECUTE, Access.READ, remaining, idempotency_key=key
+    )
+
+
+def done(correlation: int) -> StatementDone:
+    return StatementDone(correlation, "d", DatabaseRole.REPLICA, LOG_START)
+
+
+class Node:
+    """PeerLinks on a loop of its own; notes what is reported."""
+
+    def __init__(self, name: str, incarnation: int = 1, answers: bool = True) -> None:
+        self.name = name
+        self.answers = answers
+        self.messages: list[tuple[str, PeerMessage]] = []
+        self.lost: list[OutboundLost] = []
+        self.opened: list[tuple[str, int]] = []
+        self.inbound_ends: list[str] = []
+        self.loop = EventLoop()
+        hello = Hello(PROTOCOL_VERSION, name, incarnation)
+        self.links = PeerLinks(self.loop, hello, "127.0.0.1:0", Random(1), self)
+        self.loop.post(self.links.start)
+        self._thread = threading.Thread(target=self.loop.run, daemon=True)
+        self._thread.start()
+
+    def peer_message(self, peer: str, message: PeerMessage) -> None:
+        self.messages.append((peer, message))
+        if isinstance(message, StatementRequest) and self.answers:
+            self.links.send(peer, done(message.correlation))
+
+    def inbound_opened(self, peer: str, incarnation: int) -> None:
+        self.opened.append((peer, incarnation))
+
+    def outbound_lost(self, lost: OutboundLost) -> None:
+        self.lost.append(lost)
+
+    def inbound_lost(self, peer: str) -> None:
+        self.inbound_ends.append(peer)
+
+    def knows(self, name: str, address: str) -> None:
+        self.loop.post(lambda: self.links.set_addresses({name: address}))
+
+    def send(self, peer: str, message: PeerMessage) -> None:
+        self.loop.post(lambda: self.links.send(peer, message))
+
+    def close(self) -> None:
+        self.loop.post(self.links.close)
+        self.loop.stop()
+        self._thread.join(PATIENCE_SECONDS)
+        assert not self._thread.is_alive(), "the loop hangs"
+
+
+class SilentPeer:
+    """Accepts links and greets, and then says nothing, not even to a heartbeat."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = bound_address(self._listener)
+        self._sockets: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self._sockets.append(sock)
+            sock.sendall(encode_frame(Hello(PROTOCOL_VERSION, self._name, 1)))
+
+    def close(self) -> None:
+        self._listener.close()
+        for sock in self._sockets:
+            sock.close()
+
+
+class PeerLinksTest(unittest.TestCase):
+    def node(self, name: str, **options: object) -> Node:
+        node = Node(name, **options)  # type: ignore[arg-type]
+        self.addCleanup(node.close)
+        return node
+
+    def pair(self, **options: object) -> tuple[Node, Node]:
+        first, second = self.node("a"), self.node("b", **options)
+        first.knows("b", second.links.address)
+        second.knows("a", first.links.address)
+        return first, second
+
+    def await_state(self, what: str, is_reached: Callable[[], bool]) -> None:
+        give_up_at = time.monotonic() + PATIENCE_SECONDS
+        while not is_reached():
+            self.assertLess(time.monotonic(), give_up_at, what)
+            time.sleep(0.005)
+
+    def silent(self) -> SilentPeer:
+        peer = SilentPeer("s")
+        self.addCleanup(peer.close)
+        return peer
+
+    def test_requests_are_answered_over_one_link(self) -> None:
+        first, second = self.pair()
+        for correlation in range(200):
+            first.send("b", request(correlation))
+        self.await_state("answers", lambda: len(first.messages) == 200)
+        self.assertEqual([it.correlation for _, it in first.messages], list(range(200)))  # type: ignore[union-attr]
+        self.assertEqual(second.opened, [("a", 1)])
+
+    def test_both_ways_at_once(self) -> None:
+        first, second = self.pair()
+        for correlation in range(50):
+            first.send("b", request(correlation))
+            second.send("a", request(correlation))
+        self.await_state("all", lambda: len(first.messages) == len(second.messages) == 100)
+        self.assertEqual((first.lost, second.lost), ([], []))
+
+    def test_peer_that_does_not_listen(self) -> None:
+        first = self.node("a")
+        unused = socket.create_server(("127.0.0.1", 0))
+        address = bound_address(unused)
+        unused.close()
+        first.knows("b", address)
+        first.send("b", request(7))
+        self.await_state("the loss", lambda: bool(first.lost))
+        self.assertEqual(first.lost[0].unsent_requests, (7,))
+
+    def test_unknown_peer(self) -> None:
+        first = self.node("a")
+        first.send("nobody", request(7))
+        self.await_state("the loss", lambda: bool(first.lost))
+        self.assertEqual((first.lost[0].peer, first.lost[0].unsent_requests), ("nobody", (7,)))
+
+    def test_address_of_another_peer(self) -> None:
+        first, second = self.node("a"), self.node("b")
+        first.knows("c", second.links.address)
+        first.send("c", request(7))
+        self.await_state("the loss", lambda: bool(first.lost))
+        self.assertEqual(first.lost[0].unsent_requests, (7,))
+        self.assertEqual(second.messages, [])
+
+    def test_silent_peer_is_given_up_and_its_requests_are_in_doubt(self) -> None:
+        first = self.node("a")
+        first.knows("s", self.silent().address)
+        first.send("s", request(7))
+        self.await_state("the loss", lambda: bool(first.lost))
+        self.assertIn("silent", first.lost[0].reason)
+        self.assertEqual(first.lost[0].unsent_requests, ())
+
+    def test_slow_peer_that_answers_heartbeats_is_not_given_up(self) -> None:
+        first, second = self.pair(answers=False)
+        first.send("b", request(7))
+        self.await_state("the request", lambda: bool(second.messages))
+        time.sleep(1.5)  # longer than silence is borne; only a wrong loss could fail the test
+        self.assertEqual(first.lost, [])
+        second.send("a", done(7))
+        self.await_state("the answer", lambda: bool(first.messages))
+
+    def test_killed_peer_comes_back_as_another_process(self) -> None:
+        first = self.node("a")
+        second = Node("b")
+        first.knows("b", second.links.address)
+        first.send("b", request(1))
+        self.await_state("the answer", lambda: bool(first.messages))
+        second.close()
+        self.await_state("the loss", lambda: bool(first.lost))
+        third = self.node("b", incarnation=2)
+        first.knows("b", third.links.address)
+        first.send("b", request(2))
+        self.await_state("the second answer", lambda: len(first.messages) == 2)
+
+    def test_acceptor_learns_of_the_end_and_of_a_new_process(self) -> None:
+        second = self.node("b")
+        first = Node("a", incarnation=1)
+        first.knows("b", second.links.address)
+        first.send("b", request(1))
+        self.await_state("the link", lambda: second.opened == [("a", 1)])
+        first.close()
+        self.await_state("the end", lambda: second.inbound_ends == ["a"])
+        again = self.node("a", incarnation=2)
+        again.knows("b", second.links.address)
+        again.send("b", request(1))
+        self.await_state("the new link", lambda: second.opened == [("a", 1), ("a", 2)])
+
+    def test_peer_that_does_not_read_is_closed_not_buffered_for(self) -> None:
+        first = self.node("a")
+        first.knows("s", self.silent().address)
+        big = "k" * 60_000
+        count = 4 * MAX_OUTBOUND_BYTES // len(big)
+        for correlation in range(count):
+            first.send("s", request(correlation, key=big))
+        self.await_state("the loss", lambda: bool(first.lost))
+        unsent = sum(len(lost.unsent_requests) for lost in first.lost)
+        self.assertGreater(unsent, 0)
+
+    def test_control_messages_take_the_open_link(self) -> None:
+        first, second = self.pair()
+        first.send("b", request(1))
+        self.await_state("the link", lambda: bool(first.messages))
+        second.send("a", ConfigurationDigest(3))
+        self.await_state("the digest", lambda: ("b", ConfigurationDigest(3)) in first.messages)
+        self.assertEqual(first.opened, [])
+
+
+HELLO = encode_frame(Hello(PROTOCOL_VERSION, "x", 1))
+BAD_FRAMES = [
+    ("no greeting", encode_frame(ConfigurationDigest(1))),
+    ("other version", encode_frame(Hello(PROTOCOL_VERSION + 1, "x", 1))),
+    ("too long", HELLO + b"\xff\xff\xff\xff"),
+    ("no cbor", HELLO + b"\0\0\0\1\xff"),
+    ("unknown message", HELLO + b"\0\0\0\7\x81\x65other"),
+    ("second greeting cut short", HELLO + b"\0\0\0\2\x81"),
+]
+
+
+class BadFramesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.node = Node("b")
+        self.addCleanup(self.node.close)
+
+    def send_and_read_to_end(self, data: bytes, ends_input: bool = True) -> None:
+        with socket.create_connection(parse_address(self.node.links.address), 10) as sock:
+            sock.sendall(data)
+            if ends_input:
+                sock.shutdown(socket.SHUT_WR)
+            try:
+                while sock.recv(65536):
+                    pass
+            except ConnectionResetError:
+                pass
+
+    def test_bad_frames_close_the_link(self) -> None:
+        for name, data in BAD_FRAMES[:-1]:
+            with self.subTest(name):
+                self.send_and_read_to_end(data, ends_input=False)
+
+    def test_frame_cut_short_by_the_end(self) -> None:
+        self.send_and_read_to_end(BAD_FRAMES[-1][1])
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.one_of(
+                st.binary(max_size=60),
+                st.sampled_from([HELLO, b"\0\0\0\0", b"\0\0\0\x05\x81\x64ping"]),
+                st.binary(max_size=40).map(lambda body: len(body).to_bytes(4, "big") + body),
+            ),
+            max_size=6,
+        )
+    )
+    def test_any_bytes(self, pieces: list[bytes]) -> None:
+        self.send_and_read_to_end(b"".join(pieces))
+
+    def test_node_still_answers(self) -> None:
+        peer = Node("a")
+        self.addCleanup(peer.close)
+        peer.knows("b", self.node.links.address)
+        peer.send("b", request(1))
+        give_up_at = time.monotonic() + PATIENCE_SECONDS
+        while not peer.messages and time.monotonic() < give_up_at:
+            time.sleep(0.005)
+        self.assertTrue(peer.messages)
+
+
+class FrameReaderTest(unittest.TestCase):
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.lists(st.binary(max_size=50), max_size=10), st.integers(1, 30))
+    def test_frames_survive_any_split(self, bodies: list[bytes], step: int) -> None:
+        data = b"".join(len(body).to_bytes(4, "big") + body for body in bodies)
+        reader = FrameReader()
+        read: list[bytes] = []
+        for start in range(0, len(data), step):
+            read += reader.feed(data[start : start + step])
+        self.assertEqual(read, bodies)
+
+
+if __name__ == "__main__":
+    unittest.main()
