--- a/src/dewledge/cli/operator_commands_change.py
+++ b/src/dewledge/cli/operator_commands_change.py
@@ -111,7 +111,8 @@
 
 def _is_decided(answer: HttpAnswer) -> bool:
     """Tells whether the refusal came from the store's state, so that it is final for this id."""
-    return answer.code is ErrorCode.REVISION_CONFLICT or bool(answer.findings)
+    final = (ErrorCode.REVISION_CONFLICT, ErrorCode.IDEMPOTENCY_MISMATCH)
+    return answer.code in final or bool(answer.findings)
 
 
 def report_change(result: ChangeResult, output: OutputFormat) -> None:
--- a/src/dewledge/cli/output.py
+++ b/src/dewledge/cli/output.py
@@ -15,6 +15,9 @@
 EXIT_BAD_INPUT = 2
 EXIT_INTERRUPTED = 130
 
+WIDTH_OF_FILES = 100_000
+"""Columns of what is no terminal: lines are not broken there."""
+
 
 class OutputFormat(StrEnum):
     """How results are printed."""
@@ -49,7 +52,8 @@
         table.add_column(column, overflow="fold")
     for row in rows:
         table.add_row(*(Text(_cell(value)) for value in row))
-    Console(file=sys.stdout, soft_wrap=not sys.stdout.isatty()).print(table)
+    width = None if sys.stdout.isatty() else WIDTH_OF_FILES
+    Console(file=sys.stdout, width=width).print(table)
 
 
 def _cell(value: Any) -> str:
--- a/src/dewledge/core/configuration_acceptance.py
+++ b/src/dewledge/core/configuration_acceptance.py
@@ -50,7 +50,8 @@
     """The proposals and look-ups made at one proxy.
 
     A proposal whose change_id is waiting or under way here already is not proposed again: the
-    one ProposalFinished answers both.
+    one ProposalFinished answers both. A change id therefore names one change, chosen unique by
+    whoever proposes; a later proposal of another change under a used id is refused.
     """
 
     def __init__(self, settings: AcceptanceSettings, random: Random) -> None:
--- a/src/dewledge/core/configuration_acceptance_steps.py
+++ b/src/dewledge/core/configuration_acceptance_steps.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import ChangeSet, Configuration
+from dewledge.core.configuration import ChangeSet, Configuration, ResourceKey
 from dewledge.core.configuration_acceptance_change import resolve_change
 from dewledge.core.configuration_codec import (
     decode_change,
@@ -159,18 +159,30 @@
 
 
 def _already_accepted(proposal: ProposedChange, accepted: ChangeSet) -> Acceptance:
-    if accepted.author == proposal.author:
+    if _is_same(proposal, accepted):
         return Acceptance(ProposalFinished(proposal.change_id, Outcome.DONE, accepted))
     finished = ProposalFinished(
         proposal.change_id,
         Outcome.NOT_RUN,
-        code=ErrorCode.REVISION_CONFLICT,
-        message="this change id was used by another operator",
+        code=ErrorCode.IDEMPOTENCY_MISMATCH,
+        message="this change id was used for another change",
         winner=accepted,
     )
     return Acceptance(finished)
 
 
+def _is_same(proposal: ProposedChange, accepted: ChangeSet) -> bool:
+    """Tells whether `accepted` is what became of `proposal`; labels are compared by resource."""
+    put_count = len(proposal.put)
+    relabelled = [ResourceKey(item.kind, item.name) for item in accepted.put[put_count:]]
+    return (
+        proposal.author == accepted.author
+        and proposal.put == accepted.put[:put_count]
+        and proposal.deleted == accepted.deleted
+        and [change.key for change in proposal.labels] == relabelled
+    )
+
+
 def _refused(proposal: ProposedChange, error: DewledgeError, outcome: Outcome) -> Acceptance:
     finished = ProposalFinished(proposal.change_id, outcome, code=error.code, message=error.message)
     return Acceptance(finished)
--- a/tests/core/test_configuration_acceptance.py
+++ b/tests/core/test_configuration_acceptance.py
@@ -253,13 +253,33 @@
         (found,) = cluster.effects(ChangeLookedUp)
         self.assertIsNone(found.accepted)
 
-    def test_a_change_id_of_another_operator_is_refused(self) -> None:
+    def test_an_id_used_for_another_change_is_refused(self) -> None:
+        for proposal in (
+            change("c1", "kofi"),
+            ProposedChange("c1", "ama", None, (group("other"),)),
+            ProposedChange("c1", "ama", None, deleted=(ResourceKey(Kind.GROUP, "group-c1"),)),
+        ):
+            with self.subTest(proposal=proposal):
+                cluster = Cluster()
+                propose(cluster, "proxy-1", change("c1", "ama"))
+                cluster.run(1.0)
+                propose(cluster, "proxy-2", proposal)
+                cluster.run(LONG)
+                result = cluster.effects(ProposalFinished)[-1]
+                expected = (NOT_RUN, ErrorCode.IDEMPOTENCY_MISMATCH)
+                self.assertEqual((result.outcome, result.code), expected)
+                self.assertEqual(cluster.store.head(), 1)
+
+    def test_a_repeated_label_change_is_told_done(self) -> None:
         cluster = Cluster()
-        propose(cluster, "proxy-1", change("c1", "ama"))
+        labels = LabelChange(ResourceKey(Kind.GROUP, "group-c0"), (("a", "b"),))
+        propose(cluster, "proxy-1", change("c0"))
         cluster.run(1.0)
-        propose(cluster, "proxy-2", change("c1", "kofi"))
-        cluster.run(LONG)
-        self.assertEqual(cluster.effects(ProposalFinished)[-1].outcome, NOT_RUN)
+        for name in ("proxy-1", "proxy-2"):
+            propose(cluster, name, ProposedChange("c1", "ama", None, labels=(labels,)))
+            cluster.run(cluster.now + 1.0)
+        outcomes = [item.revision for item in cluster.effects(ProposalFinished)]
+        self.assertEqual(outcomes, [1, 2, 2])
 
 
 class RefusalTest(unittest.TestCase):
