Check the stand-ins' settings whole; test their servers, deployments and commands

A heartbeat of zero made the model's clock stand still; times, rates, counts and addresses are now checked with every finding reported together.

--- a/src/dewledge/adapters/http_exchange.py
+++ b/src/dewledge/adapters/http_exchange.py
@@ -11,6 +11,7 @@
 import httptools
 import msgspec
 
+from dewledge.core.addresses import split_address
 from dewledge.errors import ProtocolError
 
 RECEIVE_BYTES = 65536
@@ -33,12 +34,6 @@
     """The request was sent, at least in part, and no whole answer came in time."""
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits "ip:port" or "[ipv6]:port". Raises ValueError."""
-    host, _, port = address.rpartition(":")
-    return host.removeprefix("[").removesuffix("]"), int(port)
-
-
 class HttpExchange:
     """A client's end of one connection; used by one thread at a time."""
 
--- a/src/dewledge/cli/standin_commands.py
+++ b/src/dewledge/cli/standin_commands.py
@@ -23,7 +23,12 @@
     database_addresses,
 )
 from dewledge.standin.group_server import GroupServer
-from dewledge.standin.group_settings import GroupSettings, load_group_settings, load_toml
+from dewledge.standin.group_settings import (
+    GroupSettings,
+    check_settings,
+    load_group_settings,
+    load_toml,
+)
 from dewledge.standin.platform_server import PlatformServer
 from dewledge.standin.platform_settings import PlatformSettings
 
@@ -74,9 +79,9 @@
         "table_rate": table_rate,
         "object_rate": object_rate,
     }
-    base = _platform_settings(config)
     given = {name: value for name, value in flags.items() if value is not None}
-    server = _or_exit(lambda: PlatformServer(base.model_copy(update=given)))
+    settings = _or_exit(lambda: _platform_settings(config, given))
+    server = _or_exit(lambda: PlatformServer(settings))
     logger.info("event=platform_ready address={} admin={}", server.address, server.admin_address)
     _run_until_signal(server)
 
@@ -113,10 +118,10 @@
     typer.echo(yaml.safe_dump_all(documents, sort_keys=False), nl=False)
 
 
-def _platform_settings(config: Path | None) -> PlatformSettings:
-    if config is not None:
-        return _or_exit(lambda: load_toml(config, PlatformSettings))
-    return PlatformSettings(address=PLATFORM_ADDRESS, admin_address=PLATFORM_ADMIN_ADDRESS)
+def _platform_settings(config: Path | None, flags: dict[str, str | float]) -> PlatformSettings:
+    addresses = {"address": PLATFORM_ADDRESS, "admin_address": PLATFORM_ADMIN_ADDRESS}
+    base = load_toml(config, PlatformSettings).model_dump() if config else addresses
+    return check_settings({**base, **flags}, PlatformSettings, "flags")
 
 
 def _group_settings(
--- a/src/dewledge/standin/group_settings.py
+++ b/src/dewledge/standin/group_settings.py
@@ -1,46 +1,56 @@
 """Settings of the database group stand-in, from a TOML file or built by a program."""
 
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from dewledge.core.resource_documents import findings_of_validation
 from dewledge.errors import ErrorCode, Finding, InvalidInput
+from dewledge.settings import Count, ListenAddress
 from dewledge.standin.group_types import GroupTiming, ModelDatabase
 from dewledge.standin.link_delays import LinkDelays
 
 LOOPBACK = "127.0.0.1:0"
 
+Duration = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+"""A time in seconds that may be zero."""
+
+Interval = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+"""A time in seconds that must pass."""
+
 Model = TypeVar("Model", bound=BaseModel)
 
 
-class _Settings(BaseModel):
+class StandinSettings(BaseModel):
+    """The base of all stand-in settings."""
+
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
-class LinkSettings(_Settings):
+class LinkSettings(StandinSettings):
     """One-way delays in seconds between places."""
 
-    within_zone: float = 0.0
-    between_zones: float = 0.0
-    between_regions: float = 0.0
+    within_zone: Duration = 0.0
+    between_zones: Duration = 0.0
+    between_regions: Duration = 0.0
 
     def to_delays(self) -> LinkDelays:
         """Returns the delays as the model takes them."""
         return LinkDelays(self.within_zone, self.between_zones, self.between_regions)
 
 
-class DatabaseSettings(_Settings):
+class DatabaseSettings(StandinSettings):
     """One database: where it listens, where it is, and its hard limits."""
 
     name: str
-    address: str = LOOPBACK
+    address: ListenAddress = LOOPBACK
     zone: str = ""
     region: str = ""
-    slots: int = 5
-    max_connections: int = 40
+    slots: Count = 5
+    max_connections: Count = 40
 
     def to_model(self) -> ModelDatabase:
         """Returns the database as the model takes it."""
@@ -54,7 +64,7 @@
         )
 
 
-class GroupSettings(_Settings):
+class GroupSettings(StandinSettings):
     """A group. Times are in seconds.
 
     open_time: what opening a connection takes.
@@ -62,14 +72,14 @@
     """
 
     name: str
-    databases: tuple[DatabaseSettings, ...]
-    admin_address: str = LOOPBACK
-    heartbeat: float = 0.05
-    election_timeout: float = 0.3
-    replication_delay: float = 0.0005
-    open_time: float = 0.010
-    read_time: float = 0.0
-    write_time: float = 0.0
+    databases: Annotated[tuple[DatabaseSettings, ...], Field(min_length=1)]
+    admin_address: ListenAddress = LOOPBACK
+    heartbeat: Interval = 0.05
+    election_timeout: Interval = 0.3
+    replication_delay: Duration = 0.0005
+    open_time: Duration = 0.010
+    read_time: Duration = 0.0
+    write_time: Duration = 0.0
     seed: int = 0
     links: LinkSettings = LinkSettings()
 
@@ -91,9 +101,16 @@
 def load_toml(path: Path, model: type[Model]) -> Model:
     """Reads a TOML file as `model`. Raises InvalidInput with every finding, or OSError."""
     try:
-        return model.model_validate(tomllib.loads(path.read_text()))
+        document = tomllib.loads(path.read_text())
     except tomllib.TOMLDecodeError as error:
         raise InvalidInput([Finding(str(path), ErrorCode.INVALID_SETTING, str(error))]) from error
+    return check_settings(document, model, str(path))
+
+
+def check_settings(document: Mapping[str, object], model: type[Model], place: str) -> Model:
+    """Checks values as `model`. Raises InvalidInput with every finding, under `place`."""
+    try:
+        return model.model_validate(document)
     except ValidationError as error:
-        findings = findings_of_validation(error, str(path), ErrorCode.INVALID_SETTING)
+        findings = findings_of_validation(error, place, ErrorCode.INVALID_SETTING)
         raise InvalidInput(findings) from error
--- a/src/dewledge/standin/http_server.py
+++ b/src/dewledge/standin/http_server.py
@@ -14,7 +14,8 @@
 import httptools
 import msgspec
 
-from dewledge.adapters.http_exchange import RECEIVE_BYTES, split_address
+from dewledge.adapters.http_exchange import RECEIVE_BYTES
+from dewledge.core.addresses import split_address
 
 LISTEN_BACKLOG = 512
 STOP_WAIT_SECONDS = 5.0
--- a/src/dewledge/standin/platform_settings.py
+++ b/src/dewledge/standin/platform_settings.py
@@ -1,11 +1,17 @@
 """Settings of the platform stand-in."""
 
-from pydantic import BaseModel, ConfigDict
+from typing import Annotated
 
-from dewledge.standin.group_settings import LOOPBACK
+from pydantic import Field
 
+from dewledge.settings import ListenAddress
+from dewledge.standin.group_settings import LOOPBACK, Duration, Interval, StandinSettings
 
-class PlatformSettings(BaseModel):
+Rate = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+"""Calls a second, or calls at once."""
+
+
+class PlatformSettings(StandinSettings):
     """The platform's addresses, limits and lag.
 
     table_rate, object_rate: calls a second that are accepted, with bursts of `burst` calls.
@@ -13,12 +19,10 @@
     machine_expiry: seconds after which a machine that reported nothing is dropped.
     """
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-    address: str = LOOPBACK
-    admin_address: str = LOOPBACK
-    table_rate: float = 100.0
-    object_rate: float = 20.0
-    burst: float = 50.0
-    list_lag: float = 2.0
-    machine_expiry: float = 120.0
+    address: ListenAddress = LOOPBACK
+    admin_address: ListenAddress = LOOPBACK
+    table_rate: Rate = 100.0
+    object_rate: Rate = 20.0
+    burst: Rate = 50.0
+    list_lag: Duration = 2.0
+    machine_expiry: Interval = 120.0
