--- a/src/dewledge/core/request_finish.py
+++ b/src/dewledge/core/request_finish.py
@@ -63,13 +63,8 @@
 
     def expire(self, pending: PendingRequest) -> None:
         """Answers a request whose deadline has come."""
-        was_open = pending.outcome_is_open
-        code = ErrorCode.DEADLINE_EXCEEDED
         self.cancel(pending)
-        if was_open:
-            self.unknown(pending, code, "the deadline came before the answer")
-        else:
-            self.not_run(pending, code, "the deadline came before the request could run")
+        self.not_run(pending, ErrorCode.DEADLINE_EXCEEDED, "the deadline came before the answer")
 
     def forget(self, pending: PendingRequest) -> None:
         """Drops a request whose caller is gone; nothing is answered."""
--- a/src/dewledge/core/request_router.py
+++ b/src/dewledge/core/request_router.py
@@ -234,7 +234,8 @@
             self._finisher.not_run(pending, pending.last_code, message, retry_after)
         elif pending.floor is None:
             self._read_index.find(pending, gateway, now)
-            self._sender.set_timer(pending, now + self._state.settings.read_attempt_timeout)
+            ask_again_at = now + self._state.settings.read_attempt_timeout
+            self._sender.set_timer(pending, min(ask_again_at, self._wait_until(pending, now)))
         else:
             pending.excluded = ()
             pending.stale_answers = 0
--- a/tests/core/entry_harness.py
+++ b/tests/core/entry_harness.py
@@ -188,8 +188,9 @@
 
     def read(self, floor: LogPosition | None = None, **options: object) -> int:
         """Hands a read in, with a session that has seen `floor`."""
-        session = None if floor is None else CODEC.seal("app", {GROUP: floor})
-        return self.call(access=Access.READ, session=session, **options)  # type: ignore[arg-type]
+        if floor is not None:
+            options["session"] = CODEC.seal("app", {GROUP: floor})
+        return self.call(access=Access.READ, **options)  # type: ignore[arg-type]
 
     def receive(self, peer: str, message: PeerMessage) -> None:
         self.run(self.entry.handle_peer_message(peer, message, self.now))  # type: ignore[arg-type]
