--- a/src/dewledge/shell/proxy_server.py
+++ b/src/dewledge/shell/proxy_server.py
@@ -47,28 +47,27 @@
     """A proxy from start to end. `run` blocks; `start` runs it on a thread of its own.
 
     caller_address, peer_address, gossip_address: as bound, with the real ports.
+    loop: where everything happens; of use from outside for measuring only.
     """
 
     def __init__(self, settings: ProxySettings, driver: DatabaseDriver | None = None) -> None:
         """Binds the addresses. Raises OSError if one cannot be bound."""
         self.settings = settings
-        self._loop = EventLoop()
+        self.loop = EventLoop()
         self._random = Random()
         self._driver = ProxyDriver(
-            self._loop, settings.name, settings.zone, deadline_bounds(settings)
+            self.loop, settings.name, settings.zone, deadline_bounds(settings)
         )
         incarnation = int(time.time() * INCARNATIONS_PER_SECOND)
         hello = Hello(PROTOCOL_VERSION, settings.name, incarnation)
         edge = HttpEdge(self._driver)
         self._http = HttpServer(
-            self._loop, settings.caller_address, http_limits(settings), edge.handle
+            self.loop, settings.caller_address, http_limits(settings), edge.handle
         )
-        self._links = PeerLinks(
-            self._loop, hello, settings.peer_address, self._random, self._driver
-        )
-        self._datagrams = DatagramSocket(self._loop, settings.gossip_address)
+        self._links = PeerLinks(self.loop, hello, settings.peer_address, self._random, self._driver)
+        self._datagrams = DatagramSocket(self.loop, settings.gossip_address)
         self._workers = DatabaseWorkers(
-            self._loop,
+            self.loop,
             driver or HttpDatabaseDriver(settings.zone, settings.region),
             self._driver,
         )
@@ -101,8 +100,8 @@
     def run(self) -> None:
         """Serves until `stop` or `leave` has ended it."""
         with logger.contextualize(proxy=self.name):
-            self._loop.post(self._begin)
-            self._loop.run()
+            self.loop.post(self._begin)
+            self.loop.run()
 
     def start(self) -> None:
         """Serves on a thread of its own."""
@@ -111,11 +110,11 @@
 
     def leave(self) -> None:
         """Begins a planned stop. May be called from any thread or a signal handler."""
-        self._loop.post(self._leave)
+        self.loop.post(self._leave)
 
     def stop(self) -> None:
         """Ends at once, without a word to anybody. May be called from any thread."""
-        self._loop.post(self._end)
+        self.loop.post(self._end)
 
     def join(self, timeout: float | None = None) -> bool:
         """Waits until the thread of `start` has ended; returns whether it has."""
@@ -127,7 +126,7 @@
     def _make_store(self) -> StoreCalls:
         client = PlatformClient(self.settings.platform_address)
         return StoreCalls(
-            self._loop,
+            self.loop,
             HttpTableService(client),
             HttpObjectStore(client),
             HttpMachineList(client),
@@ -182,23 +181,23 @@
     def _leave(self) -> None:
         if self._leaving_since is not None:
             return
-        self._leaving_since = self._loop.now()
+        self._leaving_since = self.loop.now()
         logger.bind(in_flight=self._driver.in_flight).info("proxy_leaving")
         self._driver.leave()
         self._http.leave()
-        self._loop.call_later(STOP_CHECK_SECONDS, self._check_finished)
+        self.loop.call_later(STOP_CHECK_SECONDS, self._check_finished)
 
     def _check_finished(self) -> None:
         if not self._may_finish():
-            self._loop.call_later(STOP_CHECK_SECONDS, self._check_finished)
+            self.loop.call_later(STOP_CHECK_SECONDS, self._check_finished)
             return
         self._http.close_idle()
         self._driver.stop()
-        self._await_farewell(self._loop.now() + FAREWELL_SECONDS)
+        self._await_farewell(self.loop.now() + FAREWELL_SECONDS)
 
     def _may_finish(self) -> bool:
         assert self._leaving_since is not None
-        elapsed = self._loop.now() - self._leaving_since
+        elapsed = self.loop.now() - self._leaving_since
         if elapsed >= self.settings.timings.leave_bound:
             return True
         if elapsed < LEAVE_GRACE_SECONDS or self._http.in_flight or not self._driver.is_idle:
@@ -206,8 +205,8 @@
         return self._http.connection_count == 0 or elapsed >= IDLE_GRACE_SECONDS
 
     def _await_farewell(self, until: float) -> None:
-        if self._http.connection_count and self._loop.now() < until:
-            self._loop.call_later(STOP_CHECK_SECONDS, partial(self._await_farewell, until))
+        if self._http.connection_count and self.loop.now() < until:
+            self.loop.call_later(STOP_CHECK_SECONDS, partial(self._await_farewell, until))
             return
         logger.bind(unfinished=self._http.in_flight).info("proxy_stopped")
         self._end()
@@ -218,4 +217,4 @@
         self._datagrams.close()
         self._workers.shut_down()
         self._store.shut_down()
-        self._loop.stop()
+        self.loop.stop()
