--- a/tests/run.py
+++ b/tests/run.py
@@ -7,6 +7,24 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
+SLOWEST_SHOWN = 10
+
+
+class TimedResult(unittest.TextTestResult):
+    """Also notes how long each test took, in seconds."""
+
+    def __init__(self, *arguments: object, **options: object) -> None:
+        super().__init__(*arguments, **options)
+        self.durations: dict[str, float] = {}
+        self._started = 0.0
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        self._started = time.monotonic()
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        super().stopTest(test)
+        self.durations[test.id()] = time.monotonic() - self._started
 
 
 def known_red() -> dict[str, str]:
@@ -17,17 +35,27 @@
     return {line.split(",", 1)[0].strip(): line for line in lines}
 
 
+def failed_tests(result: unittest.TestResult) -> set[str]:
+    """Returns the ids of tests that failed; a failed row of a table counts as its test."""
+    cases = [case for case, _ in (*result.failures, *result.errors)]
+    cases.extend(result.unexpectedSuccesses)
+    return {getattr(case, "test_case", case).id() for case in cases}
+
+
 def main() -> int:
     """Discovers and runs the tests; the exit code is 0 only if nothing but known faults failed."""
-    started = time.monotonic()
     suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    result = unittest.TextTestRunner(verbosity=1, buffer=True, durations=10).run(suite)
-    failed = {case.id() for case, _ in (*result.failures, *result.errors)}
-    failed.update(case.id() for case in result.unexpectedSuccesses)
+    runner = unittest.TextTestRunner(verbosity=1, buffer=True, resultclass=TimedResult)
+    started = time.monotonic()
+    result = runner.run(suite)
+    slowest = sorted(result.durations.items(), key=lambda item: -item[1])[:SLOWEST_SHOWN]
+    for name, seconds in slowest:
+        print(f"slow: {seconds:6.1f} s {name}")
     listed = known_red()
     for line in listed.values():
         print(f"known red: {line}")
-    new_failures = sorted(name for name in failed if name.split(" ")[0] not in listed)
+    failed = failed_tests(result)
+    new_failures = sorted(failed - listed.keys())
     for name in new_failures:
         print(f"failed: {name}")
     passed = result.testsRun - len(failed) - len(result.skipped)
