Give each database that is not started an address of its own

Cause: a cluster with only some of a deployment's groups was refused with duplicate_name, because all the others shared one address. Shown by tests/test_operations.py, which starts such a cluster.

--- a/src/dewledge/embedded.py
+++ b/src/dewledge/embedded.py
@@ -205,8 +205,9 @@
         return ProxyClient([address], OPERATOR_TOKEN).get("/v1/status")
 
     def _database_addresses(self) -> dict[str, str]:
-        # A group that is not started gets an address nobody listens at.
-        addresses = dict.fromkeys(self.plan.deployment.databases(), "127.0.0.1:9")
+        # A database that is not started gets an address of its own at which nobody listens.
+        names = self.plan.deployment.databases()
+        addresses = {name: f"127.0.0.1:{port}" for port, name in enumerate(names, start=1)}
         for group in self.groups.values():
             addresses.update(group.addresses)
         return addresses
