--- a/src/dewledge/demo/steps_operators.py
+++ b/src/dewledge/demo/steps_operators.py
@@ -18,6 +18,7 @@
 from dewledge.standin.group_types import ActivityEntry, ActivityKind
 
 SERVES_SECONDS = 10.0
+CLOSED_SECONDS = 10.0
 DRAINED_READS = 30
 STATEMENT_KINDS = (ActivityKind.READ, ActivityKind.WRITE, ActivityKind.BEGIN)
 
@@ -103,6 +104,11 @@
             [],
             _statements_at(stage, drained)[len(before) :],
         )
+        stage.check_becomes(
+            "no proxy holds a connection to it any more",
+            lambda: _connections_to(stage, drained) == 0,
+            CLOSED_SECONDS,
+        )
         stage.change(_label_change(Kind.DATABASE, drained, {}, (DRAIN_LABEL,)))
         stage.check_becomes(
             "the drain is undone: it serves reads again",
@@ -117,6 +123,15 @@
     return any(it.outcome is Outcome.DONE and it.served_by == database for it in replies)
 
 
+def _connections_to(stage: Stage, database: str) -> int:
+    return sum(
+        report["connections"]
+        for status in stage.statuses()
+        for report in status["databases"]
+        if report["database"] == database
+    )
+
+
 def _statements_at(stage: Stage, database: str) -> list[ActivityEntry]:
     return [
         entry
