--- a/src/dewledge/core/membership.py
+++ b/src/dewledge/core/membership.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from dewledge.core.member import PLACED_STATES, Claim, Member, MemberState, claim_of
+from dewledge.core.member import Claim, Member, MemberState, claim_of
 from dewledge.core.membership_broadcast import BroadcastQueue, ByteBudget
 from dewledge.core.membership_dialogue import MembershipDialogue
 from dewledge.core.membership_join import Joiner, gossip_addresses
@@ -90,6 +90,8 @@
     def reachable_count(self) -> int:
         """Estimated members within reach, this one included, as of the latest call."""
         contacts = self._prober.contacts
+        if (self._last_call or 0.0) - contacts.answered_at > self._settings.contact_silence:
+            return 1
         return estimate_reachable(self._table.living_count, contacts.answered, contacts.asked)
 
     @property
@@ -221,7 +223,7 @@
     def _continue_probe(self, now: float) -> None:
         probe = self._prober.current
         if probe is not None and now >= probe.ends_at:
-            target = self._prober.fail()
+            target = self._prober.fail(now)
             if target is not None:
                 self._suspect(target.name, now)
         elif probe is not None and now >= probe.indirect_at:
@@ -249,6 +251,8 @@
         if member is not None and not member.is_gone:
             self._outbox.log("member_suspect", member=name, zone=member.zone)
             self._view.suspect(member, now)
+            doubts = self._view.doubts_about(name)
+            self._outbox.send_alone(member.gossip_address, News(), doubts)
 
     def _gossip(self, now: float) -> None:
         if not self._view.queue or now < self._gossip_at:
@@ -320,8 +324,3 @@
             self._report_at = now + self._settings.change_report_interval
             self._outbox.add(MembersChanged(self._table.living()))
         return self._outbox.drain()
-
-
-def placed(members: Iterable[Member]) -> tuple[Member, ...]:
-    """Returns the members that may be given new work."""
-    return tuple(member for member in members if member.state in PLACED_STATES)
--- a/src/dewledge/core/membership_broadcast.py
+++ b/src/dewledge/core/membership_broadcast.py
@@ -71,15 +71,16 @@
                 remaining -= item.size
                 taken.append((level, item))
         self._budget.spend(allowed - remaining)
+        transmit_limit = self._transmit_limit()
         for level, item in taken:
-            self._promote(item, level)
+            self._promote(item, level, transmit_limit)
         return tuple(item.claim for _, item in taken)
 
-    def _promote(self, item: _Item, level: int) -> None:
+    def _promote(self, item: _Item, level: int, transmit_limit: int) -> None:
         name = item.claim.name
         del self._levels[level][name]
         next_level = level + 1
-        if next_level >= self._transmit_limit():
+        if next_level >= transmit_limit:
             del self._level_of[name]
             return
         if next_level == len(self._levels):
--- a/src/dewledge/core/membership_dialogue.py
+++ b/src/dewledge/core/membership_dialogue.py
@@ -111,7 +111,7 @@
         self._outbox.send(address, Ack(ping.sequence, age), now, first)
 
     def _take_ack(self, ack: Ack, envelope: Envelope, address: str, now: float) -> None:
-        probe = self._prober.acknowledge(ack.sequence)
+        probe = self._prober.acknowledge(ack.sequence, now)
         if probe is not None:
             self._view.note_answer(probe.target.name)
             if ack.store_age is not None and envelope.sender == probe.target.name:
--- a/src/dewledge/core/membership_probe.py
+++ b/src/dewledge/core/membership_probe.py
@@ -14,6 +14,7 @@
 from dewledge.core.membership_settings import MembershipSettings
 from dewledge.core.membership_table import MemberTable
 
+NEVER = float("-inf")
 MAX_URGENT = 16
 """How many members may wait to be probed out of turn."""
 
@@ -53,14 +54,20 @@
 
 
 class ContactWindow:
-    """The outcome of the latest probes, for estimating how many members are reachable."""
+    """The outcome of the latest probes, for estimating how many members are reachable.
+
+    answered_at: when the latest answer came.
+    """
 
     def __init__(self, length: int) -> None:
         self._contacts: deque[_Contact] = deque(maxlen=length)
+        self.answered_at = NEVER
 
-    def note(self, name: str, answered: bool) -> None:
+    def note(self, name: str, answered: bool, now: float) -> None:
         """Adds an outcome and drops the oldest."""
         self._contacts.append(_Contact(name, answered))
+        if answered:
+            self.answered_at = now
 
     def forget(self, name: str) -> None:
         """Drops the failures of a member that is now known to be gone."""
@@ -70,6 +77,7 @@
     def clear(self) -> None:
         """Forgets all outcomes."""
         self._contacts.clear()
+        self.answered_at = NEVER
 
     @property
     def asked(self) -> int:
@@ -118,14 +126,14 @@
         self.current = Probe(target, self.next_sequence(), now, indirect_at, now + interval)
         return self.current
 
-    def acknowledge(self, sequence: int) -> Probe | None:
+    def acknowledge(self, sequence: int, now: float) -> Probe | None:
         """Ends the current probe well if `sequence` is its own, and returns it."""
         probe = self.current
         if probe is None or probe.sequence != sequence:
             return None
         self.current = None
         self.health.change(-1)
-        self.contacts.note(probe.target.name, True)
+        self.contacts.note(probe.target.name, True, now)
         return probe
 
     def refuse(self, sequence: int) -> None:
@@ -133,7 +141,7 @@
         if self.current is not None and self.current.sequence == sequence:
             self.current.nacks += 1
 
-    def fail(self) -> Member | None:
+    def fail(self, now: float) -> Member | None:
         """Ends the current probe as failed and returns its target."""
         probe = self.current
         if probe is None:
@@ -141,7 +149,7 @@
         self.current = None
         missing_nacks = probe.asked - probe.nacks
         self.health.change(missing_nacks if probe.asked else 1)
-        self.contacts.note(probe.target.name, False)
+        self.contacts.note(probe.target.name, False, now)
         return probe.target
 
     def abandon(self, now: float) -> None:
--- a/src/dewledge/core/membership_settings.py
+++ b/src/dewledge/core/membership_settings.py
@@ -18,24 +18,28 @@
     suspicion_stretch: longest over shortest; suspicion_confirmations: independent accusers after
     which the shortest applies.
     gossip_interval, gossip_fanout: pace of news while there is any; transmit_factor: how often an
-    item is sent per decade of members. claim_bytes_per_second: bound of all news sent.
+    item is sent per decade of members, but no less than transmit_minimum.
+    claim_bytes_per_second: bound of all news sent.
     sync_interval: between exchanges of table digests. reconnect_interval: between attempts to
     reach a member that is gone, or a listed machine that is unknown.
     forget_after: how long the dead are kept; forget_unlisted_after: if the machine list lacks them.
     pause_threshold: a longer gap between two calls means that this process was frozen.
+    contact_window: latest probes by which reachability is judged; contact_silence: without any
+    answer for so long a member counts itself alone.
     shared_key: authenticates datagrams if not empty.
     """
 
     probe_interval: float = 1.0
     probe_timeout: float = 0.3
     indirect_probes: int = 3
-    max_local_health: int = 8
+    max_local_health: int = 3
     suspicion_factor: float = 1.25
     suspicion_stretch: float = 3.0
     suspicion_confirmations: int = 3
     gossip_interval: float = 0.2
     gossip_fanout: int = 3
     transmit_factor: float = 3.0
+    transmit_minimum: int = 8
     claim_bytes_per_second: float = 5000.0
     sync_interval: float = 10.0
     reconnect_interval: float = 5.0
@@ -43,9 +47,10 @@
     join_backoff_limit: float = 5.0
     forget_after: float = 24 * 3600.0
     forget_unlisted_after: float = 600.0
-    change_report_interval: float = 0.1
+    change_report_interval: float = 0.25
     pause_threshold: float = 3.0
     contact_window: int = 8
+    contact_silence: float = 4.0
     shared_key: bytes = b""
 
 
@@ -56,7 +61,8 @@
 
 def transmit_limit(settings: MembershipSettings, members: int) -> int:
     """Returns how often one item of news is sent by each member that has it."""
-    return math.ceil(settings.transmit_factor * decades(members + 1))
+    scaled = math.ceil(settings.transmit_factor * decades(members + 1))
+    return max(settings.transmit_minimum, scaled)
 
 
 def confirmations_needed(settings: MembershipSettings, members: int) -> int:
--- a/src/dewledge/core/membership_table.py
+++ b/src/dewledge/core/membership_table.py
@@ -27,6 +27,7 @@
         self._digests = [0] * BUCKETS
         self._gone_since: dict[str, float] = {}
         self._dead = 0
+        self._living: tuple[Member, ...] | None = None
 
     def get(self, name: str) -> Member | None:
         """Returns a member, living or gone, or None."""
@@ -34,6 +35,7 @@
 
     def put(self, member: Member, now: float) -> None:
         """Adds or replaces a member."""
+        self._living = None
         previous = self._members.get(member.name)
         if previous is None:
             bisect.insort(self._names, member.name)
@@ -49,6 +51,7 @@
 
     def forget(self, name: str) -> None:
         """Removes a member altogether."""
+        self._living = None
         member = self._members.pop(name)
         self._account(member, -1)
         self._names.remove(name)
@@ -67,8 +70,10 @@
 
     def living(self) -> tuple[Member, ...]:
         """Returns the members that are not gone, sorted by name."""
-        members = (self._members[name] for name in self._names)
-        return tuple(member for member in members if not member.is_gone)
+        if self._living is None:
+            members, gone = self._members, self._gone_since
+            self._living = tuple(members[name] for name in self._names if name not in gone)
+        return self._living
 
     def gone(self) -> dict[str, float]:
         """Returns the names of the gone and since when each is."""
--- a/src/dewledge/core/membership_view.py
+++ b/src/dewledge/core/membership_view.py
@@ -6,6 +6,7 @@
 
 from dewledge.core.member import (
     GONE_STATES,
+    PLACED_STATES,
     Claim,
     Member,
     MemberState,
@@ -25,7 +26,8 @@
     """The table, the suspicions and the news, kept in step.
 
     on_gone: called with the name of a member that is now believed gone.
-    changed: whether a member came, went or changed since the flag was last lowered.
+    changed: whether a member came, went, moved or began to leave since the flag was last lowered;
+    a mere suspicion and its refutation do not count.
     refutations: how often this member has had to contradict a claim about itself.
     """
 
@@ -65,7 +67,7 @@
             self.queue.add(claim)
         if believed.is_gone:
             self._on_gone(believed.name)
-        self.changed = True
+        self.changed = self.changed or _is_notable(member, believed)
         return True
 
     def take_entry(self, claim: Claim, now: float, pass_on: bool) -> Member | None:
@@ -160,3 +162,14 @@
         accuser = claim.accuser or UNNAMED_ACCUSER
         members = self.table.living_count
         return self.suspicions.accuse(claim.name, claim.incarnation, accuser, members, now)
+
+
+def _is_notable(before: Member | None, after: Member) -> bool:
+    """Tells whether a change matters to those who use the members."""
+    if before is None:
+        return True
+    placed_before = before.state in PLACED_STATES
+    placed_after = after.state in PLACED_STATES
+    if placed_before and placed_after:
+        return before.location != after.location
+    return before.state is not after.state
--- a/src/dewledge/scale/hollow_cluster.py
+++ b/src/dewledge/scale/hollow_cluster.py
@@ -54,6 +54,7 @@
         self._by_address: dict[str, str] = {}
         self._carrier = Carrier(self._carry_datagram, self._carry_message)
         self._started = 0
+        self._directory: dict[str, PullAnswer] = {}
         self._founders = tuple(_member(index, 1) for index in range(size))
 
     @property
@@ -214,7 +215,12 @@
         self.queue.call_after(0.0, lambda: self._arrive(newcomer.name, reply, DIRECTORY_ADDRESS))
 
     def _directory_part(self, request: PullRequest) -> PullAnswer:
-        claims = [claim_of(item, True) for item in self._founders if item.name > request.after]
+        if request.after not in self._directory:
+            self._directory[request.after] = self._compose_part(request.after)
+        return msgspec.structs.replace(self._directory[request.after], sequence=request.sequence)
+
+    def _compose_part(self, after: str) -> PullAnswer:
+        claims = [claim_of(item, True) for item in self._founders if item.name > after]
         entries = []
         room = MAX_CLAIM_BYTES
         for claim in claims:
@@ -222,7 +228,7 @@
             if room < 0:
                 break
             entries.append(claim)
-        return PullAnswer(request.sequence, tuple(entries), len(entries) == len(claims))
+        return PullAnswer(0, tuple(entries), len(entries) == len(claims))
 
     def _some_addresses(self) -> tuple[str, ...]:
         addresses = sorted(self._by_address)
