--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -71,8 +71,7 @@
     @property
     def is_idle(self) -> bool:
         """Nothing waits or runs, and no transaction is open."""
-        waiting = len(self._statements) + len(self._begins)
-        return not (waiting or len(self._jobs) or self._transactions.held)
+        return not (self._has_waiting or len(self._jobs) or self._transactions.held)
 
     @property
     def is_disposable(self) -> bool:
@@ -143,6 +142,10 @@
         limit = self._context.settings.leave_transaction_limit
         self._transactions.bound_all(limit, ErrorCode.LEAVING, now)
 
+    @property
+    def _has_waiting(self) -> bool:
+        return bool(len(self._statements) or len(self._begins))
+
     @property
     def _has_free_slot(self) -> bool:
         return self._running_statements + self._transactions.held < self._slots
@@ -216,7 +219,7 @@
 
     def _dispatch(self, now: float) -> None:
         """Gives free connections to waiting requests, as long as slots last."""
-        while self._pool.has_idle and self._has_free_slot:
+        while self._has_waiting and self._pool.has_idle and self._has_free_slot:
             request = self._next_request(now)
             if request is None:
                 break
@@ -230,7 +233,7 @@
 
     def _can_start(self, request: GatewayRequest) -> bool:
         """Tells whether a new request may start ahead of no one."""
-        if len(self._statements) or len(self._begins):
+        if self._has_waiting:
             return False
         if request.begins_transaction and self._transactions.held >= self._transaction_limit:
             return False
--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -128,8 +128,11 @@
         The verdict is SUPERSEDED as soon as a later term is seen, EXPIRED at the deadline.
         """
         waiter = _Waiter(claim, after_round, on_verdict)
-        if self._latest is not None and self._judge(waiter, self._latest, now):
-            return
+        if self._latest is not None and self._counts(waiter, self._latest, now):
+            verdict = self._judge(waiter, self._latest)
+            if verdict is not Verdict.UNDECIDED:
+                on_verdict(verdict, now)
+                return
         self._last_waiter += 1
         number = self._last_waiter
         self._waiters[number] = waiter
@@ -196,27 +199,31 @@
 
     def _judge_waiters(self, status_round: StatusRound, now: float) -> None:
         for number, waiter in list(self._waiters.items()):
-            if number in self._waiters and self._judge(waiter, status_round, now):
-                self._context.cancel(waiter.timer)
-                del self._waiters[number]
-                self._retry_pause = 0.0
+            if number not in self._waiters or not self._counts(waiter, status_round, now):
+                continue
+            verdict = self._judge(waiter, status_round)
+            if verdict is not Verdict.UNDECIDED:
+                self._settle(number, verdict, now)
+
+    def _settle(self, number: int, verdict: Verdict, now: float) -> None:
+        waiter = self._waiters.pop(number)
+        self._context.cancel(waiter.timer)
+        self._retry_pause = 0.0
+        waiter.on_verdict(verdict, now)
 
-    def _judge(self, waiter: _Waiter, status_round: StatusRound, now: float) -> bool:
-        """Tells the waiter its verdict if the round gives one."""
+    def _counts(self, waiter: _Waiter, status_round: StatusRound, now: float) -> bool:
+        """Tells whether a round began late enough, and lately enough, to prove anything."""
         if status_round.round_id <= waiter.after_round:
             return False
-        if now - status_round.started_at > self._settings.round_max_age:
-            return False
+        return now - status_round.started_at <= self._settings.round_max_age
+
+    def _judge(self, waiter: _Waiter, status_round: StatusRound) -> Verdict:
         statuses = [
             status
             for name, status in status_round.statuses.items()
             if self._rounds.is_configured(name)
         ]
-        verdict = judge(waiter.claim, statuses, self._rounds.group_size, self._policy)
-        if verdict is Verdict.UNDECIDED:
-            return False
-        waiter.on_verdict(verdict, now)
-        return True
+        return judge(waiter.claim, statuses, self._rounds.group_size, self._policy)
 
     def _expire(self, number: int, now: float) -> None:
         waiter = self._waiters.pop(number, None)
--- a/src/dewledge/core/status_rounds.py
+++ b/src/dewledge/core/status_rounds.py
@@ -15,9 +15,23 @@
 
 
 class StatusRound:
-    """One round: who was asked, and what came back so far."""
-
-    __slots__ = ("answered", "asked", "group_size", "round_id", "started_at", "statuses", "timer")
+    """One round: who was asked, and what came back so far.
+
+    primary: the primary that a majority stands behind, as far as the answers go.
+    settled: complete, or a majority of the group answered in the highest term seen.
+    """
+
+    __slots__ = (
+        "answered",
+        "asked",
+        "group_size",
+        "primary",
+        "round_id",
+        "settled",
+        "started_at",
+        "statuses",
+        "timer",
+    )
 
     def __init__(
         self, round_id: int, started_at: float, asked: frozenset[str], group_size: int
@@ -28,27 +42,27 @@
         self.group_size = group_size
         self.answered: set[str] = set()
         self.statuses: dict[str, DatabaseStatus] = {}
+        self.primary: str | None = None
+        self.settled = False
         self.timer: Timer | None = None
 
+    def note(self, database: str, status: DatabaseStatus | None) -> None:
+        """Takes in one answer, None for none."""
+        self.answered.add(database)
+        if status is not None:
+            self.statuses[database] = status
+        known = self.statuses.values()
+        term = highest_term(known)
+        in_term = sum(1 for item in known if item.term == term)
+        has_majority = in_term >= majority_of(self.group_size)
+        self.primary = primary_of(known, self.group_size) if has_majority else None
+        self.settled = self.complete or has_majority
+
     @property
     def complete(self) -> bool:
         """Everyone asked has answered or timed out."""
         return len(self.answered) == len(self.asked)
 
-    @property
-    def settled(self) -> bool:
-        """Complete, or a majority of the group answered in the highest term seen."""
-        if self.complete:
-            return True
-        term = highest_term(self.statuses.values())
-        in_term = sum(1 for status in self.statuses.values() if status.term == term)
-        return in_term >= majority_of(self.group_size)
-
-    @property
-    def primary(self) -> str | None:
-        """The primary that a majority stands behind, as far as the answers go."""
-        return primary_of(self.statuses.values(), self.group_size)
-
     @property
     def conclusive(self) -> bool:
         """Complete, or it shows a primary."""
@@ -127,11 +141,9 @@
             self._abandon(status_round, now)
             return
         reading = self._checked(reading)
-        status = reading.status
-        status_round.answered.add(reading.database)
+        status = reading.status if self.is_configured(reading.database) else None
+        status_round.note(reading.database, status)
         self._outstanding.pop(reading.database, None)
-        if status is not None and self.is_configured(reading.database):
-            status_round.statuses[reading.database] = status
         if status_round.complete:
             self._forget(status_round)
         self._on_reading(status_round, reading, now)
