Space the status rounds that failures and peers ask for

A failover makes every entry ask for a group's status at once; without a spacing of their own (20 ms) such requests could start a round every 2 ms, which is the pace for confirming results. A connection found closed retires the idle ones like one that broke.

--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -55,7 +55,7 @@
         self._begin_next = True
         self._pool = ConnectionPool(context, name, self._dispatch, self._open_failed)
         monitor.on_answer(name, self._pool.retry_soon)
-        self._jobs = RunningJobs(context, monitor.request_round)
+        self._jobs = RunningJobs(context, monitor.look_again)
         self._conclusion = StatementConclusion(name, registry, monitor)
         self._transactions = GatewayTransactions(
             context, name, table, registry, self._pool, self._jobs, monitor, self._dispatch
@@ -282,7 +282,7 @@
         ):
             self._pool.give_back(connection, now)
             return
-        if isinstance(result, JobUnknown) and duration < timeout * TIMED_OUT_SHARE:
+        if result.code is ErrorCode.CONNECTION_LOST and duration < timeout * TIMED_OUT_SHARE:
             # Whatever cut this connection has most likely cut the idle ones as well.
             self._pool.close_idle()
         self._pool.discard(connection, now)
@@ -304,4 +304,4 @@
         if code is ErrorCode.CONNECTION_LIMIT or self._pool.open_count:
             return
         self._refuse_waiting(UNREACHABLE)
-        self._monitor.request_round(now)
+        self._monitor.look_again(now)
--- a/src/dewledge/core/gateway_settings.py
+++ b/src/dewledge/core/gateway_settings.py
@@ -21,15 +21,16 @@
     drain_transaction_limit: what open transactions get when their database is drained.
     leave_transaction_limit: what open transactions get when this proxy leaves.
     status_timeout: how long one status read may take.
-    round_max_age: readings that come later than this after their round's start are dropped.
-    round_spacing: least time between two rounds of a group.
+    round_max_age: readings that come later than this after their round's start are dropped; twice
+    the status_timeout if that is more.
+    round_spacing: least time between two rounds of a group that confirm results.
+    look_spacing: the same for rounds that a failure or a status request asks for.
     confirmation_retry_min, confirmation_retry_max: pause before a repeated confirming round.
     heartbeat_interval: time between rounds where this gateway serves a primary in use.
     idle_heartbeat_interval: the same for other groups that it serves.
     no_primary_interval: the same while a group in use shows no primary.
     in_use_period: a group counts as in use this long after its last request.
     jitter: every interval is drawn from (1 - jitter, 1 + jitter) times its setting.
-    status_cache_age: a status no older than this answers a request that needs no fresh one.
     max_unconfirmed: writes of one group that may wait for confirmation.
     remembered_requests: finished correlations kept to recognise a doubled request.
     remembered_transactions: ended transactions kept to say how they ended.
@@ -53,6 +54,7 @@
     status_timeout: float = 0.3
     round_max_age: float = 1.0
     round_spacing: float = 0.002
+    look_spacing: float = 0.02
     confirmation_retry_min: float = 0.005
     confirmation_retry_max: float = 0.025
     heartbeat_interval: float = 0.5
@@ -60,7 +62,16 @@
     no_primary_interval: float = 0.05
     in_use_period: float = 10.0
     jitter: float = 0.2
-    status_cache_age: float = 0.6
     max_unconfirmed: int = 1024
     remembered_requests: int = 16384
     remembered_transactions: int = 4096
+
+    @property
+    def status_cache_age(self) -> float:
+        """Age up to which a status still counts as known, seconds: one heartbeat."""
+        return self.heartbeat_interval * (1.0 + self.jitter)
+
+    @property
+    def round_age_bound(self) -> float:
+        """Age at which a round is thrown away, seconds."""
+        return max(self.round_max_age, 2.0 * self.status_timeout)
--- a/src/dewledge/core/gateway_transactions.py
+++ b/src/dewledge/core/gateway_transactions.py
@@ -127,7 +127,7 @@
         else:
             self._pool.discard(connection, now)
             self._on_slot_free(now)
-            self._monitor.request_round(now)
+            self._monitor.look_again(now)
             self._registry.not_run(request, result.code, result.message)
 
     def _begun(
@@ -227,7 +227,7 @@
             self._conclusion.conclude_not_run(request, result, now)
         else:
             self._end(transaction, ErrorCode.TRANSACTION_LOST, now)
-            self._monitor.request_round(now)
+            self._monitor.look_again(now)
             self._registry.unknown(request, result.code, result.message)
 
     def _rollback_ended(
--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -108,9 +108,13 @@
             )
 
     def request_round(self, now: float) -> None:
-        """Asks for a round at once, for instance because a statement failed."""
+        """Asks for a round at once, which a result is going to need."""
         self._rounds.want(now)
 
+    def look_again(self, now: float) -> None:
+        """Asks for a round because something failed, or a peer wants to know."""
+        self._rounds.want_at(self._rounds.last_started_at + self._settings.look_spacing, now)
+
     def handle_reading(self, round_id: int, reading: StatusReading, now: float) -> None:
         """Takes one reading of a round."""
         self._rounds.handle_reading(round_id, reading, now)
@@ -152,7 +156,7 @@
         if primary == database:
             return None
         if now - self._seen.started_at > self._settings.no_primary_interval:
-            self._rounds.want(now)
+            self.look_again(now)
         return ErrorCode.NO_PRIMARY if primary is None else ErrorCode.NOT_PRIMARY
 
     def on_answer(self, database: str, callback: Callable[[float], None]) -> None:
@@ -165,7 +169,7 @@
             self._send_status(peer, message, now)
             return
         self._status_waiters.append(_StatusWaiter(peer, message, self.newest_round))
-        self._rounds.want(now)
+        self.look_again(now)
 
     def forget_peer(self, peer: str) -> None:
         """Drops the status requests of a peer that is gone."""
@@ -215,7 +219,7 @@
         """Tells whether a round began late enough, and lately enough, to prove anything."""
         if status_round.round_id <= waiter.after_round:
             return False
-        return now - status_round.started_at <= self._settings.round_max_age
+        return now - status_round.started_at <= self._settings.round_age_bound
 
     def _judge(self, waiter: _Waiter, status_round: StatusRound) -> Verdict:
         statuses = [
@@ -237,7 +241,7 @@
         if not self._waiters:
             self._retry_pause = 0.0
             if self._status_waiters:
-                self._rounds.want(now)
+                self.look_again(now)
             return
         newest = next(reversed(self._waiters.values()))
         oldest = next(iter(self._waiters.values()))
--- a/src/dewledge/core/statement_conclusion.py
+++ b/src/dewledge/core/statement_conclusion.py
@@ -31,7 +31,7 @@
     def conclude_not_run(self, request: GatewayRequest, result: JobNotRun, now: float) -> None:
         """The database refused, failed or undid the operation."""
         if result.code in DOUBTFUL_CODES:
-            self._monitor.request_round(now)
+            self._monitor.look_again(now)
         self._registry.not_run(
             request,
             result.code,
@@ -41,7 +41,7 @@
 
     def conclude_unknown(self, request: GatewayRequest, result: JobUnknown, now: float) -> None:
         """The connection broke: a read had no effect, a write may have taken effect."""
-        self._monitor.request_round(now)
+        self._monitor.look_again(now)
         if request.message.access is Access.READ:
             self._registry.not_run(request, ErrorCode.CONNECTION_LOST, result.message)
         else:
--- a/src/dewledge/core/status_rounds.py
+++ b/src/dewledge/core/status_rounds.py
@@ -127,8 +127,12 @@
             if self._start_at <= when:
                 return
             self._context.cancel(self._start_timer)
+        if when <= now:
+            self._start_timer = None
+            self.want(now)
+            return
         self._start_at = when
-        self._start_timer = self._context.call_at(max(when, now), self._start_timer_due)
+        self._start_timer = self._context.call_at(when, self._start_timer_due)
 
     def handle_reading(self, round_id: int, reading: StatusReading, now: float) -> None:
         """Takes a reading; doubled, late, foreign and mislabelled ones are dropped."""
@@ -137,7 +141,7 @@
             return
         if reading.database in status_round.answered:
             return
-        if now - status_round.started_at > self._context.settings.round_max_age:
+        if now - status_round.started_at > self._context.settings.round_age_bound:
             self._abandon(status_round, now)
             return
         reading = self._checked(reading)
@@ -185,7 +189,7 @@
         round_id = self._context.next_id()
         status_round = StatusRound(round_id, now, frozenset(asked), self.group_size)
         status_round.timer = self._context.call_at(
-            now + settings.round_max_age, lambda at: self._abandon(status_round, at)
+            now + settings.round_age_bound, lambda at: self._abandon(status_round, at)
         )
         self._rounds[round_id] = status_round
         self._outstanding.update(dict.fromkeys(asked, round_id))
