--- /dev/null
+++ b/tests/processes/observed_cluster.py
@@ -0,0 +1,157 @@
+"""A cluster of processes that notes the faults done to it, and can be made whole again."""
+
+import math
+import signal
+import time
+import unittest
+from collections.abc import Sequence
+
+from dewledge.cli.http_client import HttpAnswer
+from dewledge.core.calls import Outcome
+from dewledge.core.database_status import DatabaseRole
+from dewledge.simulation.history import AbsenceRecord, History
+from dewledge.simulation.promises import check_all
+from dewledge.simulation.workloads import SCHEMA
+from dewledge.standin.deployment_resources import demonstration_token
+from dewledge.standin.platform_server import PlatformFaults
+from tests.process_cluster import ProcessCluster, ProxyProcess, await_state
+from tests.processes.group_observer import GroupObserver
+from tests.processes.mixed_load import MixedLoad
+from tests.processes.recorded_caller import Target
+
+CALLER = demonstration_token(ProcessCluster.deployment, "applicants")
+
+
+class ObservedCluster(ProcessCluster):
+    """Adds faults of proxies, which it notes, and repair."""
+
+    def __init__(self, proxies: int = 3) -> None:
+        self.absences: list[AbsenceRecord] = []
+        self._frozen: dict[str, tuple[ProxyProcess, float]] = {}
+        super().__init__(proxies)
+        self.group_client = self.group_faults()
+        self.platform = self.platform_faults()
+        for statement in SCHEMA:
+            await_state(
+                "the tables are made",
+                lambda sql=statement.sql: self.ask(sql).outcome is Outcome.DONE,
+            )
+
+    def close(self) -> None:
+        """Ends every process."""
+        for proxy, _ in self._frozen.values():
+            proxy.send(signal.SIGCONT)
+        if hasattr(self, "platform"):
+            self.group_client.close()
+            self.platform.close()
+        super().close()
+
+    def targets(self) -> Sequence[Target]:
+        """The proxies that callers know of."""
+        return [Target(it.name, it.caller_address) for it in list(self.proxies.values())]
+
+    def ask(self, sql: str, proxy: ProxyProcess | None = None, **more: str) -> HttpAnswer:
+        """Sends one statement as a caller."""
+        chosen = proxy or next(iter(self.proxies.values()))
+        body = {"group": self.group, "sql": sql, **more}
+        return chosen.client(CALLER).post("/v1/statements", body)
+
+    def current_primary(self) -> str:
+        """The primary of the newest term, or "" while there is none."""
+        found = [it for it in self.group_client.statuses() if it.role is DatabaseRole.PRIMARY]
+        return max(found, key=lambda it: it.term).database if found else ""
+
+    def await_new_primary(self, old: str) -> None:
+        """Waits until another database is primary."""
+        await_state("another primary", lambda: self.current_primary() not in ("", old))
+
+    def kill_proxy(self, proxy: ProxyProcess) -> None:
+        """SIGKILL; callers that reach for it are refused."""
+        self.absences.append(AbsenceRecord(proxy.name, time.monotonic(), math.inf))
+        proxy.send(signal.SIGKILL)
+        proxy.wait()
+        del self.proxies[proxy.name]
+
+    def freeze_proxy(self, proxy: ProxyProcess) -> None:
+        """SIGSTOP; callers go on trying it."""
+        self._frozen[proxy.name] = (proxy, time.monotonic())
+        proxy.send(signal.SIGSTOP)
+
+    def thaw_proxies(self) -> None:
+        """SIGCONT to all that were stopped."""
+        for name, (proxy, since) in self._frozen.items():
+            proxy.send(signal.SIGCONT)
+            self.absences.append(AbsenceRecord(name, since, time.monotonic()))
+        self._frozen.clear()
+
+    def heal_group(self) -> None:
+        """Ends every fault of the databases and waits for one primary that all follow."""
+        for database in self.deployment.databases_of(self.group):
+            self.group_client.heal(database)
+            self.group_client.thaw(database)
+            self.group_client.restart(database)
+            self.group_client.lag(database, 0.0)
+            self.group_client.lose_answers(database, 0)
+        await_state("the group is whole", self._is_group_whole)
+
+    def repair(self, proxies: int = 3) -> None:
+        """Ends all faults and replaces the proxies that are gone."""
+        self.platform.set_faults(PlatformFaults(down=False, slowness=0.0, lose_answers=0))
+        self.heal_group()
+        self.thaw_proxies()
+        while len(self.proxies) < proxies:
+            self.add_proxy()
+        for proxy in self.proxies.values():
+            await_state(f"{proxy.name} is ready", proxy.is_ready)
+            await_state(
+                f"writes succeed through {proxy.name}",
+                lambda proxy=proxy: (
+                    self.ask("DELETE FROM events WHERE 0", proxy).outcome is Outcome.DONE
+                ),
+            )
+
+    def _is_group_whole(self) -> bool:
+        statuses = self.group_client.statuses()
+        primaries = [it for it in statuses if it.role is DatabaseRole.PRIMARY]
+        size = len(self.deployment.databases_of(self.group))
+        return (
+            len(statuses) == size
+            and len(primaries) == 1
+            and all(it.applied == primaries[0].applied for it in statuses)
+        )
+
+
+class Observation:
+    """A span in which callers work and everything is recorded."""
+
+    def __init__(self, cluster: ObservedCluster, name: str, sessions: int = 6) -> None:
+        self.cluster = cluster
+        self.history = History()
+        self.observer = GroupObserver(cluster.group, cluster.group_faults(), self.history)
+        self.load = MixedLoad(self.history, cluster.targets, name, sessions)
+
+    def finish(self) -> History:
+        """Ends the load and completes the history."""
+        self.load.finish()
+        self.cluster.heal_group()
+        self.observer.finish()
+        self.cluster.thaw_proxies()
+        self.history.absences = list(self.cluster.absences)
+        self.history.ended_at = time.monotonic()
+        return self.history
+
+
+class ClusterTestCase(unittest.TestCase):
+    """Shares one cluster among a class's tests; each leaves it whole."""
+
+    cluster_type: type[ObservedCluster] = ObservedCluster
+    cluster: ObservedCluster
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.cluster = cls.cluster_type()
+        cls.addClassCleanup(cls.cluster.close)
+
+    def check_promises(self, history: History) -> None:
+        """Fails with every broken promise."""
+        self.assertEqual([str(it) for it in check_all(history)], [])
