Add the scale run: scenarios, unit costs, memory, real members beside hollow ones

Change: scenarios steady, change, death, churn, zone, regions on one hollow cluster, with rates for each node and second, the busiest node, and the time until most and all know; processor times also as multiples of a small cbor2 round trip taken in the same run; traced memory; unit costs of what hollow nodes do not do (system calls, placement); six real members on loopback UDP. Names and addresses in datagrams are bounded when decoded, so that one claim can't block the queue of news.

--- a/src/dewledge/core/member.py
+++ b/src/dewledge/core/member.py
@@ -7,9 +7,15 @@
 """
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=63)]
+"""Bounded, so that every claim fits into a datagram; checked where datagrams are decoded."""
+Address = Annotated[str, msgspec.Meta(max_length=63)]
+Incarnation = Annotated[int, msgspec.Meta(ge=0, le=2**60)]
+
 
 class MemberState(IntEnum):
     """What is believed of a member; at one incarnation the greater state wins.
@@ -33,9 +39,9 @@
 class Location(msgspec.Struct, frozen=True, array_like=True):
     """Where a member is reached: "ip:port" for TCP links and for UDP, and its zone."""
 
-    peer_address: str
-    gossip_address: str
-    zone: str
+    peer_address: Address
+    gossip_address: Address
+    zone: Address
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -70,11 +76,11 @@
     accuser: who suspects, for SUSPECT; independent accusers shorten the suspicion time.
     """
 
-    name: str
-    incarnation: int
+    name: Name
+    incarnation: Incarnation
     state: MemberState
     location: Location | None = None
-    accuser: str | None = None
+    accuser: Name | None = None
 
 
 def claim_of(member: Member, with_location: bool = False) -> Claim:
--- a/src/dewledge/core/membership_messages.py
+++ b/src/dewledge/core/membership_messages.py
@@ -18,6 +18,10 @@
 AUTHENTICATION_BYTES = 16
 ENVELOPE_BYTES = 150
 """Room kept for everything in a datagram but its claims and digests (names up to 63 bytes)."""
+TEXT_BYTES = 2
+"""Most bytes that cbor puts before a text of less than 256 bytes."""
+CLAIM_BYTES = 1 + TEXT_BYTES + 9 + 1 + 1 + 1
+"""Most bytes of a claim without its texts: array, name, incarnation, state, two absent fields."""
 MAX_CLAIM_BYTES = MAX_DATAGRAM_BYTES - AUTHENTICATION_BYTES - ENVELOPE_BYTES
 
 
@@ -149,8 +153,15 @@
 
 
 def claim_size(claim: Claim) -> int:
-    """Returns the bytes a claim takes in a datagram."""
-    return len(cbor2.dumps(msgspec.to_builtins(claim)))
+    """Returns how many bytes a claim takes in a datagram, or up to a few more."""
+    size = CLAIM_BYTES + len(claim.name.encode())
+    if claim.accuser is not None:
+        size += TEXT_BYTES + len(claim.accuser.encode())
+    if claim.location is not None:
+        location = claim.location
+        texts = (location.peer_address, location.gossip_address, location.zone)
+        size += 1 + sum(TEXT_BYTES + len(text.encode()) for text in texts)
+    return size
 
 
 def _authentication(data: bytes, key: bytes) -> bytes:
--- a/src/dewledge/core/membership_suspicion.py
+++ b/src/dewledge/core/membership_suspicion.py
@@ -41,8 +41,9 @@
         if suspicion is None or suspicion.incarnation < incarnation:
             suspicion = _Suspicion(incarnation, now, FOREVER, set())
             self._suspicions[name] = suspicion
-        needed = confirmations_needed(self._settings, members)
-        if accuser in suspicion.accusers or len(suspicion.accusers) > needed:
+        if accuser in suspicion.accusers:
+            return False
+        if len(suspicion.accusers) > confirmations_needed(self._settings, members):
             return False
         suspicion.accusers.add(accuser)
         confirmations = len(suspicion.accusers) - 1
--- a/src/dewledge/core/membership_view.py
+++ b/src/dewledge/core/membership_view.py
@@ -57,9 +57,11 @@
         if claim.name == self.me.name:
             return self._take_about_me(claim, now)
         member = self.table.get(claim.name)
+        if member is not None and not supersedes(claim, member):
+            self._take_confirmation(member, claim, now)
+            return False
         believed = apply_claim(member, claim)
         if believed is None:
-            self._take_confirmation(member, claim, now)
             return False
         self.table.put(believed, now)
         self._follow_suspicion(believed, claim, now)
@@ -144,12 +146,11 @@
         self.queue.add(claim_of(self.me, with_location))
         self.changed = True
 
-    def _take_confirmation(self, member: Member | None, claim: Claim, now: float) -> None:
+    def _take_confirmation(self, member: Member, claim: Claim, now: float) -> None:
         """Lets another accuser of a known suspect shorten its time."""
-        if member is None or claim.state is not MemberState.SUSPECT:
+        if claim.state is not MemberState.SUSPECT or member.state is not MemberState.SUSPECT:
             return
-        same = member.state is MemberState.SUSPECT and member.incarnation == claim.incarnation
-        if same and self._accuse(claim, now):
+        if member.incarnation == claim.incarnation and self._accuse(claim, now):
             self.queue.add(claim)
 
     def _follow_suspicion(self, believed: Member, claim: Claim, now: float) -> None:
--- a/src/dewledge/scale/hollow_cluster.py
+++ b/src/dewledge/scale/hollow_cluster.py
@@ -76,9 +76,11 @@
         """Returns a running node."""
         return self._hosts[name].node
 
-    def start_all(self, configuration: Configuration = EMPTY_CONFIGURATION) -> None:
-        """Starts every founder; each pulls the table of all from the directory."""
-        for member in self._founders:
+    def start_all(
+        self, configuration: Configuration = EMPTY_CONFIGURATION, limit: int | None = None
+    ) -> None:
+        """Starts every founder, or the first few; each pulls the table of all from a directory."""
+        for member in self._founders[:limit]:
             self._start(member, (DIRECTORY_ADDRESS,), configuration)
 
     def start_by_joining(self, configuration: Configuration = EMPTY_CONFIGURATION) -> None:
--- /dev/null
+++ b/src/dewledge/scale/run.py
@@ -0,0 +1,70 @@
+"""A scale run: hollow nodes in all scenarios, unit costs, memory, and a few real nodes beside."""
+
+import time
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from dewledge.scale.baseline import codec_round_trip
+from dewledge.scale.memory import MemoryPerNode, measure_memory
+from dewledge.scale.real_nodes import RealRun, run_real_nodes
+from dewledge.scale.scenarios import Scenario, ScenarioResult, run_scenario, start_cluster
+from dewledge.scale.unit_costs import UnitCosts, measure_unit_costs
+from dewledge.scale.workload import full_configuration
+
+MEMORY_SIZES = (100, 850)
+REAL_NODES = 6
+REAL_SECONDS = 5.0
+
+
+class ScaleReport(msgspec.Struct, frozen=True):
+    """All that a run has measured.
+
+    baseline: seconds of processor time of one small cbor2 round trip, in the same run.
+    """
+
+    nodes: int
+    seed: int
+    baseline: float
+    scenarios: tuple[ScenarioResult, ...]
+    unit_costs: UnitCosts
+    memory: dict[int, MemoryPerNode]
+    real_nodes: RealRun
+    wall_seconds: float
+
+
+def run_scale(
+    nodes: int,
+    seed: int,
+    scenarios: Sequence[Scenario],
+    progress: Callable[[str], None],
+    real_seconds: float = REAL_SECONDS,
+) -> ScaleReport:
+    """Runs everything in turn; `progress` is told what comes next.
+
+    Scenarios follow one another on one cluster, so that each begins where the last has left it.
+    """
+    begun = time.monotonic()
+    configuration = full_configuration()
+    progress("baseline, unit costs, memory")
+    baseline = codec_round_trip()
+    unit_costs = measure_unit_costs(nodes, configuration)
+    memory = {size: measure_memory(size, configuration, seed) for size in MEMORY_SIZES}
+    progress(f"{REAL_NODES} real members on loopback for {real_seconds:.0f} s")
+    real_run = run_real_nodes(REAL_NODES, real_seconds)
+    progress(f"starting {nodes} hollow nodes")
+    cluster = start_cluster(nodes, seed, configuration)
+    results = []
+    for scenario in scenarios:
+        progress(f"scenario {scenario} at {time.monotonic() - begun:.0f} s")
+        results.append(run_scenario(scenario, cluster))
+    return ScaleReport(
+        nodes=nodes,
+        seed=seed,
+        baseline=baseline,
+        scenarios=tuple(results),
+        unit_costs=unit_costs,
+        memory=memory,
+        real_nodes=real_run,
+        wall_seconds=time.monotonic() - begun,
+    )
--- a/tests/core/test_membership_messages.py
+++ b/tests/core/test_membership_messages.py
@@ -56,6 +56,8 @@
     def test_what_is_refused(self) -> None:
         good = encode_datagram(Envelope(MEMBERSHIP_VERSION, "a", 1, Ping(1, "b")), KEY)
         other = encode_datagram(Envelope(MEMBERSHIP_VERSION, "a", 1, Ping(1, "b")), b"other")
+        long = Claim("n" * 64, 1, MemberState.ALIVE)
+        named = Envelope(MEMBERSHIP_VERSION, "a", 1, Ping(1, "b"), (long,))
         late = encode_datagram(Envelope(MEMBERSHIP_VERSION + 1, "a", 1, Ping(1, "b")), KEY)
         cases = {
             "empty": b"",
@@ -63,6 +65,7 @@
             "one bit wrong": bytes([good[0] ^ 1]) + good[1:],
             "other key": other,
             "later version": late,
+            "a name too long": encode_datagram(named, KEY),
             "no authentication": good[:-16],
             "too long": good + b"\0" * MAX_DATAGRAM_BYTES,
         }
