--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -155,8 +155,7 @@
         primary = self._seen.primary
         if primary == database:
             return None
-        if now - self._seen.started_at > self._settings.no_primary_interval:
-            self.look_again(now)
+        self.look_again(now)
         return ErrorCode.NO_PRIMARY if primary is None else ErrorCode.NOT_PRIMARY
 
     def on_answer(self, database: str, callback: Callable[[float], None]) -> None:
