--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -57,12 +57,20 @@
         monitor.on_answer(name, self._pool.retry_soon)
         self._jobs = RunningJobs(context, monitor.look_again)
         self._conclusion = StatementConclusion(name, registry, monitor)
-        self._transactions = GatewayTransactions(
-            context, name, table, registry, self._pool, self._jobs, monitor, self._dispatch
-        )
         smoothing = settings.service_time_smoothing
         self._rate = ServiceRate(settings.initial_service_time, smoothing)
         self._transaction_rate = ServiceRate(settings.initial_service_time, smoothing)
+        self._transactions = GatewayTransactions(
+            context,
+            name,
+            table,
+            registry,
+            self._pool,
+            self._jobs,
+            monitor,
+            self._transaction_rate,
+            self._dispatch,
+        )
         self._statements = self._new_waiting_room(self._rate)
         self._begins = self._new_waiting_room(self._transaction_rate)
         self.role = GatewayRole.RELEASED
--- a/src/dewledge/core/gateway_transactions.py
+++ b/src/dewledge/core/gateway_transactions.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from dewledge.core.admission import ServiceRate
 from dewledge.core.calls import Access, Operation
 from dewledge.core.confirmation import Claim, Verdict
 from dewledge.core.connection_pool import ConnectionPool
@@ -39,8 +40,10 @@
         pool: ConnectionPool,
         jobs: RunningJobs,
         monitor: GroupMonitor,
+        rate: ServiceRate,
         on_slot_free: Callable[[float], None],
     ) -> None:
+        self._rate = rate
         self._on_slot_free = on_slot_free
         self._context = context
         self._database = database
@@ -140,7 +143,7 @@
     ) -> None:
         message = request.message
         wrote = message.access is Access.WRITE
-        transaction = self._table.begin(message.caller, self._database, connection, wrote)
+        transaction = self._table.begin(message.caller, self._database, connection, wrote, now)
         self._open[transaction.transaction_id] = transaction
         settings = self._context.settings
         lost = ErrorCode.TRANSACTION_LOST
@@ -295,6 +298,7 @@
         for timer in (transaction.idle_timer, transaction.age_timer, transaction.bound_timer):
             self._context.cancel(timer)
         self._table.end(transaction, code)
+        self._rate.note(now - transaction.began_at)
         if clean:
             self._pool.give_back(transaction.connection, now)
         else:
--- a/src/dewledge/core/transactions.py
+++ b/src/dewledge/core/transactions.py
@@ -19,6 +19,7 @@
 class Transaction:
     """One open transaction.
 
+    began_at: on the core's clock.
     busy: an operation is running on its connection.
     wrote: its commit has to be confirmed.
     ending: why it must end as soon as its running operation has ended, or None.
@@ -26,6 +27,7 @@
 
     __slots__ = (
         "age_timer",
+        "began_at",
         "bound_timer",
         "busy",
         "caller",
@@ -39,13 +41,20 @@
     )
 
     def __init__(
-        self, transaction_id: str, caller: str, database: str, connection: int, wrote: bool
+        self,
+        transaction_id: str,
+        caller: str,
+        database: str,
+        connection: int,
+        wrote: bool,
+        began_at: float,
     ) -> None:
         self.transaction_id = transaction_id
         self.caller = caller
         self.database = database
         self.connection = connection
         self.wrote = wrote
+        self.began_at = began_at
         self.busy = False
         self.commit_sent = False
         self.ending: ErrorCode | None = None
@@ -75,11 +84,13 @@
     def __len__(self) -> int:
         return len(self._open)
 
-    def begin(self, caller: str, database: str, connection: int, wrote: bool) -> Transaction:
+    def begin(
+        self, caller: str, database: str, connection: int, wrote: bool, now: float
+    ) -> Transaction:
         """Opens a transaction under a new id that nobody can guess."""
         secret = f"{self._random.getrandbits(SECRET_BITS):032x}"
         transaction_id = make_transaction_id(self._gateway, secret)
-        transaction = Transaction(transaction_id, caller, database, connection, wrote)
+        transaction = Transaction(transaction_id, caller, database, connection, wrote, now)
         self._open[transaction_id] = transaction
         return transaction
 
--- a/tests/core/test_transactions.py
+++ b/tests/core/test_transactions.py
@@ -252,6 +252,20 @@
         harness.finish()
         self.assertEqual(harness.outcome(waiting), "done")
 
+    def test_begin_is_refused_when_transactions_last_too_long_for_it(self) -> None:
+        harness = ready()
+        for _ in range(60):
+            transaction = harness.begin()
+            harness.run_until(harness.now + 0.5)
+            harness.send(Access.READ, ROLLBACK, transaction=transaction)
+            harness.finish()
+        held = [harness.begin() for _ in range(3)]
+        self.assertEqual(len(held), 3)
+        hasty = harness.send(Access.WRITE, Operation.BEGIN, remaining=0.1)
+        patient = harness.send(Access.WRITE, Operation.BEGIN, remaining=5.0)
+        self.assertEqual(harness.outcome(hasty), "not run: overloaded")
+        self.assertEqual(harness.outcome(patient), "waiting")
+
     def test_begin_refused_below_its_floor_holds_nothing(self) -> None:
         harness = ready()
         key = harness.send(Access.READ, Operation.BEGIN, floor=LogPosition(1, 99))
