--- a/tests/processes/observed_cluster.py
+++ b/tests/processes/observed_cluster.py
@@ -16,8 +16,8 @@
 from dewledge.standin.platform_server import PlatformFaults
 from tests.process_cluster import ProcessCluster, ProxyProcess, await_state
 from tests.processes.group_observer import GroupObserver
-from tests.processes.mixed_load import MixedLoad
-from tests.processes.recorded_caller import Target
+from tests.processes.mixed_load import SESSIONS, MixedLoad
+from tests.processes.recorded_caller import RecordedCaller, Target
 
 CALLER = demonstration_token(ProcessCluster.deployment, "applicants")
 
@@ -77,6 +77,10 @@
         self._frozen[proxy.name] = (proxy, time.monotonic())
         proxy.send(signal.SIGSTOP)
 
+    def answering_proxies(self) -> list[ProxyProcess]:
+        """The proxies that are not stopped."""
+        return [it for it in self.proxies.values() if it.name not in self._frozen]
+
     def thaw_proxies(self) -> None:
         """SIGCONT to all that were stopped."""
         for name, (proxy, since) in self._frozen.items():
@@ -122,17 +126,26 @@
 
 
 class Observation:
-    """A span in which callers work and everything is recorded."""
+    """A span in which everything is recorded; `sessions` work by themselves."""
 
-    def __init__(self, cluster: ObservedCluster, name: str, sessions: int = 6) -> None:
+    def __init__(self, cluster: ObservedCluster, name: str, sessions: int = SESSIONS) -> None:
         self.cluster = cluster
         self.history = History()
         self.observer = GroupObserver(cluster.group, cluster.group_faults(), self.history)
         self.load = MixedLoad(self.history, cluster.targets, name, sessions)
+        self._callers: list[RecordedCaller] = []
+
+    def caller(self, name: str) -> RecordedCaller:
+        """Returns one more session, driven by the test itself."""
+        caller = RecordedCaller(self.history, self.cluster.targets, name)
+        self._callers.append(caller)
+        return caller
 
     def finish(self) -> History:
         """Ends the load and completes the history."""
         self.load.finish()
+        for caller in self._callers:
+            caller.roam()
         self.cluster.heal_group()
         self.observer.finish()
         self.cluster.thaw_proxies()
