Send status requests on the link that brings their answers back

Cause: a GroupStatusRequest took the peer's inbound link where only that one was open; the peer then had no link for the answer and dropped it, so an entry found no primary for good. Found by running entry and gateway as separate processes.

--- a/src/dewledge/shell/outbound_peer.py
+++ b/src/dewledge/shell/outbound_peer.py
@@ -14,7 +14,9 @@
 
 from dewledge.core.messages import (
     PROTOCOL_VERSION,
+    CancelRequest,
     GroupStatusAnswer,
+    GroupStatusRequest,
     Hello,
     PeerMessage,
     StatementDone,
@@ -36,6 +38,12 @@
 REPLIES = (StatementDone, StatementNotRun, StatementUnknown, GroupStatusAnswer)
 """Answers: they travel on the link that brought the request."""
 
+REQUESTS = (StatementRequest, GroupStatusRequest, CancelRequest)
+"""What is answered, or belongs to what is: it leaves on the link dialled here."""
+
+STATUS_ANSWER_SECONDS = 2.0
+"""For so long the answer to a GroupStatusRequest may be due."""
+
 
 class OutboundLost(msgspec.Struct, frozen=True):
     """The link to a peer ended, or could not be made."""
@@ -129,15 +137,20 @@
             self._fail(reason)
 
     def _send_now(self, link: PeerLink, message: PeerMessage) -> None:
-        if not isinstance(message, StatementRequest):
-            link.send(message)
+        if isinstance(message, StatementRequest):
+            self._await_answer(message.remaining)
+            link.send(message, message.correlation)
             return
+        if isinstance(message, GroupStatusRequest):
+            self._await_answer(STATUS_ANSWER_SECONDS)
+        link.send(message)
+
+    def _await_answer(self, seconds: float) -> None:
         now = self._loop.now()
         if not self.awaits_answers:
             self._awaiting_since = now
         self._awaited += 1
-        self._awaited_until = max(self._awaited_until, now + message.remaining)
-        link.send(message, message.correlation)
+        self._awaited_until = max(self._awaited_until, now + seconds)
 
     def _dial(self) -> None:
         if self._link is not None or self._dialling is not None:
--- a/src/dewledge/shell/peer_links.py
+++ b/src/dewledge/shell/peer_links.py
@@ -13,7 +13,7 @@
 
 from dewledge.core.messages import PROTOCOL_VERSION, Hello, PeerMessage, StatementRequest
 from dewledge.shell.event_loop import READABLE, EventLoop, Timer
-from dewledge.shell.outbound_peer import REPLIES, OutboundLost, OutboundPeer
+from dewledge.shell.outbound_peer import REPLIES, REQUESTS, OutboundLost, OutboundPeer
 from dewledge.shell.peer_link import LinkClosed, PeerLink
 from dewledge.shell.sockets import listen_tcp, tune_link
 
@@ -86,7 +86,7 @@
             self._send_inbound(peer, message)
         elif outbound is not None and outbound.is_open:
             outbound.send(message)
-        elif not isinstance(message, StatementRequest) and self._send_inbound(peer, message):
+        elif not isinstance(message, REQUESTS) and self._send_inbound(peer, message):
             return
         else:
             self._send_outbound(peer, message)
--- a/tests/shell/test_peer_links.py
+++ b/tests/shell/test_peer_links.py
@@ -15,6 +15,8 @@
 from dewledge.core.messages import (
     PROTOCOL_VERSION,
     ConfigurationDigest,
+    GroupStatusAnswer,
+    GroupStatusRequest,
     Hello,
     PeerMessage,
     StatementDone,
@@ -62,6 +64,8 @@
         self.messages.append((peer, message))
         if isinstance(message, StatementRequest) and self.answers:
             self.links.send(peer, done(message.correlation))
+        if isinstance(message, GroupStatusRequest):
+            self.links.send(peer, GroupStatusAnswer(message.correlation, message.group, (), ()))
 
     def inbound_opened(self, peer: str, incarnation: int) -> None:
         self.opened.append((peer, incarnation))
@@ -227,6 +231,14 @@
         unsent = sum(len(lost.unsent_requests) for lost in first.lost)
         self.assertGreater(unsent, 0)
 
+    def test_status_request_takes_its_own_link_though_another_is_open(self) -> None:
+        first, second = self.pair()
+        first.send("b", request(1))
+        self.await_state("the link", lambda: bool(first.messages))
+        second.send("a", GroupStatusRequest(5, "g"))
+        answer = ("a", GroupStatusAnswer(5, "g", (), ()))
+        self.await_state("the answer", lambda: answer in second.messages)
+
     def test_control_messages_take_the_open_link(self) -> None:
         first, second = self.pair()
         first.send("b", request(1))
