--- a/tests/core/test_gateway_faults.py
+++ b/tests/core/test_gateway_faults.py
@@ -10,14 +10,22 @@
 from collections.abc import Callable
 from random import Random
 
-from dewledge.core.calls import Access, Rows, Statement
+from dewledge.core.calls import Access, Operation, Rows, Statement
 from dewledge.core.database_status import DatabaseRole
 from dewledge.core.effects import ReadStatuses
 from dewledge.core.jobs import Job, JobDone, JobNotRun, JobResult, JobUnknown
 from dewledge.core.messages import StatementDone, StatementNotRun
+from dewledge.core.positions import LogPosition
 from dewledge.errors import ErrorCode
-from tests.core.gateway_group_model import ModelGroup
-from tests.core.gateway_harness import DATABASES, GROUP, GatewayHarness, make_configuration
+from tests.core.gateway_group_model import ModelDatabase, ModelGroup
+from tests.core.gateway_harness import (
+    DATABASES,
+    GROUP,
+    FixedPlacement,
+    FixedPolicy,
+    GatewayHarness,
+    make_configuration,
+)
 
 SEEDS = 60
 DURATION = 8.0
@@ -39,6 +47,12 @@
         self.keyed: set[int] = set()
         self.reads: dict[Key, set[int]] = {}
         self.next_write = 0
+        self.open_writes: dict[int, list[int]] = {}
+        self.transaction_of: dict[int, Key] = {}
+        self.commits: dict[Key, set[int]] = {}
+        self.mixed: list[list[int]] = []
+        self.drained: tuple[str, ...] = ()
+        self.run_while_drained: list[Job] = []
         self.harness.configure(make_configuration(slots=3), ready=False)
 
     def run(self) -> None:
@@ -53,6 +67,12 @@
             self.at(start + self.random.uniform(0, DURATION), self.group.change_links)
         for _ in range(self.random.randrange(4)):
             self.at(start + self.random.uniform(0, DURATION), self.freeze)
+            moved_at = start + self.random.uniform(0, DURATION)
+            self.at(moved_at, lambda: self.to_gateway(self.reconfigure))
+            back_at = moved_at + self.random.uniform(0.2, 1.5)
+            self.at(back_at, lambda: self.to_gateway(self.restore))
+        for _ in range(25):
+            self.at(start + self.random.uniform(0.1, DURATION), self.offer_transaction)
         self.at(start + DURATION, self.heal)
         for step in range(20):
             self.at(start + DURATION + 0.5 * step, self.group.replicate)
@@ -79,6 +99,21 @@
         length = self.random.choice((0.05, 0.5, 3.0, 60.0))
         self.thaw_at = max(self.thaw_at, self.harness.now + length)
 
+    def reconfigure(self) -> None:
+        """Moves the databases to another gateway, or drains one, or both, or neither."""
+        away = self.random.random() < 0.3
+        self.drained = (self.random.choice(DATABASES),) if self.random.random() < 0.5 else ()
+        self.harness.configure(
+            make_configuration(slots=3),
+            FixedPolicy(*self.drained),
+            FixedPlacement("there", "here") if away else FixedPlacement(),
+            ready=False,
+        )
+
+    def restore(self) -> None:
+        self.drained = ()
+        self.harness.configure(make_configuration(slots=3), ready=False)
+
     def heal(self) -> None:
         self.group.cut_off = set()
         self.group.elect()
@@ -105,6 +140,9 @@
             identity = opening.connection_id
             self.later(lambda identity=identity: self.to_gateway(lambda: self.opened(identity)))
         for job in harness.jobs:
+            database = harness.connection_databases[job.connection_id]
+            if database in self.drained and job.connection_id not in self.open_writes:
+                self.run_while_drained.append(job)
             self.later(lambda job=job: self.to_gateway(lambda: self.execute(job)))
         for status_round in harness.rounds:
             for name in status_round.databases:
@@ -141,7 +179,7 @@
     def result_of(self, job: Job) -> JobResult:
         database = self.group.databases[self.harness.connection_databases[job.connection_id]]
         lost = JobUnknown(job.job_id, ErrorCode.CONNECTION_LOST, "lost")
-        if self.random.random() < 0.03:
+        if job.connection_id in self.harness.closed or self.random.random() < 0.03:
             return lost
         role = DatabaseRole.PRIMARY if database.primary else DatabaseRole.REPLICA
         if job.access is Access.READ:
@@ -149,16 +187,63 @@
             return JobDone(job.job_id, role, database.end, rows)
         if not database.primary:
             return JobNotRun(job.job_id, ErrorCode.NOT_PRIMARY, "replica", True)
+        if job.operation is Operation.BEGIN:
+            self.open_writes[job.connection_id] = []
+            return JobDone(job.job_id, role, database.end)
+        if job.operation is Operation.COMMIT:
+            position = self.commit(database, self.open_writes.pop(job.connection_id))
+            return lost if self.random.random() < 0.03 else JobDone(job.job_id, role, position)
         assert job.statement is not None
         write = int(str(job.statement.parameters[0]))
         if write in self.keyed and write in database.ids:
             return JobDone(job.job_id, role, database.end, Rows(), repeated=True)
+        if job.connection_id in self.open_writes:
+            self.open_writes[job.connection_id].append(write)
+            return JobDone(job.job_id, role, database.end, Rows())
         self.runs[write] += 1
         position = database.append(write)
         if self.random.random() < 0.03:
             return lost
         return JobDone(job.job_id, role, position, Rows())
 
+    def commit(self, database: ModelDatabase, writes: list[int]) -> LogPosition:
+        if len({self.transaction_of.get(write) for write in writes}) > 1:
+            self.mixed.append(writes)
+        for write in writes:
+            self.runs[write] += 1
+            database.append(write)
+        return database.end
+
+    def offer_transaction(self) -> None:
+        self.to_gateway(self.begin)
+
+    def begin(self) -> None:
+        name = self.group.newest_primary.name
+        begun = self.harness.send(Access.WRITE, Operation.BEGIN, database=name)
+        self.later(lambda: self.to_gateway(lambda: self.go_on(begun, [], set())), longest=0.2)
+
+    def go_on(self, begun: Key, sent: list[Key], writes: set[int]) -> None:
+        """Sends a transaction's next write, or its COMMIT after two, once the last was done."""
+        answers = [self.harness.answer(key) for key in (begun, *sent)]
+        first = answers[0]
+        if not all(isinstance(item, StatementDone) for item in answers):
+            return
+        assert isinstance(first, StatementDone)
+        identity = first.transaction
+        if len(sent) == 2:
+            key = self.harness.send(Access.WRITE, Operation.COMMIT, transaction=identity)
+            self.commits[key] = writes
+            return
+        write = self.next_write
+        self.next_write += 1
+        self.transaction_of[write] = begun
+        statement = Statement("insert into t values (?)", (write,))
+        key = self.harness.write(transaction=identity, statement=statement)
+        self.later(
+            lambda: self.to_gateway(lambda: self.go_on(begun, [*sent, key], writes | {write})),
+            longest=0.2,
+        )
+
     def offer(self) -> None:
         database = self.group.newest_primary.name
         if self.random.random() < 0.2:
@@ -218,11 +303,24 @@
         self.assertEqual({write for write in refused if run.runs[write]}, set(), "not run, yet ran")
         twice = {write for write, count in run.runs.items() if count > 1} - run.keyed
         self.assertEqual(twice, set(), "ran twice")
-        for key in (*run.writes, *run.reads):
+        for key in (*run.writes, *run.reads, *run.commits):
             self.assertNotEqual(run.harness.outcome(key), "waiting")
         self.check_reads(run)
+        self.check_transactions(run)
+        self.assertEqual(run.run_while_drained, [])
         self.assertTrue(run.harness.gateway.is_idle)
 
+    def check_transactions(self, run: FaultRun) -> None:
+        surviving = run.group.newest_primary.ids
+        self.assertEqual(run.mixed, [], "two transactions in one")
+        for key, writes in run.commits.items():
+            answer = run.harness.answer(key)
+            self.assertIn(writes & surviving, (set(), writes), "half of a transaction")
+            if isinstance(answer, StatementDone):
+                self.assertEqual(writes - surviving, set(), "committed, then lost")
+            elif isinstance(answer, StatementNotRun):
+                self.assertEqual([write for write in writes if run.runs[write]], [])
+
     def check_reads(self, run: FaultRun) -> None:
         for key, acknowledged in run.reads.items():
             answer = run.harness.answer(key)
