Hold a read for half a millisecond at least

Change: a hold below 0.5 ms counts as over, the replica as expected fresh. Ruled out: a bound on wake-ups per tick, which would only hide it. Before: both new test cases fail; after: both pass.

--- a/src/dewledge/core/server_selection.py
+++ b/src/dewledge/core/server_selection.py
@@ -18,6 +18,9 @@
 GAMBLE_TRIAL_SHARE = 0.02
 """Share of reads sent to a replica of poor success, to learn whether it has recovered."""
 
+LEAST_HOLD = 0.0005
+"""Seconds. A shorter hold costs more than it saves, and one of a few ulps would never end."""
+
 SPILL_OUTSTANDING = 16
 """From so many unanswered reads, a replica of the own zone is compared with those elsewhere."""
 
@@ -101,7 +104,7 @@
         return Freshness.CUT_OFF, 0.0
     if database.lag is not None:
         ready_in = database.lag + LAG_DEVIATIONS * database.lag_deviation - query.floor_age
-        if ready_in <= 0:
+        if ready_in <= LEAST_HOLD:
             return Freshness.EXPECTED, 0.0
         if ready_in <= query.read_wait:
             return Freshness.SOON, ready_in
--- a/tests/core/test_server_selection.py
+++ b/tests/core/test_server_selection.py
@@ -53,6 +53,7 @@
             ("fresh in another zone before unsure in one's own", 9, 10, 0.1, "c", Freshness.KNOWN),
             ("lag has passed", 9, 9, 0.005, "b", Freshness.EXPECTED),
             ("lag passes within the wait", 9, 9, 0.0125, "b", Freshness.SOON),
+            ("too short a hold to end at all", 9, 9, 0.01 + 1e-17, "b", Freshness.EXPECTED),
         ]
         for name, b, c, lag, database, freshness in cases:
             with self.subTest(name):
@@ -60,6 +61,12 @@
                 self.assertEqual((choice.database, choice.freshness), (database, freshness))
         self.assertAlmostEqual(choose(group(9, 9, 0.0125)).delay, 0.005)
 
+    def test_a_hold_always_moves_the_clock(self) -> None:
+        """A delay of a few ulps is due at once, so the read would be held without end."""
+        query = msgspec.structs.replace(QUERY, floor_age=0.02 - 1e-15, now=1e6)
+        choice = choose(group(9, 9, 0.01), query)
+        self.assertTrue(choice.delay == 0.0 or query.now + choice.delay > query.now)
+
     def test_gambles_as_long_as_they_succeed(self) -> None:
         description = group(9, 9, lag=1.0)
         self.assertIs(choose(description).freshness, Freshness.GAMBLE)
