--- a/tests/process_cluster.py
+++ b/tests/process_cluster.py
@@ -65,6 +65,11 @@
         assert found is not None
         return found
 
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to this process."""
         self._process.send_signal(number)
@@ -111,6 +116,7 @@
 
     deployment: Deployment = PERMITS
     group = PERMITS.groups[0]
+    group_options = "open_time = 0.01\n"
 
     def __init__(self, proxies: int = 3) -> None:
         self._directory = tempfile.TemporaryDirectory(prefix="dewledge-test-")
@@ -175,7 +181,7 @@
             f'[[databases]]\nname = "{it.name}"\nzone = "{it.zone}"\nregion = "{it.region}"\n'
             for it in settings.databases
         ]
-        file.write_text(f'name = "{self.group}"\nopen_time = 0.01\n' + "".join(databases))
+        file.write_text(f'name = "{self.group}"\n{self.group_options}' + "".join(databases))
         group = Process(self._path, "group", "standin", "group", "--config", str(file))
         self._processes.append(group)
         ready = platform.await_log(r"platform_ready address=(\S+) admin=(\S+)")
