Look for a new primary while the old one leaves its status read unanswered

The search started only when the old primary's read had timed out, as its last status still counted; now the newest round decides.

--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -190,10 +190,9 @@
         if is_newest and status_round.tells_primary:
             self._seen = status_round
         self._answer_status_waiters(status_round, now)
-        primary = self.primary
-        if primary is None and self._active and self._in_use(now):
+        if status_round.primary is None and self._active and self._in_use(now):
             self._rounds.want_at(now + self._next_search_pause(), now)
-        self._note_primary(primary)
+        self._note_primary(status_round.primary)
 
     def _on_abandoned(self, status_round: StatusRound, now: float) -> None:
         self._answer_status_waiters(status_round, now)
--- a/tests/core/test_gateway_status.py
+++ b/tests/core/test_gateway_status.py
@@ -109,6 +109,21 @@
         self.assertLessEqual(rounds, 60 / 0.5 + 2)
         self.assertGreaterEqual(rounds, 60 / 0.7 - 2)
 
+    def test_new_primary_is_seen_soon_while_the_old_one_is_frozen(self) -> None:
+        harness = ready()
+        harness.send()
+        elected_at = harness.now + 2.0
+        while harness.now < elected_at + 1.0 and not harness.logs[1:]:
+            harness.run_until(harness.now + 0.005)
+            rounds, harness.rounds = harness.rounds, []
+            for status_round in rounds:
+                for name in set(status_round.databases) - {PRIMARY}:
+                    term = 1 if harness.now < elected_at else 2
+                    harness.read(
+                        status_round, name, term=term, primary="cases-2" if term > 1 else ""
+                    )
+        self.assertLess(harness.now, elected_at + 0.15)
+
     def test_search_for_a_primary_slows_down(self) -> None:
         harness = ready()
         counts = []
