--- a/src/dewledge/simulation/callers.py
+++ b/src/dewledge/simulation/callers.py
@@ -159,21 +159,21 @@
     def _try_proxy(self) -> None:
         self._attempts += 1
         proxy = self._world.proxies[self._record.proxy]
-        self._world.network.send_stream(self._client, proxy.name, lambda: self._arrive(proxy))
+        self._world.network.send_reliably(self._client, proxy.name, lambda: self._arrive(proxy))
 
     def _arrive(self, proxy: SimulatedProxy) -> None:
         if proxy.state is ProcessState.DEAD:
-            self._world.network.send_stream(proxy.name, self._client, self._refused)
+            self._world.network.send_reliably(proxy.name, self._client, self._refused)
             return
         proxy.receive_call(self._request(), self._reply_from(proxy), self._reset_from(proxy))
 
     def _reply_from(self, proxy: SimulatedProxy) -> Callable[[CallerAnswer], None]:
-        return lambda answer: self._world.network.send_stream(
+        return lambda answer: self._world.network.send_reliably(
             proxy.name, self._client, lambda: self._answered(answer)
         )
 
     def _reset_from(self, proxy: SimulatedProxy) -> Callable[[], None]:
-        return lambda: self._world.network.send_stream(proxy.name, self._client, self._reset)
+        return lambda: self._world.network.send_reliably(proxy.name, self._client, self._reset)
 
     def _reset(self) -> None:
         if not self._finished:
--- a/src/dewledge/simulation/clock.py
+++ b/src/dewledge/simulation/clock.py
@@ -3,9 +3,16 @@
 import heapq
 from collections.abc import Callable
 
+MAX_EVENTS_AT_ONCE = 50_000
+"""Events at one instant after which the run is taken to be stuck."""
+
 Action = Callable[[], None]
 
 
+class ClockStuck(Exception):
+    """Events keep coming at one instant, so that virtual time no longer moves."""
+
+
 class ScheduledEvent:
     """An action that is due at a virtual time; it can be cancelled until it has run."""
 
@@ -42,9 +49,13 @@
         return self.call_at(self.now + delay, action)
 
     def run_until(self, end: float) -> None:
-        """Runs every event due up to `end` and leaves the clock there."""
+        """Runs every event due up to `end` and leaves the clock there. Raises ClockStuck."""
+        at_once = 0
         while self._heap and self._heap[0][0] <= end:
             at, _, event = heapq.heappop(self._heap)
+            at_once = at_once + 1 if at <= self.now else 0
+            if at_once > MAX_EVENTS_AT_ONCE:
+                raise ClockStuck(f"{at_once} events at {at:.6f} s, the latest {event.action}")
             self.now = at
             if event.cancelled:
                 continue
--- a/src/dewledge/simulation/core_factory.py
+++ b/src/dewledge/simulation/core_factory.py
@@ -1,6 +1,5 @@
-"""Builds the decision core of a simulated proxy as the daemon does; naive variants differ."""
+"""Builds the decision core of a simulated proxy, as the daemon does."""
 
-from collections.abc import Callable
 from random import Random
 
 from dewledge.core.member import Member
@@ -10,8 +9,6 @@
 
 SESSION_KEY = b"the simulation's session key"
 
-CoreFactory = Callable[[Member, ProxyCoreSettings, Random], ProxyCore]
-
 
 def session_codec() -> SessionTokenCodec:
     """Returns the codec that all simulated proxies share."""
@@ -19,5 +16,5 @@
 
 
 def make_core(me: Member, settings: ProxyCoreSettings, random: Random) -> ProxyCore:
-    """Returns the core of the daemon, unchanged."""
+    """Returns a new core."""
     return ProxyCore(me, settings, session_codec(), random)
--- a/src/dewledge/simulation/deployments.py
+++ b/src/dewledge/simulation/deployments.py
@@ -22,6 +22,8 @@
 LOCAL_DELAY = 0.0001
 """One-way delay within a zone, seconds."""
 
+DATABASE_PORT = 7400
+
 
 class Deployment(msgspec.Struct, frozen=True):
     """Sites, link delays and sizes of one deployment; times in seconds.
@@ -98,20 +100,21 @@
 
 
 def _database_resources(deployment: Deployment, group: str) -> list[Resource]:
+    number = deployment.groups.index(group)
     return [
         _resource(
             Kind.DATABASE,
             name,
             DatabaseSpec(
                 group=group,
-                address=name,
+                address=f"10.0.{number}.{index}:{DATABASE_PORT}",
                 zone=location.zone,
                 region=location.region,
                 slots=deployment.slots,
                 max_connections=deployment.max_connections,
             ),
         )
-        for name, location in deployment.databases(group).items()
+        for index, (name, location) in enumerate(deployment.databases(group).items(), 1)
     ]
 
 
--- a/src/dewledge/simulation/network.py
+++ b/src/dewledge/simulation/network.py
@@ -78,6 +78,13 @@
             return
         self._schedule_in_order(source, destination, self._delay(source, destination), deliver)
 
+    def send_reliably(self, source: str, destination: str, deliver: Action) -> None:
+        """Like `send_stream` on a link that only a cut can harm, such as a caller's own."""
+        if self.is_cut(source, destination):
+            self.lost += 1
+            return
+        self._schedule_in_order(source, destination, self._delay(source, destination), deliver)
+
     def _schedule(self, source: str, destination: str, deliver: Action) -> None:
         delay = self._delay(source, destination)
         if self._random.random() < self._faults.reorder:
--- a/src/dewledge/simulation/population.py
+++ b/src/dewledge/simulation/population.py
@@ -28,11 +28,13 @@
     """rate: arrivals per second. time_limit: seconds until a request's deadline.
 
     sessions: how many are begun with; more are begun when all are busy.
+    workloads: the mix, if it is not that of the deployment.
     """
 
     rate: float = 200.0
     time_limit: float = 2.0
     sessions: int = 60
+    workloads: tuple[Workload, ...] = ()
 
 
 class Population:
@@ -42,7 +44,7 @@
         self._world = world
         self._random = random
         self._settings = settings
-        self._workloads = WORKLOADS[world.deployment.name]
+        self._workloads = settings.workloads or WORKLOADS[world.deployment.name]
         self._shares = [item.share for item in self._workloads]
         self.client = CallerClient(world, random)
         self.sessions: list[CallerSession] = []
--- a/src/dewledge/simulation/simulated_proxy.py
+++ b/src/dewledge/simulation/simulated_proxy.py
@@ -17,12 +17,14 @@
     RunJob,
     SendToPeer,
 )
+from dewledge.core.jobs import JobResult
 from dewledge.core.member import Member
 from dewledge.core.membership_messages import SendDatagram
 from dewledge.core.messages import decode
 from dewledge.core.proxy_core import ProxyCore
 from dewledge.core.proxy_effects import ProxyEffect, ReadMachineList
 from dewledge.simulation.clock import Action, ScheduledEvent
+from dewledge.simulation.core_factory import make_core
 from dewledge.simulation.database_client import ClientReports, DatabaseClient
 from dewledge.simulation.history import AbsenceRecord, RevisionRecord, StopRecord
 from dewledge.standin.link_delays import Place
@@ -89,13 +91,15 @@
         self._proposals = {}
         self._peer_incarnations = {}
         world = self._world
-        number = int(self._now() * MILLISECONDS) + 1
+        number = int(self.now() * MILLISECONDS) + 1
         me = Member(self.name, self.name, self.name, self.place.zone, number)
-        self._core = world.make_core(me, world.settings, self._random)
+        self._core = make_core(me, world.settings, self._random)
+        self._interceptor = world.make_interceptor(self)
         self._database = DatabaseClient(
             self.name, world.servers, world.network, world.queue, self._reports()
         )
-        seeds = [name for name in world.proxies if name != self.name]
+        others = tuple(name for name in world.proxies if name != self.name)
+        seeds = self._interceptor.seeds(others)
         self._handle(lambda core, now: core.start(seeds, now))
 
     def kill(self) -> None:
@@ -108,7 +112,7 @@
         """Stops the process where it stands."""
         if self.state is ProcessState.RUNNING:
             self.state = ProcessState.FROZEN
-            self._absent_since = self._now()
+            self._absent_since = self.now()
 
     def thaw(self) -> None:
         """Lets a frozen process go on."""
@@ -122,7 +126,7 @@
 
     def stop(self) -> None:
         """Begins a planned stop: announces it, finishes what was accepted, then ends."""
-        announced_at = self._now()
+        announced_at = self.now()
         self.leaving = True
         self._handle(lambda core, now: core.leave(now))
         self._check_stop(announced_at, self.incarnation)
@@ -136,7 +140,7 @@
 
     def begin_absence(self) -> None:
         """Notes that it is cut off from the others and the store."""
-        self._absent_since = self._now()
+        self._absent_since = self.now()
 
     def end_absence(self) -> None:
         """Notes that it has rejoined."""
@@ -152,23 +156,32 @@
         """The decision core of the present process."""
         return self._core
 
+    def now(self) -> float:
+        """Returns the virtual time."""
+        return self._world.queue.now
+
     # What reaches it.
 
     def receive_call(self, request: CallerRequest, reply: AnswerReply, ended: Action) -> None:
         """Takes a caller's request; `ended` runs if the process ends before its answer."""
         self._calls[request.request_id] = reply
         self._ended_watchers[request.request_id] = ended
+        request = self._interceptor.call(request)
         self._handle(lambda core, now: core.handle_call(request, now))
 
     def receive_from_peer(self, peer: str, incarnation: int, data: bytes) -> None:
         """Takes an encoded message of another proxy; `incarnation` is that of its process."""
-        message = decode(data)
+        message = self._interceptor.peer_message(peer, decode(data))
+        if message is None:
+            return
         self._handle(lambda core, now: self._note_peer(peer, incarnation, now))
         self._handle(lambda core, now: core.handle_peer_message(peer, message, now))
 
     def receive_datagram(self, address: str, data: bytes) -> None:
         """Takes a membership datagram."""
-        self._handle(lambda core, now: core.handle_datagram(data, address, now))
+        passed = self._interceptor.datagram(data)
+        if passed is not None:
+            self._handle(lambda core, now: core.handle_datagram(passed, address, now))
 
     def peer_lost(self, peer: str, unsent_requests: tuple[int, ...] = ()) -> None:
         """Learns that the link for its requests to a peer broke."""
@@ -184,6 +197,14 @@
         self._proposals[change.change_id] = reply
         self._handle(lambda core, now: core.propose(change, now))
 
+    def submit_again(self, request: CallerRequest) -> None:
+        """Gives the core a request once more, for a naive variant."""
+        self._handle(lambda core, now: core.handle_call(request, now))
+
+    def report_job(self, result: JobResult) -> None:
+        """Reports a job that was not run, for a naive variant."""
+        self._handle(lambda core, now: core.handle_job_result(result, now))
+
     # Running the core.
 
     def _handle(self, handler: Handler) -> None:
@@ -193,8 +214,9 @@
         def act() -> None:
             if incarnation != self.incarnation:
                 return
-            for effect in handler(self._core, self._now()):
-                self._carry_out(effect)
+            for effect in handler(self._core, self.now()):
+                for passed in self._interceptor.effect(effect):
+                    self._carry_out(passed)
 
         self._run(act)
 
@@ -205,9 +227,6 @@
             action()
             self._schedule_wake()
 
-    def _now(self) -> float:
-        return self._world.queue.now
-
     def _schedule_wake(self) -> None:
         if self._wake is not None:
             self._wake.cancel()
@@ -248,7 +267,7 @@
             case ProposalFinished():
                 self._finish_proposal(effect)
             case LogEvent():
-                self.log.append((self._now(), effect))
+                self.log.append((self.now(), effect))
 
     def _answer(self, effect: AnswerCaller) -> None:
         self._ended_watchers.pop(effect.request_id, None)
@@ -293,7 +312,9 @@
             open_failed=lambda connection, code: run(
                 lambda core, now: core.handle_connection_failed(connection, code, now)
             ),
-            job_result=lambda result: run(lambda core, now: core.handle_job_result(result, now)),
+            job_result=lambda result: run(
+                lambda core, now: core.handle_job_result(self._interceptor.job_result(result), now)
+            ),
             status_reading=lambda number, reading: run(
                 lambda core, now: core.handle_status_reading(number, reading, now)
             ),
@@ -304,7 +325,7 @@
     def _check_stop(self, announced_at: float, incarnation: int) -> None:
         if incarnation != self.incarnation or self.state is ProcessState.DEAD:
             return
-        if self._core.is_idle or self._now() > announced_at + STOP_BOUND:
+        if self._interceptor.may_end() or self.now() > announced_at + STOP_BOUND:
             self._finish_stop(announced_at)
             return
         self._world.queue.call_after(
@@ -313,7 +334,7 @@
 
     def _finish_stop(self, announced_at: float) -> None:
         self._handle(lambda core, now: core.stop(now))
-        self._world.history.stops.append(StopRecord(self.name, announced_at, self._now()))
+        self._world.history.stops.append(StopRecord(self.name, announced_at, self.now()))
         self.kill()
         if self._restart_after_stop:
             self.start()
@@ -322,7 +343,7 @@
 
     def _end(self) -> None:
         if self._absent_since is None:
-            self._absent_since = self._now()
+            self._absent_since = self.now()
         self.state = ProcessState.DEAD
         self._parked = []
         self._calls = {}
@@ -335,10 +356,10 @@
 
     def _record_absence(self) -> None:
         if self._absent_since is not None:
-            absence = AbsenceRecord(self.name, self._absent_since, self._now())
+            absence = AbsenceRecord(self.name, self._absent_since, self.now())
             self._world.history.absences.append(absence)
         self._absent_since = None
 
     def _record_revision(self, revision: int) -> None:
-        record = RevisionRecord(self._now(), self.name, self.incarnation, revision)
+        record = RevisionRecord(self.now(), self.name, self.incarnation, revision)
         self._world.history.revisions.append(record)
--- a/src/dewledge/simulation/world.py
+++ b/src/dewledge/simulation/world.py
@@ -20,11 +20,11 @@
 from dewledge.core.proxy_parts import ProxyCoreSettings
 from dewledge.core.resources import Kind, Resource
 from dewledge.simulation.clock import EventQueue
-from dewledge.simulation.core_factory import CoreFactory, make_core
 from dewledge.simulation.database_server import DatabaseServer, ServerSettings
 from dewledge.simulation.deployments import Deployment, build_configuration
 from dewledge.simulation.group_watch import GroupWatch
 from dewledge.simulation.history import AcceptanceRecord, History
+from dewledge.simulation.interceptor import Interceptor
 from dewledge.simulation.network import Network
 from dewledge.simulation.platform_store import PlatformStore
 from dewledge.simulation.simulated_proxy import ProcessState, SimulatedProxy
@@ -33,6 +33,8 @@
 from dewledge.standin.group_types import GroupTiming, ModelDatabase
 from dewledge.standin.link_delays import Place
 
+MakeInterceptor = Callable[[SimulatedProxy], Interceptor]
+
 CLIENT_PREFIX = "client-"
 FIRST_CHANGE = "first-change"
 
@@ -50,16 +52,17 @@
         self,
         deployment: Deployment,
         seed: int,
-        make_core: CoreFactory = make_core,
+        make_interceptor: MakeInterceptor = Interceptor,
         settings: ProxyCoreSettings | None = None,
         timing: GroupTiming | None = None,
     ) -> None:
         self.deployment = deployment
         self.random = Random(seed)
-        self.make_core = make_core
+        self.make_interceptor = make_interceptor
         self.settings = settings or ProxyCoreSettings()
         self.queue = EventQueue()
         self.history = History()
+        self._unsent: dict[tuple[str, int, str], list[int]] = {}
         self.proposals: list[ProposalFinished] = []
         self.platform = PlatformStore(self.queue)
         self._places = self._place_nodes()
@@ -116,10 +119,20 @@
         self.network.send(source.name, peer, deliver)
 
     def _refuse_link(self, source: SimulatedProxy, peer: str, message: PeerMessage) -> None:
-        """Nothing listens at the peer, so that nothing was sent."""
-        if isinstance(message, StatementRequest):
-            unsent = (message.correlation,)
-            self.queue.call_after(REFUSAL_TIME, lambda: source.peer_lost(peer, unsent))
+        """Nothing listens at the peer, so nothing that is sent until that is known has left."""
+        if not isinstance(message, StatementRequest):
+            return
+        unsent = self._unsent.setdefault((source.name, source.incarnation, peer), [])
+        unsent.append(message.correlation)
+        if len(unsent) == 1:
+            self.queue.call_after(
+                REFUSAL_TIME, partial(self._report_refused, source, source.incarnation, peer)
+            )
+
+    def _report_refused(self, source: SimulatedProxy, incarnation: int, peer: str) -> None:
+        unsent = self._unsent.pop((source.name, incarnation, peer))
+        if source.incarnation == incarnation:
+            source.peer_lost(peer, tuple(unsent))
 
     def send_datagram(self, source: SimulatedProxy, address: str, data: bytes) -> None:
         """Sends a datagram; who is not there does not get it."""
@@ -134,7 +147,7 @@
         for proxy in self.proxies.values():
             if proxy is not ended:
                 lost = partial(proxy.peer_ended, ended.name)
-                self.network.send_stream(ended.name, proxy.name, lost)
+                self.network.send_reliably(ended.name, proxy.name, lost)
 
     # The platform and its operators.
 
