--- a/tests/processes/observed_cluster.py
+++ b/tests/processes/observed_cluster.py
@@ -17,7 +17,7 @@
 from tests.process_cluster import ProcessCluster, ProxyProcess, await_state
 from tests.processes.group_observer import GroupObserver
 from tests.processes.mixed_load import SESSIONS, MixedLoad
-from tests.processes.recorded_caller import RecordedCaller, Target
+from tests.processes.recorded_caller import TIME_LIMIT, RecordedCaller, Target
 
 CALLER = demonstration_token(ProcessCluster.deployment, "applicants")
 
@@ -135,9 +135,10 @@
         self.load = MixedLoad(self.history, cluster.targets, name, sessions)
         self._callers: list[RecordedCaller] = []
 
-    def caller(self, name: str) -> RecordedCaller:
+    def caller(self, name: str, time_limit: float = TIME_LIMIT) -> RecordedCaller:
         """Returns one more session, driven by the test itself."""
-        caller = RecordedCaller(self.history, self.cluster.targets, name)
+        targets = self.cluster.targets
+        caller = RecordedCaller(self.history, targets, name, time_limit=time_limit)
         self._callers.append(caller)
         return caller
 
