Withdraw a waiting begin from its own queue

Change: the queue of a request is chosen by its operation, for admission and withdrawal alike. Ruled out: a guard in FairQueue, since a foreign entry is a fault of its user. Before: the new test ends with KeyError 'beginner'; after: 23 gateway tests pass.

--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -127,10 +127,8 @@
             self._start(request, now)
             return
         weight = self._weight_of(request.message.caller)
-        if request.begins_transaction:
-            self._begins.admit(request, weight, self._transaction_limit, now)
-        else:
-            self._statements.admit(request, weight, self._statement_slots, now)
+        slots = self._transaction_limit if request.begins_transaction else self._statement_slots
+        self._room_of(request).admit(request, weight, slots, now)
         self._dispatch(now)
 
     def operate(self, request: GatewayRequest, transaction: Transaction, now: float) -> None:
@@ -139,7 +137,7 @@
 
     def withdraw(self, request: GatewayRequest) -> bool:
         """Removes a request that waits; False if it has started."""
-        return self._statements.withdraw(request) or self._begins.withdraw(request)
+        return self._room_of(request).withdraw(request)
 
     def refuse_waiting(self) -> None:
         """Gives up what waits, because this proxy is cut off."""
@@ -169,6 +167,9 @@
             free = min(free, self._pool.open_count)
         return max(free, 1)
 
+    def _room_of(self, request: GatewayRequest) -> WaitingRoom:
+        return self._begins if request.begins_transaction else self._statements
+
     def _new_waiting_room(self, rate: ServiceRate) -> WaitingRoom:
         return WaitingRoom(self._context, rate, self._refuse, self._expire)
 
--- a/tests/core/test_gateway.py
+++ b/tests/core/test_gateway.py
@@ -223,6 +223,19 @@
         self.assertEqual(harness.outcome(key), "not run: cancelled")
         self.assertTrue(harness.gateway.is_idle)
 
+    def test_cancelled_begin_leaves_the_queue_of_statements_as_it_is(self) -> None:
+        harness = ready(slots=1)
+        harness.write(caller="busy")
+        begin = harness.send(Access.WRITE, Operation.BEGIN, caller="beginner")
+        queued = harness.write(caller="patient")
+        harness.take(harness.gateway.handle_cancel("entry", CancelRequest(begin[1]), harness.now))
+        self.assertEqual(harness.outcome(begin), "not run: cancelled")
+        for offset in (11, 12):
+            harness.finish(position=LogPosition(1, offset))
+            harness.confirm_all(offset=offset)
+        self.assertEqual(harness.outcome(queued), "done")
+        self.assertTrue(harness.gateway.is_idle)
+
     def test_lost_peer(self) -> None:
         harness = ready(slots=1)
         running = harness.write(peer="lost")
