Refuse with NOT_READY until the first configuration is here

Cause: a proxy at revision 0 told callers unknown_group (404), as if they were at fault. Change: not_ready, not run, with a time to come back.

--- a/src/dewledge/core/entry.py
+++ b/src/dewledge/core/entry.py
@@ -14,7 +14,7 @@
 from dewledge.core.answer_handler import AnswerHandler
 from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import Access, CallerRequest, Operation
-from dewledge.core.configuration import Configuration
+from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
 from dewledge.core.effects import Effect
 from dewledge.core.entry_group import EntryGroup
 from dewledge.core.entry_settings import EntrySettings
@@ -158,6 +158,9 @@
         elif self._leaving and request.transaction is None:
             message = "this proxy is leaving"
             state.refuse(request_id, ErrorCode.LEAVING, message, state.retry_after())
+        elif state.configuration.revision == EMPTY_CONFIGURATION.revision:
+            message = "this proxy has no configuration yet"
+            state.refuse(request_id, ErrorCode.NOT_READY, message, state.retry_after())
         elif state.configuration.group(request.group) is None:
             state.refuse(request_id, ErrorCode.UNKNOWN_GROUP, "there is no such group")
         elif not self._is_allowed(request):
--- a/tests/core/entry_harness.py
+++ b/tests/core/entry_harness.py
@@ -128,7 +128,7 @@
         self.logs: list[LogEvent] = []
         self.placement = FixedPlacement()
         self._last_request = 0
-        self.configure(config or configuration())
+        self.configure(configuration() if config is None else config)
         if known:
             self.learn_group()
 
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -3,6 +3,7 @@
 import unittest
 
 from dewledge.core.calls import Access, Operation, Outcome
+from dewledge.core.configuration import EMPTY_CONFIGURATION
 from dewledge.core.database_status import DatabaseRole
 from dewledge.core.entry_settings import EntrySettings
 from dewledge.core.messages import CancelRequest, StatementDone, StatementRequest
@@ -105,6 +106,12 @@
                 self.assertEqual(harness.sent_of(StatementRequest), [])
                 self.assertEqual(harness.entry.in_flight, 0)
 
+    def test_without_a_configuration_nothing_is_known_to_be_wrong(self) -> None:
+        harness = EntryHarness(config=EMPTY_CONFIGURATION, known=False)
+        answer = harness.answer(harness.call())
+        self.assertEqual((answer.outcome, answer.code), (Outcome.NOT_RUN, ErrorCode.NOT_READY))
+        self.assertGreater(answer.retry_after, 0)
+
     def test_isolated_refuses_new_work_and_finishes_the_rest(self) -> None:
         harness = EntryHarness()
         before = harness.call()
