--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -13,7 +13,7 @@
 from dewledge.errors import ErrorCode
 
 RETRY_GROWTH = 1.5
-SEARCH_GROWTH = 1.1
+SEARCH_GROWTH = 1.03
 
 
 class _Waiter:
--- a/tests/core/test_gateway_status.py
+++ b/tests/core/test_gateway_status.py
@@ -110,19 +110,24 @@
         self.assertGreaterEqual(rounds, 60 / 0.7 - 2)
 
     def test_new_primary_is_seen_soon_while_the_old_one_is_frozen(self) -> None:
-        harness = ready()
-        harness.send()
-        elected_at = harness.now + 2.0
-        while harness.now < elected_at + 1.0 and not harness.logs[1:]:
-            harness.run_until(harness.now + 0.005)
-            rounds, harness.rounds = harness.rounds, []
-            for status_round in rounds:
-                for name in set(status_round.databases) - {PRIMARY}:
-                    term = 1 if harness.now < elected_at else 2
-                    harness.read(
-                        status_round, name, term=term, primary="cases-2" if term > 1 else ""
-                    )
-        self.assertLess(harness.now, elected_at + 0.15)
+        for tenths in range(5):
+            with self.subTest(elected_after=2.0 + tenths / 10):
+                harness = ready()
+                harness.send()
+                elected_at = harness.now + 2.0 + tenths / 10
+                while harness.now < elected_at + 1.0 and not harness.logs[1:]:
+                    harness.run_until(harness.now + 0.005)
+                    self.answer_for_others(harness, elected=harness.now >= elected_at)
+                self.assertLess(harness.now, elected_at + 0.15)
+
+    def answer_for_others(self, harness: GatewayHarness, elected: bool) -> None:
+        rounds, harness.rounds = harness.rounds, []
+        for status_round in rounds:
+            for name in set(status_round.databases) - {PRIMARY}:
+                if elected:
+                    harness.read(status_round, name, term=2, primary="cases-2")
+                else:
+                    harness.read(status_round, name)
 
     def test_search_for_a_primary_slows_down(self) -> None:
         harness = ready()
