--- a/tests/processes/test_drain_and_isolation.py
+++ b/tests/processes/test_drain_and_isolation.py
@@ -46,30 +46,18 @@
         try:
             observation.load.await_progress()
             gateway = self.cluster.gateway_of(database)
-            self.cluster.freeze_proxy(gateway)
+            reader = observation.caller(f"reader {row.name}")
             held = HeldReads(observation, gateway)
+            for caller in (reader, *held.callers):
+                caller.amend()
+            self.cluster.freeze_proxy(gateway)
+            held.start()
             accepted = self._drain(database)
             await_state("the bound has passed", lambda: time.monotonic() > _due(accepted))
             self.cluster.thaw_proxies()
             await_state("the thawed proxy is ready", gateway.is_ready)
-            self._await_served(observation, gateway)
+            self._await_served(reader, gateway)
             held.finish()
-            if row.primary:
-                import collections
-
-                print(
-                    collections.Counter(
-                        (
-                            str(it.operation),
-                            str(it.access),
-                            str(it.outcome),
-                            str(it.code),
-                            round((it.answered_at or it.deadline) - it.sent_at),
-                        )
-                        for it in observation.history.requests
-                        if it.sent_at > accepted.time
-                    )
-                )
         finally:
             self._change({"delete": [{"kind": "Rule", "name": DRAIN_RULE}]})
             activity = self.cluster.group_client.activity()
@@ -81,9 +69,8 @@
         worked = {it.database for it in history.work if it.time < accepted.time}
         self.assertIn(database, worked, "it had no work before its drain either")
 
-    def _await_served(self, observation: Observation, proxy: ProxyProcess) -> None:
+    def _await_served(self, reader: RecordedCaller, proxy: ProxyProcess) -> None:
         """Waits until reads are served through a proxy."""
-        reader = observation.caller(f"reader at {proxy.name}")
 
         def is_served() -> bool:
             reader.go_to(proxy.name)
@@ -127,14 +114,17 @@
     """Callers whose reads wait at a frozen proxy, patiently, until it thaws."""
 
     def __init__(self, observation: Observation, proxy: ProxyProcess) -> None:
-        self._callers = [
+        self.callers = [
             observation.caller(f"held {proxy.name} {index}", HELD_SECONDS)
             for index in range(HELD_CALLERS)
         ]
         self._threads = [
             threading.Thread(target=self._read, args=(caller, proxy.name), daemon=True)
-            for caller in self._callers
+            for caller in self.callers
         ]
+
+    def start(self) -> None:
+        """Sends the reads."""
         for thread in self._threads:
             thread.start()
 
--- a/tests/processes/test_without_mechanism.py
+++ b/tests/processes/test_without_mechanism.py
@@ -7,7 +7,9 @@
 import msgspec
 
 from dewledge.adapters.job_runner import run_job
+from dewledge.core.calls import Outcome
 from dewledge.core.confirmation import Claim, Verdict, judge
+from dewledge.core.database_status import DatabaseRole
 from dewledge.core.jobs import Job, JobResult
 from dewledge.core.ports import DatabaseConnection
 from dewledge.embedded import ClusterPlan, EmbeddedCluster
@@ -22,6 +24,7 @@
 from tests.processes.recorded_caller import RecordedCaller, Target
 
 GROUP = ProcessCluster.group
+DONE = Outcome.DONE
 LOST_ANSWERS = 1
 
 
@@ -36,63 +39,70 @@
 
 
 class WithoutMechanismTest(unittest.TestCase):
+    """Each point first with its mechanism, then without, under the same fault."""
+
+    cluster: EmbeddedCluster
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.cluster = cls.enterClassContext(EmbeddedCluster(ClusterPlan(PERMITS, groups=(GROUP,))))
+        setup = RecordedCaller(History(), cls.targets, "setup")
+        for statement in SCHEMA:
+            await_state("a table is made", lambda it=statement: setup.run(it).outcome is DONE)
+        setup.roam()
+
     def setUp(self) -> None:
-        plan = ClusterPlan(PERMITS, groups=(GROUP,))
-        self.cluster = self.enterContext(EmbeddedCluster(plan))
         self.faults = self.cluster.group_faults(GROUP)
         self.addCleanup(self.faults.close)
-        self.history = History()
-        setup = RecordedCaller(History(), self.targets, "setup")
-        self.addCleanup(setup.roam)
-        for statement in SCHEMA:
-            setup.run(statement)
-        self.observer = GroupObserver(GROUP, self.cluster.group_faults(GROUP), self.history)
 
-    def targets(self) -> Sequence[Target]:
-        proxies = self.cluster.proxies.items()
+    @classmethod
+    def targets(cls) -> Sequence[Target]:
+        proxies = cls.cluster.proxies.items()
         return [Target(name, proxy.caller_address) for name, proxy in proxies]
 
-    def broken_promises(self) -> set[Promise]:
-        self.observer.finish()
-        return {violation.promise for violation in check_all(self.history)}
+    def primary(self) -> str:
+        statuses = [it for it in self.faults.statuses() if it.role is DatabaseRole.PRIMARY]
+        return max(statuses, key=lambda it: it.term).database
 
     def cut_primary_under_load(self) -> set[Promise]:
-        load = MixedLoad(self.history, self.targets, "load")
+        history = History()
+        observer = GroupObserver(GROUP, self.cluster.group_faults(GROUP), history)
+        load = MixedLoad(history, self.targets, "load")
         load.await_progress()
-        primary = next(iter(PERMITS.databases_of(GROUP)))
+        primary = self.primary()
         self.faults.cut_off(primary)
-        await_state("a new primary", lambda: self.observer.elections > 0)
+        await_state("a new primary", lambda: observer.elections > 0)
         load.await_progress()
         load.finish()
         self.faults.heal(primary)
-        return self.broken_promises()
+        observer.finish()
+        return _broken_promises(history)
 
     def repeat_after_lost_answer(self) -> set[Promise]:
-        caller = RecordedCaller(self.history, self.targets, "submitter")
-        self.addCleanup(caller.roam)
-        caller.append(keyed=True)
-        self.faults.lose_answers(next(iter(PERMITS.databases_of(GROUP))), LOST_ANSWERS)
+        history = History()
+        observer = GroupObserver(GROUP, self.cluster.group_faults(GROUP), history)
+        caller = RecordedCaller(history, self.targets, "submitter")
+        await_state("it is done", lambda: caller.append(keyed=True).outcome is DONE)
+        self.faults.lose_answers(self.primary(), LOST_ANSWERS)
         lost = caller.append(keyed=True)
         caller.roam()
         caller.append(lost.marker, keyed=True)
-        return self.broken_promises()
+        caller.roam()
+        observer.finish()
+        return _broken_promises(history)
 
     def test_confirmation(self) -> None:
         self.assertEqual(self.cut_primary_under_load(), set())
-
-    def test_without_confirmation(self) -> None:
         with patch("dewledge.core.group_monitor.judge", _confirm_at_once):
             broken = self.cut_primary_under_load()
         self.assertIn(Promise.ACKNOWLEDGED_WRITES_STAND, broken)
 
     def test_recorded_key(self) -> None:
         self.assertEqual(self.repeat_after_lost_answer(), set())
-
-    def test_without_recorded_key(self) -> None:
         with patch("dewledge.shell.database_workers.run_job", _ignore_key):
             broken = self.repeat_after_lost_answer()
         self.assertEqual(broken, {Promise.AT_MOST_ONCE})
 
 
-if __name__ == "__main__":
-    unittest.main()
+def _broken_promises(history: History) -> set[Promise]:
+    return {violation.promise for violation in check_all(history)}
