Measure the cost of a statement in separate processes

In one process the threads' fight for the interpreter's lock was counted as cost (entry 472 us for a read that costs 209 to 283 us alone).

--- a/src/dewledge/shell/cost_cluster.py
+++ b/src/dewledge/shell/cost_nodes.py
@@ -1,12 +1,19 @@
-"""Two proxies before a database that answers at once, for measuring what proxies cost."""
+"""The processes of the cost measurement: an entry, a gateway, and a bare echo.
+
+The databases answer at once; they are in the gateway's zone, so that the gateway serves them all.
+"""
 
 import hashlib
 import itertools
+import sys
+import threading
 import time
 import uuid
 from collections.abc import Callable
 
-from dewledge.cli.http_client import HttpAnswer, ProxyClient
+import msgspec
+
+from dewledge.cli.http_client import ProxyClient
 from dewledge.core.calls import Access, Outcome, Rows, Statement
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.ports import DatabaseConnection, DatabaseDriver, ExecutionResult
@@ -24,12 +31,15 @@
 )
 from dewledge.errors import DewledgeError
 from dewledge.settings import ProxySettings
+from dewledge.shell.cost_callers import GROUP
+from dewledge.shell.cost_echo import EchoServer
 from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.log import configure_log
 from dewledge.shell.proxy_server import ProxyServer
 from dewledge.standin.platform_server import PlatformServer
 from dewledge.standin.platform_settings import PlatformSettings
 
-GROUP = "cost"
+LOOPBACK = "127.0.0.1:0"
 CALLER_TOKEN = "cost-caller"
 OPERATOR_TOKEN = "cost-operator"
 SESSION_KEY = "the cost cluster shares this key only with itself"
@@ -100,77 +110,84 @@
     return DatabaseRole.PRIMARY if address == PRIMARY_ADDRESS else DatabaseRole.REPLICA
 
 
-class CostCluster:
-    """An entry and a gateway: the databases are in the gateway's zone."""
+class NodeReady(msgspec.Struct, frozen=True):
+    """What a node says of itself once it serves. thread: the kernel's id of its loop's thread."""
+
+    thread: int
+    callers: str
+    gossip: str = ""
+    platform: str = ""
+
+
+def apply_resources(proxy: str) -> None:
+    """Has the resources of the measurement accepted. Raises DewledgeError if it takes too long."""
+    change = {
+        "change_id": uuid.uuid4().hex,
+        "put": [to_document(resource) for resource in _resources()],
+    }
+    client = ProxyClient([proxy], OPERATOR_TOKEN)
+    _await(lambda: client.post("/v1/changes", change).outcome is Outcome.DONE)
+
+
+def await_session(proxy: str) -> str:
+    """Returns the session of a first write. Raises DewledgeError if it takes too long."""
+    client = ProxyClient([proxy], CALLER_TOKEN)
+    body = {"group": GROUP, "sql": "INSERT", "access": "write"}
+    sessions: list[str] = []
+
+    def is_written() -> bool:
+        answer = client.post("/v1/statements", body, START_SECONDS)
+        sessions.append(str(answer.body.get("session")))
+        return answer.outcome is Outcome.DONE
+
+    _await(is_written)
+    return sessions[-1]
+
+
+def _await(is_reached: Callable[[], bool]) -> None:
+    give_up_at = time.monotonic() + START_SECONDS
+    while not is_reached():
+        if time.monotonic() > give_up_at:
+            raise DewledgeError("the proxies did not get ready")
+        time.sleep(POLL_SECONDS)
 
-    def __init__(self) -> None:
-        self._platform = PlatformServer(PlatformSettings())
-        databases = InstantDatabases()
-        self._gateway = ProxyServer(self._settings("gateway", ()), databases)
-        seeds = (self._gateway.gossip_address,)
-        self._entry = ProxyServer(self._settings("entry", seeds), databases)
-        self.entry_address = self._entry.caller_address
-
-    @property
-    def entry_loop(self) -> EventLoop:
-        """The loop of the entry."""
-        return self._entry.loop
-
-    @property
-    def gateway_loop(self) -> EventLoop:
-        """The loop of the gateway."""
-        return self._gateway.loop
-
-    def start(self) -> None:
-        """Starts both proxies and waits until statements are served."""
-        self._platform.start()
-        self._gateway.start()
-        self._entry.start()
-        change = {
-            "change_id": uuid.uuid4().hex,
-            "put": [to_document(resource) for resource in _resources()],
-        }
-        self._await(lambda: self._operator().post("/v1/changes", change).outcome is Outcome.DONE)
-        self._await(lambda: self._write().outcome is Outcome.DONE)
-
-    def stop(self) -> None:
-        """Ends everything."""
-        for proxy in (self._entry, self._gateway):
-            proxy.stop()
-            proxy.join(START_SECONDS)
-        self._platform.stop()
-
-    def write_once(self) -> str:
-        """Makes one write and returns its session."""
-        return str(self._write().body["session"])
-
-    def _write(self) -> HttpAnswer:
-        body = {"group": GROUP, "sql": "INSERT", "access": "write"}
-        return ProxyClient([self.entry_address], CALLER_TOKEN).post("/v1/statements", body, 10.0)
-
-    def _operator(self) -> ProxyClient:
-        return ProxyClient([self.entry_address], OPERATOR_TOKEN)
-
-    def _settings(self, name: str, seeds: tuple[str, ...]) -> ProxySettings:
-        return ProxySettings(
-            name=name,
-            zone=name,
-            caller_address="127.0.0.1:0",
-            peer_address="127.0.0.1:0",
-            gossip_address="127.0.0.1:0",
-            platform_address=self._platform.address,
-            seeds=seeds,
-            session_keys=(SESSION_KEY,),
-            bootstrap_operator_token_sha256=_digest(OPERATOR_TOKEN),
-        )
-
-    @staticmethod
-    def _await(is_reached: Callable[[], bool]) -> None:
-        give_up_at = time.monotonic() + START_SECONDS
-        while not is_reached():
-            if time.monotonic() > give_up_at:
-                raise DewledgeError("the proxies did not get ready")
-            time.sleep(POLL_SECONDS)
+
+def _serve_echo() -> None:
+    server = EchoServer(EventLoop())
+    _report(NodeReady(threading.get_native_id(), server.address))
+    server.loop.run()
+
+
+def _serve_gateway() -> None:
+    platform = PlatformServer(PlatformSettings())
+    platform.start()
+    _serve_proxy("gateway", platform.address, ())
+
+
+def _serve_proxy(name: str, platform: str, seeds: tuple[str, ...]) -> None:
+    settings = ProxySettings(
+        name=name,
+        zone=name,
+        caller_address=LOOPBACK,
+        peer_address=LOOPBACK,
+        gossip_address=LOOPBACK,
+        platform_address=platform,
+        seeds=seeds,
+        session_keys=(SESSION_KEY,),
+        bootstrap_operator_token_sha256=_digest(OPERATOR_TOKEN),
+    )
+    configure_log("WARNING")
+    server = ProxyServer(settings, InstantDatabases())
+    ready = NodeReady(
+        threading.get_native_id(), server.caller_address, server.gossip_address, platform
+    )
+    _report(ready)
+    server.run()
+
+
+def _report(ready: NodeReady) -> None:
+    sys.stdout.buffer.write(msgspec.json.encode(ready) + b"\n")
+    sys.stdout.flush()
 
 
 def _resources() -> list[Resource]:
@@ -190,3 +207,17 @@
 
 def _digest(token: str) -> str:
     return hashlib.sha256(token.encode()).hexdigest()
+
+
+def _main(arguments: list[str]) -> None:
+    match arguments:
+        case ["echo"]:
+            _serve_echo()
+        case ["gateway"]:
+            _serve_gateway()
+        case ["entry", platform, gossip]:
+            _serve_proxy("entry", platform, (gossip,))
+
+
+if __name__ == "__main__":
+    _main(sys.argv[1:])
