Watch newcomers at once, and let word from the store reach a cut-off region in time

And with two equal regions cut from each other neither holds a majority; word from the few proxies that poll the store travelled one hop a second, slower than the isolation bound.

Change: a newcomer is put at a random place of the present round. A member that sees no majority sends five more pings a second, whose answers carry the store's word. Rankings are kept by zone and database, since a database's zone may change.

Ruled out: more proxies that poll (the store is rate-limited), and ages on one-way datagrams (a delay or freeze would make old word look new).

--- a/src/dewledge/core/membership.py
+++ b/src/dewledge/core/membership.py
@@ -8,10 +8,12 @@
 from collections.abc import Iterable
 from random import Random
 
-from dewledge.core.member import Claim, Member, MemberState, claim_of
+from dewledge.core.isolation import is_majority
+from dewledge.core.member import Member, MemberState, claim_of
 from dewledge.core.membership_broadcast import BroadcastQueue, ByteBudget
+from dewledge.core.membership_contact import ContactPings
 from dewledge.core.membership_dialogue import MembershipDialogue
-from dewledge.core.membership_join import Joiner, gossip_addresses
+from dewledge.core.membership_join import Joiner
 from dewledge.core.membership_messages import (
     MembersChanged,
     MembershipEffect,
@@ -23,6 +25,7 @@
 )
 from dewledge.core.membership_outbox import Outbox
 from dewledge.core.membership_probe import Prober
+from dewledge.core.membership_reconnect import Reconnector
 from dewledge.core.membership_settings import (
     MembershipSettings,
     estimate_reachable,
@@ -37,7 +40,6 @@
 LONGEST_SLEEP = 1.0
 """Seconds: `next_wake` is never further away, so that a longer gap shows a frozen process."""
 
-FORGET_INTERVAL = 60.0
 FAREWELL_FANOUT = 6
 FAILURES_BEFORE_LOG = 10
 
@@ -56,20 +58,29 @@
         queue = BroadcastQueue(budget, self._transmit_limit)
         self._outbox = Outbox(me.name, settings.shared_key, queue)
         self._prober = Prober(me.name, settings, random)
-        self._view = MemberView(me, settings, self._table, queue, self._prober.contacts.forget)
+        self._view = MemberView(
+            me, settings, self._table, queue, self._prober.include, self._prober.contacts.forget
+        )
         self._sync = TableSync(self._view, self._outbox)
         self._joiner = Joiner(settings, random)
+        self._contact_pings = ContactPings()
         self._dialogue = MembershipDialogue(
-            self._view, self._outbox, self._prober, self._sync, self._joiner, settings
+            self._view,
+            self._outbox,
+            self._prober,
+            self._sync,
+            self._joiner,
+            self._contact_pings,
+            settings,
+        )
+        self._reconnector = Reconnector(
+            self._table, self._outbox, self._dialogue, self._sync, self._joiner, settings, random
         )
-        self._listed: dict[str, str] = {}
-        self._seeds: tuple[str, ...] = ()
+        self._has_majority = True
         self._last_call: float | None = None
         self._report_at = 0.0
         self._gossip_at = 0.0
         self._sync_at = 0.0
-        self._reconnect_at = 0.0
-        self._forget_at = 0.0
 
     @property
     def me(self) -> Member:
@@ -101,7 +112,7 @@
         Before anybody has been met, the seeds count too, so that a newcomer alone is no majority.
         """
         known = self._table.known_count
-        return known if known > 1 else max(known, len(self._seeds) + 1)
+        return known if known > 1 else max(known, len(self._reconnector.seeds) + 1)
 
     @property
     def local_revision(self) -> int:
@@ -120,13 +131,12 @@
         """Joins through `seeds` (UDP addresses, which may be out of date)."""
         settings = self._settings
         self._last_call = now
-        self._seeds = tuple(seed for seed in seeds if seed != self.me.gossip_address)
+        others = tuple(seed for seed in seeds if seed != self.me.gossip_address)
         self._view.announce(self.me.state, now)
-        self._joiner.begin(self._seeds, now)
+        self._joiner.begin(others, now)
+        self._reconnector.begin(others, now)
         self._prober.next_at = now + self._random.random() * settings.probe_interval
         self._sync_at = now + self._random.random() * settings.sync_interval
-        self._reconnect_at = now + self._random.random() * settings.reconnect_interval
-        self._forget_at = now + FORGET_INTERVAL
         return self.tick(now)
 
     def handle_datagram(self, data: bytes, address: str, now: float) -> list[MembershipEffect]:
@@ -151,7 +161,9 @@
         self._gossip(now)
         self._join(now)
         self._exchange(now)
-        self._forget(now)
+        self._reconnector.tick(self.me, now)
+        self._has_majority = is_majority(self.reachable_count, self.known_count)
+        self._look_for_contact(now)
         return self._finish(now)
 
     def next_wake(self) -> float:
@@ -162,10 +174,12 @@
             self._dialogue.next_deadline(),
             self._joiner.next_at,
             self._sync_at,
-            self._reconnect_at,
+            self._reconnector.next_at,
         ]
         if self._view.queue:
             times.append(self._gossip_at)
+        if not self._has_majority:
+            times.append(self._contact_pings.next_at)
         if self._view.changed:
             times.append(self._report_at)
         if self._last_call is not None:
@@ -176,12 +190,7 @@
         self, machines: tuple[MachineState, ...], now: float
     ) -> list[MembershipEffect]:
         """Takes the platform's lagging list as a source of seeds, never of truth."""
-        self._listed = gossip_addresses(machines)
-        self._listed.pop(self.me.name, None)
-        if self._table.living_count <= 1 and self._listed:
-            self._seeds = tuple(sorted({*self._seeds, *self._listed.values()}))
-            if self._joiner.is_done:
-                self._joiner.begin(self._seeds, now)
+        self._reconnector.update_machine_list(machines, self.me, now)
         return self.tick(now)
 
     def note_peer_lost(self, name: str, now: float) -> list[MembershipEffect]:
@@ -274,49 +283,26 @@
         if self._joiner.failures == FAILURES_BEFORE_LOG:
             self._outbox.log("join_unanswered", attempts=self._joiner.failures)
         address = self._joiner.choose_seed(self._prober.next_sequence(), now)
-        self._request_pull(address)
-
-    def _request_pull(self, address: str) -> None:
         request = PullRequest(self._joiner.sequence, self._joiner.after)
         self._outbox.send_alone(address, request, (claim_of(self.me, with_location=True),))
 
+    def _look_for_contact(self, now: float) -> None:
+        """Pings one more member while no majority is in reach."""
+        if self._has_majority or now < self._contact_pings.next_at:
+            return
+        self._contact_pings.next_at = now + self._settings.contact_interval
+        for member in self._table.random_living(self._random, self.me.name, 1):
+            sequence = self._prober.next_sequence()
+            self._contact_pings.add(sequence, member.name, now)
+            self._outbox.send(member.gossip_address, Ping(sequence, member.name), now)
+
     def _exchange(self, now: float) -> None:
-        """Compares tables with a random member, and knocks at the door of one that is gone."""
+        """Compares tables with a random member."""
         if now >= self._sync_at:
             interval = self._settings.sync_interval
             self._sync_at = now + interval * self._random.uniform(0.75, 1.25)
             for member in self._table.random_living(self._random, self.me.name, 1):
                 self._sync.request(member.gossip_address)
-        if now >= self._reconnect_at:
-            interval = self._settings.reconnect_interval
-            self._reconnect_at = now + interval * self._random.uniform(0.75, 1.25)
-            self._reconnect(now)
-
-    def _reconnect(self, now: float) -> None:
-        strangers = [name for name in self._listed if self._table.get(name) is None]
-        gone = self._table.random_gone(self._random)
-        if strangers and (gone is None or self._random.random() < 0.5):
-            address = self._listed[self._random.choice(strangers)]
-            self._outbox.send_alone(address, News(), (claim_of(self.me, with_location=True),))
-            self._sync.request(address)
-        elif gone is not None and gone.state is MemberState.DEAD:
-            sequence = self._prober.next_sequence()
-            self._dialogue.reconnect_sequence = sequence
-            doubts: tuple[Claim, ...] = self._view.doubts_about(gone.name)
-            self._outbox.send_alone(gone.gossip_address, Ping(sequence, gone.name), doubts)
-        elif self._table.living_count <= 1 and self._seeds and self._joiner.is_done:
-            self._joiner.begin(self._seeds, now)
-
-    def _forget(self, now: float) -> None:
-        if now < self._forget_at:
-            return
-        self._forget_at = now + FORGET_INTERVAL
-        for name, since in self._table.gone().items():
-            listed = name in self._listed or not self._listed
-            settings = self._settings
-            keep = settings.forget_after if listed else settings.forget_unlisted_after
-            if now - since > keep:
-                self._table.forget(name)
 
     def _finish(self, now: float) -> list[MembershipEffect]:
         if self._view.changed and now >= self._report_at:
--- a/src/dewledge/core/membership_dialogue.py
+++ b/src/dewledge/core/membership_dialogue.py
@@ -1,6 +1,7 @@
 """What membership answers to each kind of datagram."""
 
 from dewledge.core.member import claim_of
+from dewledge.core.membership_contact import ContactPings
 from dewledge.core.membership_join import Joiner
 from dewledge.core.membership_messages import (
     Ack,
@@ -30,7 +31,6 @@
     """Takes in envelopes and answers them.
 
     store_contact: when the store last confirmed our revision, as far as we know.
-    reconnect_sequence: of the latest attempt to reach a member that is gone.
     """
 
     def __init__(
@@ -40,10 +40,12 @@
         prober: Prober,
         sync: TableSync,
         joiner: Joiner,
+        contact_pings: ContactPings,
         settings: MembershipSettings,
     ) -> None:
         self.store_contact = NEVER
-        self.reconnect_sequence = NO_SEQUENCE
+        self._reconnect_sequence = NO_SEQUENCE
+        self._contact_pings = contact_pings
         self._view = view
         self._outbox = outbox
         self._prober = prober
@@ -69,6 +71,14 @@
         for relay in self._relays.expire(now):
             self._outbox.send(relay.address, Nack(relay.sequence), now)
 
+    def begin_reconnect(self) -> int:
+        """Returns the sequence number for a ping to a member that is gone.
+
+        Its answer is followed by an exchange of tables.
+        """
+        self._reconnect_sequence = self._prober.next_sequence()
+        return self._reconnect_sequence
+
     def next_deadline(self) -> float:
         """Returns when the next relayed ping is late, or infinity."""
         return self._relays.next_deadline()
@@ -117,11 +127,16 @@
             if ack.store_age is not None and envelope.sender == probe.target.name:
                 self._note_store_contact(probe.sent_at - ack.store_age, envelope.revision)
             return
+        contact = self._contact_pings.answered(ack.sequence)
         relay = self._relays.answered(ack.sequence)
-        if relay is not None:
+        if contact is not None and contact.name == envelope.sender:
+            self._prober.contacts.note_extra(contact.name, now)
+            if ack.store_age is not None:
+                self._note_store_contact(contact.sent_at - ack.store_age, envelope.revision)
+        elif relay is not None:
             self._outbox.send(relay.address, Ack(relay.sequence), now)
-        elif ack.sequence == self.reconnect_sequence:
-            self.reconnect_sequence = NO_SEQUENCE
+        elif ack.sequence == self._reconnect_sequence:
+            self._reconnect_sequence = NO_SEQUENCE
             self._sync.request(address)
 
     def _note_store_contact(self, at: float, revision: int) -> None:
--- a/src/dewledge/core/membership_probe.py
+++ b/src/dewledge/core/membership_probe.py
@@ -69,6 +69,12 @@
         if answered:
             self.answered_at = now
 
+    def note_extra(self, name: str, now: float) -> None:
+        """Notes an answer to a ping out of turn, which does not weigh against failed probes."""
+        self.answered_at = now
+        if not self._contacts:
+            self._contacts.append(_Contact(name, True))
+
     def forget(self, name: str) -> None:
         """Drops the failures of a member that is now known to be gone."""
         kept = [item for item in self._contacts if item.name != name or item.answered]
@@ -110,6 +116,13 @@
         self._sequence = (self._sequence + 1) & 0xFFFFFFFF
         return self._sequence
 
+    def include(self, name: str) -> None:
+        """Puts a member that has come at a random place in the present round.
+
+        Left for the next round, it would go unwatched for as many seconds as there are members.
+        """
+        self._round.insert(self._random.randint(0, len(self._round)), name)
+
     def hurry(self, name: str) -> None:
         """Puts a member first in line, out of turn."""
         if name not in self._urgent:
--- a/src/dewledge/core/membership_settings.py
+++ b/src/dewledge/core/membership_settings.py
@@ -25,7 +25,8 @@
     forget_after: how long the dead are kept; forget_unlisted_after: if the machine list lacks them.
     pause_threshold: a longer gap between two calls means that this process was frozen.
     contact_window: latest probes by which reachability is judged; contact_silence: without any
-    answer for so long a member counts itself alone.
+    answer for so long a member counts itself alone; contact_interval: between its extra pings
+    while it sees no majority.
     shared_key: authenticates datagrams if not empty.
     """
 
@@ -51,6 +52,7 @@
     pause_threshold: float = 3.0
     contact_window: int = 8
     contact_silence: float = 4.0
+    contact_interval: float = 0.2
     shared_key: bytes = b""
 
 
--- a/src/dewledge/core/membership_view.py
+++ b/src/dewledge/core/membership_view.py
@@ -25,7 +25,7 @@
 class MemberView:
     """The table, the suspicions and the news, kept in step.
 
-    on_gone: called with the name of a member that is now believed gone.
+    on_come, on_gone: called with the name of a member that is now believed to live, or gone.
     changed: whether a member came, went, moved or began to leave since the flag was last lowered;
     a mere suspicion and its refutation do not count.
     refutations: how often this member has had to contradict a claim about itself.
@@ -37,6 +37,7 @@
         settings: MembershipSettings,
         table: MemberTable,
         queue: BroadcastQueue,
+        on_come: Callable[[str], None],
         on_gone: Callable[[str], None],
     ) -> None:
         self.me = me
@@ -45,6 +46,7 @@
         self.suspicions = SuspicionTimers(settings)
         self.changed = False
         self.refutations = 0
+        self._on_come = on_come
         self._on_gone = on_gone
 
     def announce(self, state: MemberState, now: float) -> None:
@@ -69,6 +71,8 @@
             self.queue.add(claim)
         if believed.is_gone:
             self._on_gone(believed.name)
+        elif member is None or member.is_gone:
+            self._on_come(believed.name)
         self.changed = self.changed or _is_notable(member, believed)
         return True
 
--- a/src/dewledge/core/placement.py
+++ b/src/dewledge/core/placement.py
@@ -19,6 +19,9 @@
 RANKING_LENGTH = 3
 """How many proxies a database ranks: the active one, the next, and one in reserve."""
 
+Rankings = dict[tuple[str, str], tuple[str, ...]]
+"""Rankings by zone and name of the database: its zone may change, and its ranking with it."""
+
 NO_ZONE = ""
 """Stands for the ranking over members of all zones."""
 
@@ -77,10 +80,11 @@
         own_zone = self._zones.get(spec.zone, ())
         zone = spec.zone if len(own_zone) >= RANKING_LENGTH else NO_ZONE
         cache = self._rankings[zone]
-        ranking = cache.get(database)
+        key = (spec.zone, database)
+        ranking = cache.get(key)
         if ranking is None:
             ranking = self._compute(database, own_zone, zone)
-            cache[database] = ranking
+            cache[key] = ranking
         return ranking
 
     def _compute(self, database: str, own_zone: tuple[str, ...], zone: str) -> tuple[str, ...]:
@@ -116,7 +120,7 @@
 
 def _lend(
     previous: GatewayPlacement | None, zone: str, zones: dict[str, tuple[str, ...]]
-) -> dict[str, tuple[str, ...]]:
+) -> Rankings:
     """Returns the earlier rankings of a zone if they still hold, else an empty cache."""
     if previous is None or previous._zones.get(zone) != zones[zone]:
         return {}
--- a/src/dewledge/scale/hollow_node.py
+++ b/src/dewledge/scale/hollow_node.py
@@ -104,6 +104,11 @@
         """Takes a change as the proxy that got it accepted by the store."""
         self._run(lambda: self._carry_spread(self.spread.adopt_change(change, now), now))
 
+    def note_store_contact(self, now: float) -> None:
+        """Takes word from the store that the revision in force is its head."""
+        self.membership.note_store_contact(now)
+        self.guard.note_store_contact(now)
+
     def leave(self, now: float) -> None:
         """Announces a planned stop."""
         self._run(lambda: self._carry(self.membership.leave(now), now))
