--- a/src/dewledge/core/membership.py
+++ b/src/dewledge/core/membership.py
@@ -294,7 +294,7 @@
         for member in self._table.random_living(self._random, self.me.name, 1):
             sequence = self._prober.next_sequence()
             self._contact_pings.add(sequence, member.name, now)
-            self._outbox.send(member.gossip_address, Ping(sequence, member.name), now)
+            self._outbox.send_alone(member.gossip_address, Ping(sequence, member.name))
 
     def _exchange(self, now: float) -> None:
         """Compares tables with a random member."""
--- a/src/dewledge/core/membership_messages.py
+++ b/src/dewledge/core/membership_messages.py
@@ -5,6 +5,7 @@
 """
 
 import hmac
+from typing import Annotated
 
 import cbor2
 import msgspec
@@ -25,6 +26,10 @@
 MAX_CLAIM_BYTES = MAX_DATAGRAM_BYTES - AUTHENTICATION_BYTES - ENVELOPE_BYTES
 
 
+Age = Annotated[float, msgspec.Meta(ge=0.0)]
+"""Seconds; never negative, so that no peer can date its word into the future."""
+
+
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
     """Asks `target` to answer; another process at its address stays silent."""
 
@@ -36,7 +41,7 @@
     """Answers a ping. store_age: seconds since the store last confirmed the sender's revision."""
 
     sequence: int
-    store_age: float | None = None
+    store_age: Age | None = None
 
 
 class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
--- a/tests/core/test_membership_messages.py
+++ b/tests/core/test_membership_messages.py
@@ -12,10 +12,15 @@
     MAX_DATAGRAM_BYTES,
     MEMBERSHIP_VERSION,
     Ack,
+    Body,
     Envelope,
+    Nack,
     Ping,
+    PingRequest,
     PullAnswer,
+    PullRequest,
     SendDatagram,
+    SyncAnswer,
     SyncRequest,
     decode_datagram,
     encode_datagram,
@@ -34,6 +39,30 @@
 ]
 
 
+NAMES = st.sampled_from([f"proxy-{number}" for number in range(1, 6)])
+LOCATIONS = st.builds(Location, st.just("p:1"), st.text(max_size=20), st.text(max_size=20))
+CLAIMS = st.builds(
+    Claim,
+    NAMES,
+    st.integers(0, 2**60),
+    st.sampled_from(MemberState),
+    st.none() | LOCATIONS,
+    st.none() | NAMES,
+)
+ENTRIES = st.lists(CLAIMS, max_size=8).map(tuple)
+SEQUENCES = st.integers(-1, 2**24)
+ANY_BODY = st.one_of(
+    st.builds(Ping, SEQUENCES, NAMES),
+    st.builds(Ack, SEQUENCES, st.none() | st.floats()),
+    st.builds(PingRequest, SEQUENCES, NAMES),
+    st.builds(Nack, SEQUENCES),
+    st.builds(PullRequest, SEQUENCES, st.text(max_size=20)),
+    st.builds(PullAnswer, SEQUENCES, ENTRIES, st.booleans()),
+    st.builds(SyncRequest, st.binary(max_size=300)),
+    st.builds(SyncAnswer, st.binary(max_size=20), ENTRIES),
+)
+
+
 def new_membership(key: bytes = b"") -> Membership:
     me = Member("proxy-1", "10.0.0.1:7001", "10.0.0.1:7002", "north-0", 1)
     membership = Membership(me, MembershipSettings(shared_key=key), Random(1))
@@ -90,6 +119,30 @@
         membership.handle_datagram(bytes(data), "10.0.0.9:7002", 0.1)
         membership.tick(0.2)
 
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(st.tuples(NAMES, ANY_BODY, ENTRIES), max_size=6))
+    def test_no_sequence_of_wild_claims_breaks_a_member(
+        self, arrivals: list[tuple[str, Body, tuple[Claim, ...]]]
+    ) -> None:
+        membership = new_membership()
+        now = 0.1
+        for sender, body, claims in arrivals:
+            envelope = Envelope(MEMBERSHIP_VERSION, sender, 1, body, claims)
+            effects = membership.handle_datagram(encode_datagram(envelope), "a:1", now)
+            effects += membership.tick(now)
+            sent = [item for item in effects if isinstance(item, SendDatagram)]
+            self.assertLessEqual(max((len(item.data) for item in sent), default=0), 1400)
+            self.assertGreater(membership.next_wake(), now)
+            now = min(membership.next_wake(), now + 0.3)
+        self.assertEqual(membership.me.state, MemberState.ALIVE)
+        self.assertIn(membership.me, membership.members)
+
+    def test_an_age_below_zero_is_refused(self) -> None:
+        for age in (-1.0, float("-inf"), float("nan")):
+            with self.subTest(age=age), self.assertRaises(ProtocolError):
+                envelope = Envelope(MEMBERSHIP_VERSION, "a", 1, Ack(1, age))
+                decode_datagram(encode_datagram(envelope))
+
     def test_every_datagram_is_bounded_even_with_the_longest_names(self) -> None:
         membership = new_membership(KEY)
         sent: list[SendDatagram] = []
