End a transaction once its primary is seen replaced

Cause: a statement of an open transaction on a primary that callers cannot reach waited for its whole deadline and ended unknown (connection_lost), although the gateway saw the later term half a second after the cut.

Change: when a status round shows another primary in a later term, the gateway ends its writing transactions: a running statement is not run (transaction_lost), later operations are told the same, the connection is discarded. A COMMIT under way becomes unknown at once if the database left its last status read unanswered; else its own answer is awaited.

Why "not run" is true: work of a transaction takes effect by its COMMIT alone, only this gateway could send it, and it closes the connection instead. The later term alone would not prove it; it only tells that waiting is of no use. The port now says that text which ends a transaction must be refused (the stand-in does).

Ruled out: ending a COMMIT on any later term (a demoted database that answers would have its "not run" turned into "unknown"); ending reading transactions, since a replica serves them through a change of primary.

--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -71,6 +71,7 @@
             self._transaction_rate,
             self._dispatch,
         )
+        monitor.on_primary(name, self._transactions.handle_primary)
         self._statements = self._new_waiting_room(self._rate)
         self._begins = self._new_waiting_room(self._transaction_rate)
         self.role = GatewayRole.RELEASED
--- a/src/dewledge/core/gateway_transactions.py
+++ b/src/dewledge/core/gateway_transactions.py
@@ -14,7 +14,7 @@
 from dewledge.core.jobs import JobDone, JobNotRun, JobResult, JobUnknown
 from dewledge.core.running_jobs import RunningJobs
 from dewledge.core.statement_conclusion import StatementConclusion
-from dewledge.core.transactions import Transaction, TransactionTable
+from dewledge.core.transactions import RunningOperation, Transaction, TransactionTable
 from dewledge.errors import ErrorCode
 
 ROLLBACK_TIMEOUT = 1.0
@@ -82,7 +82,6 @@
         if request.deadline <= now:
             self._registry.not_run(request, ErrorCode.DEADLINE_EXCEEDED)
             return
-        transaction.busy = True
         self._context.cancel(transaction.idle_timer)
         timeout = self._timeout(request, now)
         operation = request.message.operation
@@ -97,7 +96,19 @@
         def ended(result: JobResult, at: float) -> None:
             self._operation_ended(request, transaction, term_before, result, at)
 
-        self._jobs.start(transaction.connection, request.message, timeout, ended, now)
+        job_id = self._jobs.start(transaction.connection, request.message, timeout, ended, now)
+        transaction.running = RunningOperation(request, job_id)
+
+    def handle_primary(self, primary: str, term: int, now: float) -> None:
+        """Ends the writing transactions whose database was replaced by `primary` in a later term.
+
+        They can never be committed, and their database may be one that does not answer any more.
+        """
+        if primary == self._database:
+            return
+        for transaction in list(self._open.values()):
+            if transaction.wrote and transaction.term < term:
+                self._end_replaced(transaction, now)
 
     def bound_all(self, limit: float, code: ErrorCode, now: float) -> None:
         """Gives every open transaction `limit` more seconds; later operations are told `code`."""
@@ -143,7 +154,10 @@
     ) -> None:
         message = request.message
         wrote = message.access is Access.WRITE
-        transaction = self._table.begin(message.caller, self._database, connection, wrote, now)
+        term = max(result.position.term, term_before)
+        transaction = self._table.begin(
+            message.caller, self._database, connection, wrote, term, now
+        )
         self._open[transaction.transaction_id] = transaction
         settings = self._context.settings
         lost = ErrorCode.TRANSACTION_LOST
@@ -201,7 +215,7 @@
         result: JobResult,
         now: float,
     ) -> None:
-        transaction.busy = False
+        transaction.running = None
         operation = request.message.operation
         if operation is Operation.COMMIT:
             self._commit_ended(request, transaction, term_before, result, now)
@@ -268,6 +282,30 @@
         else:
             self._registry.done(request, self._database, result)
 
+    def _end_replaced(self, transaction: Transaction, now: float) -> None:
+        """Ends a transaction of a replaced primary, and answers its operation if one is running.
+
+        "Not run" is true whatever the database does: only this gateway could send the COMMIT, it
+        never will, and closing the connection rolls back. A COMMIT that was sent may have taken
+        effect before; its own answer says more, so it is awaited while the database answers.
+        """
+        code = ErrorCode.TRANSACTION_LOST
+        running = transaction.running
+        commits = running is not None and transaction.commit_sent
+        if commits and self._monitor.statuses.status(self._database) is not None:
+            return
+        self._context.log("transaction_ended", database=self._database, code=code.value)
+        if running is not None:
+            self._jobs.abandon(running.job_id)
+        self._end(transaction, code, now)
+        message = "the database was replaced as primary"
+        if running is None:
+            return
+        if commits:
+            self._registry.unknown(running.request, ErrorCode.CONNECTION_LOST, message)
+        else:
+            self._registry.not_run(running.request, code, message)
+
     def _arm_idle_timer(self, transaction: Transaction, now: float) -> None:
         self._context.cancel(transaction.idle_timer)
         limit = self._context.settings.transaction_idle_limit
--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -56,6 +56,7 @@
         self._latest: StatusRound | None = None
         self._seen: StatusRound | None = None
         self._on_answer: dict[str, Callable[[float], None]] = {}
+        self._on_primary: dict[str, Callable[[str, int, float], None]] = {}
         self._last_waiter = 0
         self._retry_pause = 0.0
         self._heartbeat_timer: Timer | None = None
@@ -162,6 +163,10 @@
         """Calls `callback(now)` whenever `database` answered a status round."""
         self._on_answer[database] = callback
 
+    def on_primary(self, database: str, callback: Callable[[str, int, float], None]) -> None:
+        """Calls `callback(primary, term, now)` whenever a round shows a primary; for `database`."""
+        self._on_primary[database] = callback
+
     def answer_status(self, peer: str, message: GroupStatusRequest, now: float) -> None:
         """Answers from the cache if it will do, else after a round that starts from now on."""
         if not message.fresh and self._cache_is_recent(now):
@@ -193,6 +198,10 @@
         if status_round.primary is None and self._active and self._in_use(now):
             self._rounds.want_at(now + self._next_search_pause(), now)
         self._note_primary(status_round.primary)
+        if status_round.primary is not None:
+            term = status_round.statuses[status_round.primary].term
+            for callback in self._on_primary.values():
+                callback(status_round.primary, term, now)
 
     def _on_abandoned(self, status_round: StatusRound, now: float) -> None:
         self._answer_status_waiters(status_round, now)
--- a/src/dewledge/core/ports.py
+++ b/src/dewledge/core/ports.py
@@ -29,7 +29,11 @@
 
     @abstractmethod
     def execute(self, statement: Statement, access: Access, timeout: float) -> ExecutionResult:
-        """Runs one statement, in the open transaction if there is one, else on its own."""
+        """Runs one statement, in the open transaction if there is one, else on its own.
+
+        A statement whose text begins or ends a transaction must be refused: work in a transaction
+        takes effect by `commit` alone.
+        """
 
     @abstractmethod
     def begin(self, timeout: float) -> ExecutionResult:
--- a/src/dewledge/core/running_jobs.py
+++ b/src/dewledge/core/running_jobs.py
@@ -61,8 +61,8 @@
         timeout: float,
         on_end: Callable[[JobResult, float], None],
         now: float,
-    ) -> None:
-        """Orders a job; `on_end(result, now)` is called once, with what the shell reported.
+    ) -> int:
+        """Orders a job and returns its id; `on_end(result, now)` is called once, with its result.
 
         A job that the shell never reports ends as unknown, some time after its timeout.
         """
@@ -81,6 +81,14 @@
         slow_at = now + min(self._context.settings.slow_job, timeout)
         running.timer = self._context.call_at(slow_at, lambda at: self._note_slow(running, at))
         self._context.emit(RunJob(job))
+        return job.job_id
+
+    def abandon(self, job_id: int) -> None:
+        """Stops waiting for a job; its result, should it still come, is dropped."""
+        running = self._running.pop(job_id, None)
+        self._context.job_owners.pop(job_id, None)
+        if running is not None:
+            self._context.cancel(running.timer)
 
     def handle_result(self, result: JobResult, now: float) -> None:
         """Ends the job; a late or doubled result finds none and is dropped."""
--- a/src/dewledge/core/transactions.py
+++ b/src/dewledge/core/transactions.py
@@ -10,17 +10,26 @@
 import msgspec
 
 from dewledge.core.gateway_context import Timer
+from dewledge.core.gateway_request import GatewayRequest
 from dewledge.core.transaction_ids import make_transaction_id
 from dewledge.errors import ErrorCode
 
 SECRET_BITS = 128
 
 
+class RunningOperation(msgspec.Struct, frozen=True):
+    """An operation of a transaction that its database has not answered yet."""
+
+    request: GatewayRequest
+    job_id: int
+
+
 class Transaction:
     """One open transaction.
 
+    term: the least term in which its database can have been when it began.
     began_at: on the core's clock.
-    busy: an operation is running on its connection.
+    running: the operation that runs on its connection, or None.
     wrote: its commit has to be confirmed.
     ending: why it must end as soon as its running operation has ended, or None.
     """
@@ -29,13 +38,14 @@
         "age_timer",
         "began_at",
         "bound_timer",
-        "busy",
         "caller",
         "commit_sent",
         "connection",
         "database",
         "ending",
         "idle_timer",
+        "running",
+        "term",
         "transaction_id",
         "wrote",
     )
@@ -47,6 +57,7 @@
         database: str,
         connection: int,
         wrote: bool,
+        term: int,
         began_at: float,
     ) -> None:
         self.transaction_id = transaction_id
@@ -54,14 +65,20 @@
         self.database = database
         self.connection = connection
         self.wrote = wrote
+        self.term = term
         self.began_at = began_at
-        self.busy = False
+        self.running: RunningOperation | None = None
         self.commit_sent = False
         self.ending: ErrorCode | None = None
         self.idle_timer: Timer | None = None
         self.age_timer: Timer | None = None
         self.bound_timer: Timer | None = None
 
+    @property
+    def busy(self) -> bool:
+        """Whether an operation is running on its connection."""
+        return self.running is not None
+
 
 class EndedTransaction(msgspec.Struct, frozen=True):
     """What is left of a transaction: whose it was, why it ended, and if a commit had been sent."""
@@ -85,12 +102,12 @@
         return len(self._open)
 
     def begin(
-        self, caller: str, database: str, connection: int, wrote: bool, now: float
+        self, caller: str, database: str, connection: int, wrote: bool, term: int, now: float
     ) -> Transaction:
         """Opens a transaction under a new id that nobody can guess."""
         secret = f"{self._random.getrandbits(SECRET_BITS):032x}"
         transaction_id = make_transaction_id(self._gateway, secret)
-        transaction = Transaction(transaction_id, caller, database, connection, wrote, now)
+        transaction = Transaction(transaction_id, caller, database, connection, wrote, term, now)
         self._open[transaction_id] = transaction
         return transaction
 
--- a/tests/core/test_transactions.py
+++ b/tests/core/test_transactions.py
@@ -8,6 +8,7 @@
 from dewledge.core.positions import LogPosition
 from dewledge.errors import ErrorCode
 from tests.core.gateway_harness import (
+    DATABASES,
     PRIMARY,
     FixedPlacement,
     FixedPolicy,
@@ -96,6 +97,76 @@
                 self.assertEqual(harness.outcome(key), expected)
 
 
+class Replaced(NamedTuple):
+    """A primary is replaced while a transaction on it is open.
+
+    running: the operation that it never answers, None if the transaction is idle.
+    reachable: its status is still read. term: the one in which the new primary is.
+    answer, repeated: what the running operation and a later COMMIT are told.
+    """
+
+    name: str
+    running: Operation | None
+    reachable: bool
+    term: int
+    answer: str
+    repeated: str
+
+
+GONE = "unknown: connection_lost"
+BUSY = "not run: transaction_busy"
+REPLACED = (
+    Replaced("statement, unreachable", EXECUTE, False, 2, LOST, LOST),
+    Replaced("statement, reachable", EXECUTE, True, 2, LOST, LOST),
+    Replaced("rollback, unreachable", ROLLBACK, False, 2, LOST, LOST),
+    Replaced("commit, unreachable", COMMIT, False, 2, GONE, MAYBE),
+    Replaced("commit, reachable", COMMIT, True, 2, "waiting", BUSY),
+    Replaced("idle", None, False, 2, "", LOST),
+    Replaced("statement, term no later", EXECUTE, False, 1, "waiting", BUSY),
+)
+
+
+class ReplacedPrimaryTest(unittest.TestCase):
+    def test_ends_as_soon_as_a_later_term_is_seen(self) -> None:
+        for row in REPLACED:
+            with self.subTest(row.name):
+                harness = ready()
+                transaction = harness.begin()
+                connection = harness.every_job[-1].connection_id
+                running = row.running
+                key = running and harness.send(Access.WRITE, running, transaction=transaction)
+                late = list(harness.jobs)
+                self.replace_primary(harness, row)
+                if key is not None:
+                    self.assertEqual(harness.outcome(key), row.answer)
+                self.assertEqual(connection in harness.closed, row.answer != "waiting")
+                repeated = harness.send(Access.WRITE, COMMIT, transaction=transaction)
+                self.assertEqual(harness.outcome(repeated), row.repeated)
+                if row.answer not in ("", "waiting"):
+                    harness.finish(late[0])
+                    self.assertTrue(harness.gateway.is_idle)
+
+    def replace_primary(self, harness: GatewayHarness, row: Replaced) -> None:
+        """Answers the next round, the old primary last."""
+        harness.run_until(harness.now + 0.6)
+        status_round = harness.rounds.pop()
+        for name in DATABASES[1:]:
+            harness.read(status_round, name, term=row.term, primary="cases-2")
+        if row.reachable:
+            harness.read(status_round, PRIMARY, term=1)
+        else:
+            harness.read_status(status_round, PRIMARY, None)
+
+    def test_reading_transaction_on_a_replica_goes_on(self) -> None:
+        harness = ready()
+        key = harness.send(Access.READ, Operation.BEGIN, database="cases-3")
+        harness.finish()
+        transaction = harness.answer(key).transaction
+        running = harness.send(Access.READ, database="cases-3", transaction=transaction)
+        self.replace_primary(harness, REPLACED[0])
+        self.assertEqual(harness.outcome(running), "waiting")
+
+
 class IsolationTest(unittest.TestCase):
     def test_every_operation_runs_on_its_own_connection(self) -> None:
         harness = ready()
