Log a database that cannot be connected to at once, then once a minute

Cause: connection_open_failed came for each failed try, about once a second for each database and proxy, without limit while a database is away.

Change: OpenFailureLog logs the first failure, then at most one line a minute with the failures since the line before, and connection_opened_again when an open succeeds. The bound also holds for failures that come and go; so a second outage within the minute is told at its end.

Ruled out: a line at once for each new outage, since at the connection limit opens fail and succeed in turn and would log without limit again.

--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -16,6 +16,7 @@
 from dewledge.core.gateway_transactions import GatewayTransactions
 from dewledge.core.group_monitor import GroupMonitor
 from dewledge.core.jobs import JobDone, JobNotRun, JobResult, JobUnknown
+from dewledge.core.open_failure_log import OpenFailureLog
 from dewledge.core.resources import DatabaseSpec
 from dewledge.core.running_jobs import RunningJobs
 from dewledge.core.statement_conclusion import StatementConclusion
@@ -53,7 +54,8 @@
         self._connection_bound = 0
         self._running_statements = 0
         self._begin_next = True
-        self._pool = ConnectionPool(context, name, self._dispatch, self._open_failed)
+        self._open_failures = OpenFailureLog(context, name)
+        self._pool = ConnectionPool(context, name, self._opened, self._open_failed)
         monitor.on_answer(name, self._pool.retry_soon)
         self._jobs = RunningJobs(context, monitor.look_again)
         self._conclusion = StatementConclusion(name, registry, monitor)
@@ -309,8 +311,12 @@
         else:
             self._conclusion.conclude_write(request, result, term_before, now)
 
+    def _opened(self, now: float) -> None:
+        self._open_failures.note_success()
+        self._dispatch(now)
+
     def _open_failed(self, code: ErrorCode, now: float) -> None:
-        self._context.log("connection_open_failed", database=self.name, code=code.value)
+        self._open_failures.note_failure(code, now)
         if code is ErrorCode.CONNECTION_LIMIT or self._pool.open_count:
             return
         self._refuse_waiting(UNREACHABLE)
