Record connection peaks by database, and whether a read had a floor

A naive variant may submit a request again after a pause, and a group may be watched more closely than every 10 ms, for exact election times.

--- a/src/dewledge/simulation/callers.py
+++ b/src/dewledge/simulation/callers.py
@@ -7,7 +7,7 @@
 
 from dewledge.core.calls import Access, CallerAnswer, CallerRequest, Operation, Outcome, Statement
 from dewledge.core.database_status import DatabaseRole
-from dewledge.core.positions import satisfies
+from dewledge.core.positions import LogPosition, satisfies
 from dewledge.core.session_token import SessionTokenCodec
 from dewledge.simulation.core_factory import session_codec
 from dewledge.simulation.history import RequestRecord
@@ -111,6 +111,7 @@
         links = self._world.deployment.links
         wait = group.read_wait if group is not None else 0.0
         token = session.token
+        record.has_floor = self._floor(token, record) is not None
         look = lambda: self._look_for_fresh_replica(token, record)  # noqa: E731
         queue.call_after(links.to_clients, look)
         queue.call_after(links.to_clients + links.within_zone + wait, look)
@@ -119,7 +120,7 @@
         if record.fresh_replica:
             return
         model = self._world.groups[record.group]
-        floor = self._codec.open(token, record.caller).floor(record.group) if token else None
+        floor = self._floor(token, record)
         for database in model.databases:
             status = model.status(database.name, self._world.queue.now)
             if status is None or status.role is DatabaseRole.PRIMARY:
@@ -127,6 +128,9 @@
             if floor is None or satisfies(status.applied, floor, status.term_starts):
                 record.fresh_replica = True
 
+    def _floor(self, token: str | None, record: RequestRecord) -> LogPosition | None:
+        return self._codec.open(token, record.caller).floor(record.group) if token else None
+
 
 class _Exchange:
     """One request on its way to a proxy and back."""
--- a/src/dewledge/simulation/database_server.py
+++ b/src/dewledge/simulation/database_server.py
@@ -129,6 +129,8 @@
     def _note_connections(self) -> None:
         count = self.model.open_sessions(self.name)
         self._history.peak_connections = max(self._history.peak_connections, count)
+        peaks = self._history.peak_connections_by_database
+        peaks[self.name] = max(peaks.get(self.name, 0), count)
 
     def _close_now(self, session: int) -> None:
         self._in_transaction.discard(session)
--- a/src/dewledge/simulation/group_watch.py
+++ b/src/dewledge/simulation/group_watch.py
@@ -6,13 +6,20 @@
 from dewledge.standin.group_model import GroupModel
 
 WATCH_INTERVAL = 0.010
-"""Seconds between two looks; an election is recorded at most this much late."""
+"""Seconds between two looks, by default; an election is recorded at most this much late."""
 
 
 class GroupWatch:
     """Keeps the models moving and records their elections; reads their logs at the end."""
 
-    def __init__(self, queue: EventQueue, groups: dict[str, GroupModel], history: History) -> None:
+    def __init__(
+        self,
+        queue: EventQueue,
+        groups: dict[str, GroupModel],
+        history: History,
+        interval: float = WATCH_INTERVAL,
+    ) -> None:
+        self._interval = interval
         self._queue = queue
         self._groups = groups
         self._history = history
@@ -22,7 +29,7 @@
         """Begins to look at regular intervals."""
         for group, model in self._groups.items():
             self._known[group] = model.primaries()
-        self._queue.call_after(WATCH_INTERVAL, self._look)
+        self._queue.call_after(self._interval, self._look)
 
     def collect_commits(self) -> None:
         """Records every commit of every group, and whether it survives."""
@@ -50,4 +57,4 @@
                 term = status.term if status is not None else 0
                 self._history.elections.append(ElectionRecord(group, database, now, term))
             self._known[group] = primaries
-        self._queue.call_after(WATCH_INTERVAL, self._look)
+        self._queue.call_after(self._interval, self._look)
--- a/src/dewledge/simulation/history.py
+++ b/src/dewledge/simulation/history.py
@@ -20,6 +20,7 @@
     seen_version: what a read returned.
     transaction_tag: unique to the caller's transaction.
     fresh_replica: some replica could have served this read, judged from outside.
+    has_floor: a read was sent with a floor for its group, from an earlier answer.
     """
 
     number: int
@@ -47,6 +48,7 @@
     reset: bool = False
     answers: int = 0
     fresh_replica: bool = False
+    has_floor: bool = False
 
 
 class CommitRecord(msgspec.Struct, frozen=True):
@@ -137,4 +139,5 @@
     stops: list[StopRecord] = []
     refused_connections: int = 0
     peak_connections: int = 0
+    peak_connections_by_database: dict[str, int] = {}
     ended_at: float = 0.0
--- a/src/dewledge/simulation/simulated_proxy.py
+++ b/src/dewledge/simulation/simulated_proxy.py
@@ -197,9 +197,17 @@
         self._proposals[change.change_id] = reply
         self._handle(lambda core, now: core.propose(change, now))
 
-    def submit_again(self, request: CallerRequest) -> None:
-        """Gives the core a request once more, for a naive variant."""
-        self._handle(lambda core, now: core.handle_call(request, now))
+    def submit_again(self, request: CallerRequest, delay: float = 0.0) -> None:
+        """Gives the core a request once more, `delay` seconds later, for a naive variant."""
+        run = self._reporter()
+
+        def submit() -> None:
+            run(lambda core, now: core.handle_call(request, now))
+
+        if delay > 0.0:
+            self._world.queue.call_after(delay, submit)
+        else:
+            submit()
 
     def report_job(self, result: JobResult) -> None:
         """Reports a job that was not run, for a naive variant."""
