--- a/src/dewledge/simulation/faults.py
+++ b/src/dewledge/simulation/faults.py
@@ -17,7 +17,7 @@
 REORDER_DELAY = 0.2
 STORE_SLOWNESS = 1.0
 REPLICA_LAG = 3.0
-SLOW_DATABASE_FACTOR = 20.0
+SLOW_DATABASE_FACTOR = 40.0
 LOST_ANSWERS = 3
 
 
@@ -40,6 +40,7 @@
     GATEWAY_KILLED = "gateway of the primary killed and restarted"
     GATEWAY_FROZEN = "gateway of the primary frozen"
     GATEWAY_CUT = "gateway of the primary cut off from its databases"
+    GATEWAY_STOPPED = "gateway of the primary stopped as planned and restarted"
     PROXY_KILLED = "some proxy killed and restarted"
     PROXY_FROZEN = "some proxy frozen"
     PROXY_CUT = "some proxy cut off from the others and the store"
@@ -49,6 +50,7 @@
     STORE_ANSWER_LOST = "answer of the store lost"
     DATABASE_DRAINED = "a replica drained"
     PRIMARY_DRAINED = "the primary drained"
+    TWO_CHANGES = "two operators change one label at once"
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -184,7 +186,7 @@
                 proxy.begin_absence()
                 end = self._cut(proxy, [*self._world.proxies])
                 return lambda: self._rejoin(proxy, end)
-            case FaultKind.PROXY_STOPPED:
+            case FaultKind.GATEWAY_STOPPED | FaultKind.PROXY_STOPPED:
                 proxy.stop()
                 return proxy.restart_when_ended
             case _:
@@ -222,6 +224,10 @@
             case FaultKind.DATABASE_DRAINED | FaultKind.PRIMARY_DRAINED:
                 self._drain(kind is FaultKind.PRIMARY_DRAINED)
                 return lambda: None
+            case FaultKind.TWO_CHANGES:
+                for number in range(2):
+                    self._label_caller(f"operator-{number}")
+                return lambda: None
             case _:
                 return None
 
@@ -230,10 +236,20 @@
         current = self._world.primary_of(group)
         names = [item.name for item in self._world.groups[group].databases]
         database = next(name for name in names if (name == current) == primary)
-        self._changes += 1
         label = LabelChange(ResourceKey(Kind.DATABASE, database), ((DRAIN_LABEL, "true"),))
-        change = ProposedChange(f"drain-{self._changes}", "operator", labels=(label,))
-        self._world.propose(self._random.choice(self._world.running_proxies()), change)
+        self._propose("operator", label)
+
+    def _label_caller(self, operator: str) -> None:
+        """Proposes a change that is only accepted if nobody else's comes first."""
+        caller = ResourceKey(Kind.CALLER, self._world.deployment.callers[0])
+        self._propose(operator, LabelChange(caller, (("changed-by", operator),)), exclusive=True)
+
+    def _propose(self, operator: str, label: LabelChange, exclusive: bool = False) -> None:
+        proxy = self._random.choice(self._world.running_proxies())
+        base = self._world.proxies[proxy].core.configuration.revision if exclusive else None
+        self._changes += 1
+        change = ProposedChange(f"change-{self._changes}", operator, base, labels=(label,))
+        self._world.propose(proxy, change)
 
     def _gateway(self) -> SimulatedProxy:
         group = next(iter(self._world.groups))
@@ -246,5 +262,10 @@
 
 
 GATEWAY_FAULTS = frozenset(
-    {FaultKind.GATEWAY_KILLED, FaultKind.GATEWAY_FROZEN, FaultKind.GATEWAY_CUT}
+    {
+        FaultKind.GATEWAY_KILLED,
+        FaultKind.GATEWAY_FROZEN,
+        FaultKind.GATEWAY_CUT,
+        FaultKind.GATEWAY_STOPPED,
+    }
 )
