--- a/src/dewledge/bench/__init__.py
+++ b/src/dewledge/bench/__init__.py
@@ -1,1 +1,1 @@
-"""The experiment tool: load, scenarios, baselines and reports."""
+"""The experiment tool: the two measures of the brief, on the simulator, beside naive baselines."""
