--- a/src/dewledge/shell/cost_callers.py
+++ b/src/dewledge/shell/cost_callers.py
@@ -67,6 +67,7 @@
     for sock in sockets:
         loop.unwatch(sock)
         sock.close()
+    loop.close()
 
 
 def hold_idle(address: str, wanted: int) -> list[int]:
--- a/src/dewledge/shell/event_loop.py
+++ b/src/dewledge/shell/event_loop.py
@@ -89,19 +89,25 @@
         """Runs until `stop` is called, then closes the loop."""
         while not self._stopping:
             self.run_once()
-        self._close()
+        self.close()
 
     def stop(self) -> None:
         """Ends `run` after the work at hand. May be called from any thread."""
         self.post(self._mark_stopping)
 
+    def close(self) -> None:
+        """Gives up the loop's own resources; `run` does so at its end."""
+        self._selector.close()
+        self._wake_reader.close()
+        self._wake_writer.close()
+
     def run_once(self) -> None:
         """Waits once for anything to do, and does it."""
+        for key, events in self._wait():
+            self._call(key.data, events)
         self._run_due_timers()
         self._run_posted()
         self._run_before_sleep()
-        for key, events in self._wait():
-            self._call(key.data, events)
 
     def _wait(self) -> list[tuple[selectors.SelectorKey, int]]:
         # Threads look at `_asleep` after appending, so the flag goes up before the last look.
@@ -154,8 +160,3 @@
 
     def _mark_stopping(self) -> None:
         self._stopping = True
-
-    def _close(self) -> None:
-        self._selector.close()
-        self._wake_reader.close()
-        self._wake_writer.close()
