--- a/src/dewledge/scale/report.py
+++ b/src/dewledge/scale/report.py
@@ -74,6 +74,8 @@
         "snapshot: decode": f"{costs.snapshot_decode * 1000:.1f} ms",
         "snapshot: size": f"{costs.snapshot_bytes / KIBIBYTE:.0f} KiB",
     }
+    rows["group view: bytes"] = f"{costs.group_view_bytes} B"
+    rows["group view: codec, both ends"] = f"{costs.group_view_codec / MICROSECOND:.0f} us"
     for size, memory in report.memory.items():
         rows[f"membership of {size}"] = f"{memory.membership / KIBIBYTE:.0f} KiB"
         rows[f"configuration, {size} members"] = f"{memory.configuration / KIBIBYTE:.0f} KiB"
--- a/src/dewledge/scale/run.py
+++ b/src/dewledge/scale/run.py
@@ -1,5 +1,6 @@
 """A scale run: hollow nodes in all scenarios, unit costs, memory, and a few real nodes beside."""
 
+import gc
 import time
 from collections.abc import Callable, Sequence
 
@@ -43,7 +44,24 @@
     """Runs everything in turn; `progress` is told what comes next.
 
     Scenarios follow one another on one cluster, so that each begins where the last has left it.
+    The cycle collector rests meanwhile: it would walk the state of all nodes at the cost of one.
     """
+    was_collecting = gc.isenabled()
+    gc.disable()
+    try:
+        return _run(nodes, seed, scenarios, progress, real_seconds)
+    finally:
+        if was_collecting:
+            gc.enable()
+
+
+def _run(
+    nodes: int,
+    seed: int,
+    scenarios: Sequence[Scenario],
+    progress: Callable[[str], None],
+    real_seconds: float,
+) -> ScaleReport:
     begun = time.monotonic()
     configuration = full_configuration()
     progress("baseline, unit costs, memory")
--- a/src/dewledge/scale/unit_costs.py
+++ b/src/dewledge/scale/unit_costs.py
@@ -9,13 +9,18 @@
 from dewledge.core.configuration import Configuration
 from dewledge.core.configuration_codec import decode_snapshot, encode_snapshot
 from dewledge.core.configuration_spread import with_changes
+from dewledge.core.database_status import DatabaseRole, DatabaseStatus
+from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest, decode, encode
 from dewledge.core.placement import GatewayPlacement
+from dewledge.core.positions import LogPosition, TermStart
+from dewledge.scale.hollow_network import MESSAGE_OVERHEAD
 from dewledge.scale.memory import founders
 from dewledge.scale.workload import drain_change
 
 DATAGRAMS = 5000
 REPEATS = 5
 DATAGRAM = b"x" * 100
+GROUP_SIZE = 3
 BUFFER_BYTES = 2048
 
 
@@ -25,6 +30,8 @@
     datagram_system_call: sending and receiving one datagram on loopback, in the kernel and the
     socket library. placement_full: ranking all databases; placement_update: after one member has
     gone. configuration_change: applying one change. snapshot_encode, snapshot_decode: a newcomer's.
+    group_view_codec: encoding and decoding a question for a group's statuses and its answer, as the
+    two proxies do it together; group_view_bytes: both messages, headers included.
     """
 
     datagram_system_call: float
@@ -34,6 +41,8 @@
     snapshot_encode: float
     snapshot_decode: float
     snapshot_bytes: int
+    group_view_codec: float
+    group_view_bytes: int
 
 
 def measure_unit_costs(size: int, configuration: Configuration) -> UnitCosts:
@@ -59,9 +68,28 @@
         snapshot_encode=_least(lambda: encode_snapshot(configuration)),
         snapshot_decode=_least(lambda: decode_snapshot(snapshot)),
         snapshot_bytes=len(snapshot),
+        group_view_codec=_least(_exchange_group_view),
+        group_view_bytes=_exchange_group_view(),
     )
 
 
+def _exchange_group_view() -> int:
+    """Passes a question for a group's statuses and its answer through the codec."""
+    position = LogPosition(12, 1_234_567)
+    terms = (TermStart(11, 1_000_000), TermStart(12, 1_200_000))
+    statuses = tuple(
+        DatabaseStatus(
+            f"database-{number:04d}", DatabaseRole.REPLICA, 12, position, position, terms
+        )
+        for number in range(GROUP_SIZE)
+    )
+    question = encode(GroupStatusRequest(123_456, "group-123"))
+    decode(question)
+    answer = encode(GroupStatusAnswer(123_456, "group-123", statuses, (0.1, 0.2, 0.3)))
+    decode(answer)
+    return len(question) + len(answer) + 2 * MESSAGE_OVERHEAD
+
+
 def _least(step: Callable[[], object]) -> float:
     times = []
     for _ in range(REPEATS):
