Close the sockets of an embedded cluster when it stops

Cause: a stopped EmbeddedCluster left connections to the garbage collector: the idle status connections of each proxy's database driver, and the clients that callers of the cluster were handed. ProxyClient could not be closed.

Change: ProxyClient has close() and is a context manager. EmbeddedCluster closes the clients that it handed out, and each proxy's database driver after its proxy's end. A closed HttpDatabaseDriver keeps no connection that comes back from a status read under way.

Ruled out: closing the driver in shell/proxy_server.py, for now, as other work is under way there; a ProxyServer without a driver given still leaves its idle status connections (it ends with its process). urllib3 closes its own pools when they go.

--- a/src/dewledge/adapters/http_database.py
+++ b/src/dewledge/adapters/http_database.py
@@ -96,6 +96,7 @@
         self._open_target = with_place(OPEN_PATH, zone, region)
         self._status_target = with_place(STATUS_PATH, zone, region)
         self._idle: dict[str, list[HttpExchange]] = {}
+        self._closed = False
         self._lock = threading.Lock()
 
     def connect(self, address: str, timeout: float) -> HttpDatabaseConnection:
@@ -143,8 +144,9 @@
         return status
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Closes the idle connections, and those in use for a status as soon as they are not."""
         with self._lock:
+            self._closed = True
             idle = [exchange for kept in self._idle.values() for exchange in kept]
             self._idle.clear()
         for exchange in idle:
@@ -158,7 +160,8 @@
     def _keep_idle(self, address: str, exchange: HttpExchange) -> None:
         with self._lock:
             kept = self._idle.setdefault(address, [])
-            if len(kept) < MAX_IDLE_STATUS_CONNECTIONS and not exchange.closed:
+            is_full = len(kept) >= MAX_IDLE_STATUS_CONNECTIONS
+            if not (self._closed or is_full or exchange.closed):
                 kept.append(exchange)
                 return
         exchange.close()
--- a/src/dewledge/cli/http_client.py
+++ b/src/dewledge/cli/http_client.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, Self
 from urllib.parse import urlencode
 
 import msgspec
@@ -94,7 +94,7 @@
 
 
 class ProxyClient:
-    """Sends requests to the first of some proxies that can be reached.
+    """Sends requests to the first of some proxies that can be reached; also a context manager.
 
     Raises InvalidInput if an address is not "ip:port".
     """
@@ -104,6 +104,16 @@
         self._headers = _headers(token)
         self._pool = urllib3.PoolManager(retries=False)
 
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Closes the idle connections; a later request opens a new one."""
+        self._pool.clear()
+
     def get(self, path: str, query: Mapping[str, str] | None = None) -> HttpAnswer:
         """Asks one proxy after the other until one answers.
 
--- a/src/dewledge/demo/stage.py
+++ b/src/dewledge/demo/stage.py
@@ -60,10 +60,7 @@
 
     def statuses(self) -> list[dict[str, Any]]:
         """Returns what each proxy says of itself."""
-        return [
-            ProxyClient([address], OPERATOR_TOKEN).get(STATUS_PATH).body
-            for address in self.proxies()
-        ]
+        return [_status(address) for address in self.proxies()]
 
     def change(self, change: Mapping[str, Any]) -> int:
         """Has a change of the resources accepted and returns its revision. Raises DewledgeError."""
@@ -92,3 +89,8 @@
             if it.outcome is not Outcome.DONE
         ]
         self.narrator.check(what, [], others)
+
+
+def _status(address: str) -> dict[str, Any]:
+    with ProxyClient([address], OPERATOR_TOKEN) as client:
+        return client.get(STATUS_PATH).body
--- a/src/dewledge/embedded.py
+++ b/src/dewledge/embedded.py
@@ -8,10 +8,12 @@
 import time
 import uuid
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import ExitStack
 from typing import Any
 
 import msgspec
 
+from dewledge.adapters.http_database import HttpDatabaseDriver
 from dewledge.adapters.http_platform import HttpMachineList, PlatformClient
 from dewledge.cli.http_client import HttpAnswer, ProxyClient
 from dewledge.core.calls import Outcome
@@ -66,6 +68,7 @@
     """A running cluster; also a context manager.
 
     proxies, groups: the running parts by name; the name of a proxy is "proxy-1" and so on.
+    Clients that it hands out are closed when it stops.
     """
 
     def __init__(self, plan: ClusterPlan) -> None:
@@ -76,7 +79,11 @@
         }
         self.proxies: dict[str, ProxyServer] = {}
         self._started = 0
-        self._machines = HttpMachineList(PlatformClient(self.platform.address))
+        self._drivers: dict[str, HttpDatabaseDriver] = {}
+        self._clients = ExitStack()
+        platform_client = PlatformClient(self.platform.address)
+        self._clients.callback(platform_client.close)
+        self._machines = HttpMachineList(platform_client)
 
     def __enter__(self) -> "EmbeddedCluster":
         self.start()
@@ -101,6 +108,7 @@
 
     def stop(self) -> None:
         """Ends everything at once."""
+        self._clients.close()
         for name in list(self.proxies):
             self.kill_proxy(name)
         for group in self.groups.values():
@@ -111,9 +119,11 @@
         """Starts one more proxy, seeded from those that run."""
         self._started += 1
         chosen = name or f"proxy-{self._started}"
-        server = ProxyServer(self._proxy_settings(chosen, place))
+        driver = HttpDatabaseDriver(place.zone, place.region)
+        server = ProxyServer(self._proxy_settings(chosen, place), driver)
         server.start()
         self.proxies[chosen] = server
+        self._drivers[chosen] = driver
         self._machines.register(
             MachineState(
                 name=chosen,
@@ -130,12 +140,14 @@
         server = self.proxies.pop(name)
         server.leave()
         server.join(server.settings.timings.leave_bound + STOP_SECONDS)
+        self._drivers.pop(name).close()
 
     def kill_proxy(self, name: str) -> None:
         """Ends a proxy without a word to anybody."""
         server = self.proxies.pop(name)
         server.stop()
         server.join(STOP_SECONDS)
+        self._drivers.pop(name).close()
 
     def caller_addresses(self) -> list[str]:
         """Returns where callers may ask, proxy by proxy."""
@@ -143,15 +155,20 @@
 
     def operator(self) -> ProxyClient:
         """Returns a client that may read and change resources."""
-        return ProxyClient(self.caller_addresses(), OPERATOR_TOKEN)
+        client = ProxyClient(self.caller_addresses(), OPERATOR_TOKEN)
+        return self._clients.enter_context(client)
 
     def group_faults(self, group: str) -> GroupClient:
         """Returns a client that switches faults of a group and reads its history."""
-        return GroupClient(self.groups[group].admin_address)
+        client = GroupClient(self.groups[group].admin_address)
+        self._clients.callback(client.close)
+        return client
 
     def platform_faults(self) -> PlatformFaultClient:
         """Returns a client that switches faults of the platform."""
-        return PlatformFaultClient(self.platform.admin_address)
+        client = PlatformFaultClient(self.platform.admin_address)
+        self._clients.callback(client.close)
+        return client
 
     def apply(self, documents: Sequence[Mapping[str, Any]]) -> int:
         """Has resources accepted and returns the revision. Raises DewledgeError."""
@@ -160,7 +177,8 @@
     def change(self, change: Mapping[str, Any]) -> int:
         """Has a change accepted, given without its id, and returns the revision."""
         body = {"change_id": uuid.uuid4().hex, **change}
-        answer = self.operator().post("/v1/changes", body)
+        with ProxyClient(self.caller_addresses(), OPERATOR_TOKEN) as client:
+            answer = client.post("/v1/changes", body)
         if answer.outcome is not Outcome.DONE:
             raise DewledgeError(f"not accepted: {answer.body}", answer.code)
         return int(answer.body["revision"])
@@ -202,7 +220,8 @@
 
     @staticmethod
     def _status(address: str) -> HttpAnswer:
-        return ProxyClient([address], OPERATOR_TOKEN).get("/v1/status")
+        with ProxyClient([address], OPERATOR_TOKEN) as client:
+            return client.get("/v1/status")
 
     def _database_addresses(self) -> dict[str, str]:
         # A database that is not started gets an address of its own at which nobody listens.
