Let the store call timeout bound proposals and polls

Cause: timings.store_call_timeout was read from the settings file and used nowhere; proposals and polls kept the core's own default, which happens to be as long.

Change: it is passed on as RetrySettings.call_timeout.

Left: reads of the machine list have a constant of their own (shell/store_calls.py).

--- a/src/dewledge/shell/core_settings.py
+++ b/src/dewledge/shell/core_settings.py
@@ -2,6 +2,7 @@
 
 from dewledge.core.configuration_acceptance import AcceptanceSettings
 from dewledge.core.configuration_poller import PollerSettings
+from dewledge.core.configuration_store_task import RetrySettings
 from dewledge.core.entry_settings import EntrySettings
 from dewledge.core.gateway_settings import GatewaySettings
 from dewledge.core.isolation import IsolationSettings
@@ -15,6 +16,7 @@
 def core_settings(settings: ProxySettings) -> ProxyCoreSettings:
     """Returns the settings of the decision core."""
     limits, timings = settings.limits, settings.timings
+    retry = RetrySettings(call_timeout=timings.store_call_timeout)
     return ProxyCoreSettings(
         entry=EntrySettings(
             max_pending=limits.max_requests_in_flight,
@@ -31,9 +33,11 @@
         membership=MembershipSettings(probe_interval=timings.probe_interval),
         isolation=IsolationSettings(timings.isolation_bound),
         acceptance=AcceptanceSettings(
-            proposal_bound=timings.proposal_bound, max_pending=limits.max_pending_changes
+            proposal_bound=timings.proposal_bound,
+            max_pending=limits.max_pending_changes,
+            retry=retry,
         ),
-        poller=PollerSettings(interval=timings.configuration_poll_interval),
+        poller=PollerSettings(interval=timings.configuration_poll_interval, retry=retry),
         bootstrap_operator_token_sha256=settings.bootstrap_operator_token_sha256,
         machine_list_interval=timings.machine_list_interval,
     )
