Take the simulator's deployments from the stand-ins'

Cause: sites, groups, callers, slots, delays and times of both deployments stood in simulation/deployments.py and in standin/deployments.py.

Change: the simulator builds its deployments from the stand-ins' constants.

Ruled out: one type for both.

--- a/src/dewledge/simulation/deployments.py
+++ b/src/dewledge/simulation/deployments.py
@@ -1,7 +1,5 @@
 """The two deployments that dewledge is sized for today, as the simulator builds them."""
 
-from enum import StrEnum
-
 import msgspec
 
 from dewledge.core.calls import Access
@@ -17,10 +15,11 @@
     RuleSpec,
     Spec,
 )
+from dewledge.standin import deployments as standin
+from dewledge.standin.deployments import CallerRole, DeploymentName
 from dewledge.standin.link_delays import LinkDelays, Place
 
-LOCAL_DELAY = 0.0001
-"""One-way delay within a zone, seconds."""
+__all__ = ["DEPLOYMENTS", "MENUS", "PERMITS", "Deployment", "DeploymentName", "build_configuration"]
 
 DATABASE_PORT = 7400
 
@@ -38,10 +37,10 @@
     slots: int
     max_connections: int
     callers: tuple[str, ...]
-    open_time: float = 0.010
+    open_time: float
+    read_service_time: float
+    write_service_time: float
     proxies_per_site: int = 2
-    read_service_time: float = 0.002
-    write_service_time: float = 0.004
 
     def proxies(self) -> dict[str, Place]:
         """Returns the proxies by name, spread over the zones."""
@@ -56,33 +55,26 @@
         return {f"{group}-{site}": Place(f"{site}-a", site) for site in self.sites}
 
 
-class DeploymentName(StrEnum):
-    """The deployments by name."""
-
-    PERMITS = "permits"
-    MENUS = "menus"
-
-
-PERMITS = Deployment(
-    name=DeploymentName.PERMITS,
-    sites=("accra", "kumasi", "tamale"),
-    links=LinkDelays(LOCAL_DELAY, 0.0015, 0.020, 0.003),
-    groups=("accra-cases", "kumasi-cases", "tamale-cases"),
-    slots=5,
-    max_connections=40,
-    callers=("applicants", "officers", "portal"),
-)
-
-MENUS = Deployment(
-    name=DeploymentName.MENUS,
-    sites=("suva", "labasa", "lautoka"),
-    links=LinkDelays(LOCAL_DELAY, 0.0005, 0.010, 0.003),
-    groups=("suva-meals", "labasa-meals", "lautoka-meals"),
-    slots=10,
-    max_connections=100,
-    callers=("kitchens", "dietitians", "managers"),
-)
-
+def _simulated(deployment: standin.Deployment) -> Deployment:
+    """Takes sizes and delays over from the stand-ins; operators make no requests here."""
+    return Deployment(
+        name=deployment.name,
+        sites=deployment.sites,
+        links=deployment.links,
+        groups=deployment.groups,
+        slots=deployment.slots,
+        max_connections=deployment.max_connections,
+        callers=tuple(
+            caller.name for caller in deployment.callers if caller.role is not CallerRole.OPERATOR
+        ),
+        open_time=deployment.open_time,
+        read_service_time=deployment.read_time,
+        write_service_time=deployment.write_time,
+    )
+
+
+PERMITS = _simulated(standin.PERMITS)
+MENUS = _simulated(standin.MENUS)
 DEPLOYMENTS = {DeploymentName.PERMITS: PERMITS, DeploymentName.MENUS: MENUS}
 
 
--- a/src/dewledge/standin/deployments.py
+++ b/src/dewledge/standin/deployments.py
@@ -140,8 +140,8 @@
     groups=("suva-meals", "labasa-meals", "lautoka-meals"),
     callers=(
         DeploymentCaller("kitchens", CallerRole.WRITER),
-        DeploymentCaller("managers", CallerRole.WRITER),
         DeploymentCaller("dietitians", CallerRole.READER),
+        DeploymentCaller("managers", CallerRole.WRITER),
         DeploymentCaller("operators", CallerRole.OPERATOR),
     ),
     workload=MENUS_WORKLOAD,
