--- a/tests/shell/test_http_connection.py
+++ b/tests/shell/test_http_connection.py
@@ -173,6 +173,17 @@
             self.assertEqual(answer.status, 503)
             self.assertEqual(json.loads(answer.body)["code"], ErrorCode.OVERLOADED)
 
+    def test_idle_connections_cost_no_thread(self) -> None:
+        harness = self.harness(limits=HttpLimits())
+        harness.exchange(GET)
+        before = threading.active_count()
+        held = [harness.connect() for _ in range(200)]
+        for sock in held:
+            self.addCleanup(sock.close)
+            sock.sendall(GET)
+            read_answers(sock, 1)
+        self.assertEqual(threading.active_count(), before)
+
     def test_caller_that_goes_is_reported(self) -> None:
         gone = threading.Event()
 
