Doubt by unacknowledged writes, and recall what a replaced primary left waiting

Cause 1: writes sent to a primary that is cut off from its group ended as unknown, one for each that arrived before the election. Change: a primary that has acknowledged no write for its mean time plus four deviations (at least 0.1 s) is doubted; new writes wait, reads go on. One write goes for trial only when a majority has received what the primary's log held when the doubt arose, which a cut-off primary never achieves. Cause 2: requests queued at the gateway of a replaced primary came back at their deadline as not run. Change: the entry recalls them once it knows the new primary; what had not started goes there, what had started stays.

Ruled out: doubting at two deviations (no fewer unknown writes, a false doubt in steady state), and any answer of the primary as a sign of health (a cut-off primary answers reads).

--- a/src/dewledge/core/answer_handler.py
+++ b/src/dewledge/core/answer_handler.py
@@ -4,11 +4,12 @@
 from dewledge.core.entry_group import EntryGroup
 from dewledge.core.entry_reactions import Reaction, reaction_to, transaction_code
 from dewledge.core.entry_state import EntryState
-from dewledge.core.failover_wait import PrimaryClaim
 from dewledge.core.group_description import with_gamble, with_primary_denied, with_unavailable
 from dewledge.core.messages import StatementDone, StatementNotRun, StatementUnknown
 from dewledge.core.pending_requests import PendingRequest
 from dewledge.core.positions import satisfies
+from dewledge.core.primary_doubt import DoubtReason, PrimaryClaim
+from dewledge.core.primary_watch import is_write
 from dewledge.core.request_finish import RequestFinisher
 from dewledge.core.request_router import RequestRouter
 from dewledge.core.server_selection import Freshness
@@ -47,7 +48,10 @@
             group.learn_read(message.database, message.position, now)
         self._note_freshness(pending, group, True)
         self._finisher.done(pending, message)
-        self._note_primary_answer(pending, message.database, group, now)
+        if is_write(pending):
+            group.watch.note_acknowledged(pending, now)
+        acknowledges = is_write(pending) or pending.request.operation is Operation.COMMIT
+        self._note_proof(message.database, group, acknowledges, now)
 
     def handle_not_run(self, peer: str, message: StatementNotRun, now: float) -> None:
         """The operation surely did not run."""
@@ -62,7 +66,10 @@
             self._finisher.pass_on(pending, message, transaction_code(message.code))
             return
         if message.code in _ANSWERS_OF_THE_DATABASE:
-            self._note_primary_answer(pending, pending.database, group, now)
+            self._note_proof(pending.database, group, False, now)
+        if message.code is ErrorCode.CANCELLED and pending.recalled:
+            self._send_recalled(pending, now)
+            return
         reaction = reaction_to(message.code)
         if reaction not in (Reaction.OTHER_GATEWAY, Reaction.FOLLOW):
             self._router.sender.note_alive(peer)
@@ -97,14 +104,11 @@
                 code = ErrorCode.CONNECTION_LOST
                 self._finisher.unknown(pending, code, "the link to the gateway broke")
 
-    def _note_primary_answer(
-        self, pending: PendingRequest, database: str, group: EntryGroup, now: float
-    ) -> None:
-        """An answer that only a primary at work can give ends all doubt of it."""
+    def _note_proof(self, database: str, group: EntryGroup, acknowledges: bool, now: float) -> None:
+        """An answer that only a primary at work can give may end the doubt of it."""
         if database != group.description.primary:
             return
-        group.note_primary_answer(now - pending.sent_at, now)
-        group.wait.note_accepted()
+        group.wait.doubt.note_proof(acknowledges)
         if len(group.wait):
             self._router.release(group, now)
 
@@ -112,9 +116,15 @@
         group = self._state.group(pending.request.group, now)
         claim = group.primary_claim()
         if claim is not None and claim.database == pending.database:
-            group.wait.note_doubt(claim)
+            group.wait.note_doubt(claim, DoubtReason.SILENT, now)
             self._router.watch.suspect(group, now)
 
+    def _send_recalled(self, pending: PendingRequest, now: float) -> None:
+        """Its gateway gave it back unstarted, so it can go to the new primary."""
+        pending.recalled = False
+        pending.attempts -= 1
+        self._router.dispatch(pending, now)
+
     def _lose_transaction(self, pending: PendingRequest, was_open: bool) -> None:
         code = ErrorCode.TRANSACTION_LOST
         message = "the link to the transaction's gateway broke"
@@ -167,7 +177,8 @@
         # An attempt that is not counted: it was refused before anything ran.
         pending.attempts -= 1
         if known is not None and database == group.description.primary:
-            group.wait.note_doubt(PrimaryClaim(database, known.term))
+            claim = PrimaryClaim(database, known.term)
+            group.wait.note_doubt(claim, DoubtReason.REFUSED, now)
         if code in _UNREACHABLE_CODES:
             group.description = with_unavailable(group.description, database, now)
         else:
--- a/src/dewledge/core/entry_group.py
+++ b/src/dewledge/core/entry_group.py
@@ -4,7 +4,7 @@
 
 from dewledge.core.database_status import DatabaseStatus
 from dewledge.core.entry_settings import EntrySettings
-from dewledge.core.failover_wait import FailoverWait, PrimaryClaim
+from dewledge.core.failover_wait import FailoverWait
 from dewledge.core.group_description import (
     GroupDescription,
     describe,
@@ -14,19 +14,17 @@
     with_status,
 )
 from dewledge.core.head_history import HeadHistory
+from dewledge.core.pending_requests import PendingRequest
 from dewledge.core.positions import LogPosition
-
-LATENCY_GAIN = 0.1
+from dewledge.core.primary_doubt import PrimaryClaim
+from dewledge.core.primary_watch import PrimaryWatch
 
 
 class EntryGroup:
     """The mutable holder of a group's immutable description and of what was measured.
 
     outstanding: unanswered requests from here, by database.
-    unanswered_primary: when each unanswered request to the primary was sent, by correlation,
-        oldest first.
-    primary_answered: when the primary last answered.
-    primary_latency: its mean time to answer, in seconds.
+    watch: what the primary owes.
     had_primary: a request was sent to a primary before, so its loss is a failover.
     timer_id, timer_due: the next refresh or probe; timer_id is 0 while the group is not in use.
     """
@@ -34,15 +32,11 @@
     def __init__(
         self, name: str, zones: Iterable[tuple[str, str]], settings: EntrySettings, now: float
     ) -> None:
-        self._settings = settings
         self.description: GroupDescription = describe(name, zones)
         self.head = HeadHistory()
         self.wait = FailoverWait(settings.failover_wait_requests)
         self.outstanding: dict[str, int] = {}
-        self.unanswered_primary: dict[int, float] = {}
-        self.primary_answered = float("-inf")
-        self._watched_primary: str | None = None
-        self.primary_latency = 0.0
+        self.watch = PrimaryWatch(settings)
         self.last_used = now
         self.last_refreshed = now
         self.last_probed = float("-inf")
@@ -96,44 +90,26 @@
         sample = max(floor_age, known.lag or 0.0) + known.lag_deviation
         self.description = with_lag_sample(self.description, database, sample)
 
-    def note_sent(self, database: str, correlation: int, now: float) -> None:
-        """Counts a request sent to `database`."""
+    def note_sent(self, pending: PendingRequest) -> None:
+        """Counts a request as sent."""
+        database = pending.database
         self.outstanding[database] = self.outstanding.get(database, 0) + 1
-        if database != self.description.primary:
-            return
-        if database != self._watched_primary:
-            self._watched_primary = database
-            self.unanswered_primary.clear()
-        self.unanswered_primary[correlation] = now
+        if database == self.description.primary:
+            self.watch.note_sent(pending, database)
 
-    def note_answered(self, database: str, correlation: int) -> None:
-        """Counts a request to `database` that was answered or given up."""
+    def note_answered(self, pending: PendingRequest) -> None:
+        """Counts a request as answered or given up."""
+        database = pending.database
         count = self.outstanding.get(database, 0) - 1
         if count > 0:
             self.outstanding[database] = count
         else:
             self.outstanding.pop(database, None)
-        self.unanswered_primary.pop(correlation, None)
-
-    def note_primary_answer(self, latency: float, now: float) -> None:
-        """Takes in that the primary answered, after `latency` seconds."""
-        self.primary_answered = now
-        self.primary_latency += LATENCY_GAIN * (latency - self.primary_latency)
-
-    def silent_since(self) -> float | None:
-        """Returns since when the primary owes an answer and gave none, or None."""
-        if self.description.primary != self._watched_primary:
-            return None
-        oldest = next(iter(self.unanswered_primary.values()), None)
-        return None if oldest is None else max(oldest, self.primary_answered)
+        self.watch.note_ended(pending)
 
     def suspect_at(self) -> float | None:
         """Returns when the primary's silence becomes suspect, or None if it owes nothing."""
-        since = self.silent_since()
-        if since is None:
-            return None
-        patience = self._settings.suspect_latencies * self.primary_latency
-        return since + max(self._settings.suspect_after, patience)
+        return self.watch.suspect_at(self.description.primary)
 
     def _measure_lag(self, database: str, applied: LogPosition, seen_at: float) -> None:
         sample = self.head.lag_of(applied, seen_at)
--- a/src/dewledge/core/entry_settings.py
+++ b/src/dewledge/core/entry_settings.py
@@ -25,8 +25,8 @@
         while requests wait for a primary.
     suspect_after: a primary that owes an answer and is silent for so long is doubted: the group is
         probed and new requests for the primary wait.
-    suspect_latencies: the same as a multiple of the primary's mean time to answer; the longer
-        of the two counts, so that a slow primary is not taken for a lost one.
+    suspect_deviations: mean deviations that are added to the primary's mean time to answer; the
+        longer of this and `suspect_after` counts, so that a slow primary is not taken for lost.
     poll_interval: age from which the view of a group in use is refreshed.
     poll_rate: refreshes of all groups together, per second.
     group_idle_after: a group not used for so long is no longer refreshed.
@@ -53,8 +53,8 @@
     failover_margin: float = 0.05
     probe_interval_least: float = 0.05
     probe_interval_most: float = 0.1
-    suspect_after: float = 0.2
-    suspect_latencies: float = 4.0
+    suspect_after: float = 0.1
+    suspect_deviations: float = 4.0
     poll_interval: float = 1.0
     poll_rate: float = 20.0
     group_idle_after: float = 10.0
--- a/src/dewledge/core/failover_wait.py
+++ b/src/dewledge/core/failover_wait.py
@@ -1,32 +1,24 @@
 """The requests of one group that wait for a primary, and what is known of the failover."""
 
-import msgspec
-
+from dewledge.core.group_description import GroupDescription
 from dewledge.core.pending_requests import PendingRequest, RequestState
+from dewledge.core.primary_doubt import DoubtReason, PrimaryClaim, PrimaryDoubt
 
 EXPECTED_DURATION_GAIN = 0.3
 EXPECTED_SHARE_TO_WAIT_FOR = 0.5
 """A request is refused at once if its deadline falls before this share of a usual failover."""
 
 
-class PrimaryClaim(msgspec.Struct, frozen=True):
-    """A database that is believed to be primary in a term."""
-
-    database: str
-    term: int
-
-
 class FailoverWait:
     """A bounded queue of requests, oldest first.
 
-    A claim is doubted after the claimed primary refused a request or fell silent. Then it gets one
-    request for trial at a time, so that a false claim costs one request and not the whole queue.
+    doubt: holds requests back from a primary that is not trusted; one at a time goes for trial.
     """
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self._requests: dict[int, PendingRequest] = {}
-        self._doubted: PrimaryClaim | None = None
+        self.doubt = PrimaryDoubt()
         self._trial: PendingRequest | None = None
         self._expected_duration: float | None = None
         self.started_at: float | None = None
@@ -79,34 +71,27 @@
         """Removes a request, if it is there."""
         self._requests.pop(pending.request.request_id, None)
 
-    def doubts(self, claim: PrimaryClaim) -> bool:
-        """Tells whether the claim is doubted."""
-        return claim == self._doubted
-
-    def note_doubt(self, claim: PrimaryClaim) -> None:
-        """Notes that the claimed primary refused a request, or is silent."""
-        self._doubted = claim
-        self._trial = None
-
-    def note_accepted(self) -> None:
-        """Notes that the claimed primary did a request."""
-        self._doubted = None
+    def note_doubt(self, claim: PrimaryClaim, reason: DoubtReason, now: float) -> None:
+        """Starts to doubt the claimed primary."""
+        self.doubt.note(claim, reason, now)
         self._trial = None
 
-    def take(self, claim: PrimaryClaim) -> list[PendingRequest]:
+    def take(self, claim: PrimaryClaim, description: GroupDescription) -> list[PendingRequest]:
         """Takes the requests to send to this primary now, oldest first."""
-        if claim == self._doubted:
-            return self._take_for_trial()
-        taken = list(self._requests.values())
-        self._requests.clear()
+        taken = [
+            item for item in self._requests.values() if not self.doubt.covers(claim, item.is_read)
+        ]
+        for pending in taken:
+            self.discard(pending)
+        if self._requests and self.doubt.allows_trial(claim, description):
+            taken.extend(self._take_for_trial())
         return taken
 
     def _take_for_trial(self) -> list[PendingRequest]:
-        in_trial = self._trial is not None and self._trial.state is RequestState.IN_FLIGHT
-        if in_trial or not self._requests:
+        if self._trial is not None and self._trial.state is RequestState.IN_FLIGHT:
             return []
-        oldest = next(iter(self._requests))
-        self._trial = self._requests.pop(oldest)
+        self._trial = next(iter(self._requests.values()))
+        self.discard(self._trial)
         return [self._trial]
 
     def floored_reads(self) -> list[PendingRequest]:
--- a/src/dewledge/core/group_description.py
+++ b/src/dewledge/core/group_description.py
@@ -20,6 +20,7 @@
 class DatabaseDescription(msgspec.Struct, frozen=True):
     """What is known of one database.
 
+    received: the end of its log as of its latest status.
     seen_at: when its status was true, on the core's clock; -inf if it is not known.
     available: False from a failure to reach it until a later status.
     lag, lag_deviation: measured replication lag and its mean deviation in seconds; lag is None
@@ -32,6 +33,7 @@
     role: DatabaseRole = DatabaseRole.REPLICA
     term: int = 0
     applied: LogPosition = LOG_START
+    received: LogPosition = LOG_START
     seen_at: float = _NEVER
     available: bool = True
     lag: float | None = None
@@ -102,6 +104,7 @@
         role=status.role,
         term=max(status.term, known.term),
         applied=_later_applied(known, status),
+        received=status.received,
         seen_at=max(seen_at, known.seen_at),
         available=True,
     )
--- a/src/dewledge/core/request_finish.py
+++ b/src/dewledge/core/request_finish.py
@@ -87,7 +87,7 @@
             return
         group = self._state.groups.get(pending.request.group)
         if group is not None:
-            group.note_answered(pending.database, pending.correlation)
+            group.note_answered(pending)
         self._state.pending.detach(pending)
         pending.state = RequestState.HELD
         self._state.timers.clear(pending)
--- a/src/dewledge/core/request_router.py
+++ b/src/dewledge/core/request_router.py
@@ -3,9 +3,9 @@
 from dewledge.core.calls import Operation
 from dewledge.core.entry_group import EntryGroup
 from dewledge.core.entry_state import EntryState
-from dewledge.core.failover_wait import PrimaryClaim
-from dewledge.core.messages import GroupStatusAnswer
+from dewledge.core.messages import CancelRequest, GroupStatusAnswer
 from dewledge.core.pending_requests import PendingRequest, RequestState
+from dewledge.core.primary_doubt import DoubtReason, PrimaryClaim
 from dewledge.core.read_index import ReadIndex
 from dewledge.core.request_finish import RequestFinisher
 from dewledge.core.request_sender import RequestSender
@@ -111,8 +111,10 @@
         if claim is None or self._state.policy.is_drained(claim.database):
             self._release_reads(group, now)
             return
+        for pending in group.watch.take_stranded(claim.database):
+            self._recall(pending, now)
         had_waiters = len(group.wait) > 0
-        taken = group.wait.take(claim)
+        taken = group.wait.take(claim, group.description)
         if not len(group.wait):
             self._note_failover_over(group, had_waiters, now)
         for pending in taken:
@@ -121,6 +123,18 @@
             else:
                 self._send_to_primary(pending, group, claim, now)
 
+    def _recall(self, pending: PendingRequest, now: float) -> None:
+        """Gets a request back from the gateway of a primary that was replaced.
+
+        A write goes on only when the gateway says that it has not started; a read goes on anyway.
+        """
+        if pending.is_read and self._state.budget.take():
+            self._finisher.cancel(pending)
+            self.dispatch(pending, now)
+            return
+        pending.recalled = True
+        self._state.send(pending.peer, CancelRequest(pending.correlation))
+
     def _release_reads(self, group: EntryGroup, now: float) -> None:
         for pending in group.wait.floored_reads():
             choice = self._choose_replica(pending, group, now)
@@ -198,17 +212,20 @@
             self.wait_for_primary(pending, group, ErrorCode.DATABASE_DRAINED, now)
         elif pending.is_read and not self._may_read(pending, claim.database):
             self._read_without_primary(pending, group, now)
-        elif self._is_doubted(group, claim, now):
+        elif self._is_doubted(pending, group, claim, now):
             self.wait_for_primary(pending, group, ErrorCode.NO_PRIMARY, now)
         else:
             self._send_to_primary(pending, group, claim, now)
 
-    def _is_doubted(self, group: EntryGroup, claim: PrimaryClaim, now: float) -> bool:
+    def _is_doubted(
+        self, pending: PendingRequest, group: EntryGroup, claim: PrimaryClaim, now: float
+    ) -> bool:
         """What a cut-off primary is sent only ends as unknown: better wait a moment to be sure."""
+        doubt = group.wait.doubt
         suspect_at = group.suspect_at()
-        if suspect_at is not None and suspect_at <= now and not group.wait.doubts(claim):
-            group.wait.note_doubt(claim)
-        return group.wait.doubts(claim)
+        if suspect_at is not None and suspect_at <= now and not doubt.covers(claim, False):
+            group.wait.note_doubt(claim, DoubtReason.SILENT, now)
+        return doubt.covers(claim, pending.is_read)
 
     def _send_to_primary(
         self, pending: PendingRequest, group: EntryGroup, claim: PrimaryClaim, now: float
--- a/src/dewledge/core/request_sender.py
+++ b/src/dewledge/core/request_sender.py
@@ -43,7 +43,7 @@
         pending.database = database
         pending.sent_at = now
         group = self._state.group(pending.request.group, now)
-        group.note_sent(database, correlation, now)
+        group.note_sent(pending)
         self._state.send(gateway, self._message(pending, now))
         self.set_timer(pending, self._attempt_end(pending, now))
 
--- a/src/dewledge/core/session_token.py
+++ b/src/dewledge/core/session_token.py
@@ -9,6 +9,7 @@
 import binascii
 import hashlib
 from collections.abc import Mapping, Sequence
+from functools import lru_cache
 
 import cbor2
 import msgspec
@@ -19,6 +20,9 @@
 
 MAX_TOKEN_CHARACTERS = 2048
 MAX_GROUPS = 32
+REMEMBERED_TOKENS = 2048
+"""Tokens whose signature has been verified lately and need not be again; a bad one is not kept."""
+
 TOKEN_VERSION = 1
 _KEY_PURPOSE = b"dewledge session token"
 
@@ -65,6 +69,8 @@
         if not keys:
             raise ValueError("a session key is needed")
         derived = [hashlib.sha256(_KEY_PURPOSE + key).digest() for key in reversed(keys)]
+        # A session sends the same token until something it reads or writes moves its floor.
+        self._verified = lru_cache(REMEMBERED_TOKENS)(self._verify)
         self._signer = Signer(derived, key_derivation="none", digest_method=hashlib.sha256)
 
     def seal(self, caller: str, floors: Mapping[str, LogPosition]) -> str:
@@ -86,7 +92,7 @@
         """
         if len(token) > MAX_TOKEN_CHARACTERS:
             raise BadSessionToken("the session token is too long")
-        payload = self._verified_payload(token)
+        payload = self._verified(token)
         if payload.version != TOKEN_VERSION:
             raise BadSessionToken("the session token has an unknown version")
         if payload.caller != caller:
@@ -99,7 +105,7 @@
         encoded = base64.urlsafe_b64encode(data).rstrip(b"=")
         return self._signer.sign(encoded).decode("ascii")
 
-    def _verified_payload(self, token: str) -> _Payload:
+    def _verify(self, token: str) -> _Payload:
         try:
             encoded = self._signer.unsign(token.encode("ascii"))
             data = base64.urlsafe_b64decode(encoded + b"=" * (-len(encoded) % 4))
--- a/src/dewledge/core/status_watch.py
+++ b/src/dewledge/core/status_watch.py
@@ -74,7 +74,7 @@
         if len(group.wait):
             self._set_timer(group, max(now, group.wait.next_probe_at))
             return
-        if now - group.last_used > settings.group_idle_after and not group.unanswered_primary:
+        if now - group.last_used > settings.group_idle_after and not group.watch.owes_answers:
             return
         jitter = 1.0 + POLL_JITTER * (2.0 * self._state.random.random() - 1.0)
         due = max(now, group.last_refreshed) + settings.poll_interval * jitter
--- a/tests/core/test_entry_failover.py
+++ b/tests/core/test_entry_failover.py
@@ -5,7 +5,7 @@
 from dewledge.core.calls import Access, Outcome
 from dewledge.core.database_status import DatabaseRole
 from dewledge.core.entry_settings import EntrySettings
-from dewledge.core.messages import GroupStatusRequest, StatementRequest
+from dewledge.core.messages import CancelRequest, GroupStatusRequest, StatementRequest
 from dewledge.errors import ErrorCode
 from tests.core.entry_harness import EntryHarness, position, status
 
@@ -19,6 +19,13 @@
     return [first] + [harness.call(deadline=deadline) for _ in range(waiting - 1)]
 
 
+def show_twice(harness: EntryHarness) -> None:
+    """Shows the old primary in office, twice, with all that it has replicated."""
+    for _ in range(2):
+        harness.advance(0.1)
+        harness.show("a")
+
+
 class FailoverTest(unittest.TestCase):
     def test_refused_writes_wait_and_go_to_the_new_primary_at_once(self) -> None:
         codes = (
@@ -80,35 +87,74 @@
     def test_doubted_primary_gets_one_trial_at_a_time(self) -> None:
         harness = EntryHarness()
         waiting = cut_off(harness, 5)
-        harness.advance(0.1)
-        harness.show("a")
-        harness.show("a")
+        show_twice(harness)
+        show_twice(harness)
         self.assertEqual(len(harness.sent_of(StatementRequest)), 2, "one trial, not five")
         harness.answer_not_run(ErrorCode.NO_PRIMARY)
-        harness.advance(0.1)
-        harness.show("a")
+        show_twice(harness)
         self.assertEqual(len(harness.sent_of(StatementRequest)), 3)
         harness.answer_done(position(1, 11))
         self.assertEqual(len(harness.sent_of(StatementRequest)), 7, "now all of them")
         self.assertEqual(sum(harness.answer(item) is not None for item in waiting), 1)
 
+    def test_silent_primary_that_does_not_replicate_gets_no_write(self) -> None:
+        """Rows: name, offsets of a, b, c at first, and later, whether one is sent."""
+        cases = [
+            ("cut off with a write of its own", (12, 10, 10), (12, 10, 10), False),
+            ("one replica left behind", (12, 10, 10), (12, 12, 10), True),
+            ("busy", (12, 10, 10), (14, 12, 13), True),
+            ("nothing was written", (10, 10, 10), (10, 10, 10), True),
+        ]
+        for name, first, later, sent in cases:
+            with self.subTest(name):
+                harness = EntryHarness()
+                harness.call()
+                harness.advance(0.3)
+                harness.call()
+                harness.call()
+                for a, b, c in (first, later):
+                    harness.advance(0.1)
+                    harness.show("a", offset=a, b=b, c=c)
+                self.assertEqual(len(harness.sent_of(StatementRequest)), 2 if sent else 1)
+                harness.read()
+                self.assertTrue(harness.last_request()[1].confirm, "reads need not wait")
+
     def test_stuck_trial_does_not_keep_others_from_the_new_primary(self) -> None:
         harness = EntryHarness()
         cut_off(harness, 4)
-        harness.advance(0.1)
-        harness.show("a")
+        show_twice(harness)
         harness.show("b", term=2)
         peers = [peer for peer, _ in harness.sent_of(StatementRequest)]
         self.assertEqual(peers, ["ga", "ga", "gb", "gb", "gb"])
 
-    def test_write_sent_before_the_cut_stays_with_its_gateway(self) -> None:
+    def test_write_sent_before_the_cut_is_recalled_and_moves_only_if_it_had_not_started(
+        self,
+    ) -> None:
+        for started in (True, False):
+            with self.subTest(started=started):
+                harness = EntryHarness()
+                request_id = harness.call(deadline=2.0)
+                _, message = harness.last_request()
+                harness.advance(0.5)
+                harness.show("b", term=2)
+                recall = ("ga", CancelRequest(message.correlation))
+                self.assertEqual(harness.sent_of(CancelRequest), [recall])
+                self.assertEqual(len(harness.sent_of(StatementRequest)), 1)
+                if started:
+                    harness.advance(1.6)
+                    self.assertEqual(harness.answer(request_id).outcome, Outcome.UNKNOWN)
+                    continue
+                harness.answer_not_run(ErrorCode.CANCELLED)
+                self.assertEqual(harness.last_request()[0], "gb")
+                harness.answer_done(position(2, 11))
+                self.assertEqual(harness.answer(request_id).outcome, Outcome.DONE)
+
+    def test_confirmed_read_leaves_a_replaced_primary_at_once(self) -> None:
         harness = EntryHarness()
-        request_id = harness.call(deadline=2.0)
-        harness.advance(0.5)
+        harness.read()
+        harness.advance(0.3)
         harness.show("b", term=2)
-        self.assertEqual(len(harness.sent_of(StatementRequest)), 1)
-        harness.advance(1.6)
-        self.assertEqual(harness.answer(request_id).outcome, Outcome.UNKNOWN)
+        self.assertEqual(harness.last_request()[0], "gb")
 
     def test_silent_primary_is_doubted_and_new_writes_wait(self) -> None:
         harness = EntryHarness()
@@ -138,7 +184,7 @@
         harness = EntryHarness()
         for offset in range(40):
             harness.call(deadline=5.0)
-            harness.advance(0.19)
+            harness.advance(0.3 if offset % 2 else 0.1)
             harness.answer_done(position(1, 11 + offset))
         harness.call(deadline=5.0)
         harness.advance(0.4)
