Make the help of every command whole and plain

Change: first lines that fit 80 columns, the rest as a second paragraph; standin takes the same typer options as the others; the operators' commands ask through one function that closes its client and raises for a refusal.

Ruled out: one object for the options that commands share; typer reads them from each command's signature.

--- a/src/dewledge/cli/bench_command.py
+++ b/src/dewledge/cli/bench_command.py
@@ -58,7 +58,9 @@
     ] = None,
     rate: Annotated[float, typer.Option(min=1, help="Arrivals per second.")] = ARRIVAL_RATE,
 ) -> None:
-    """Measures replica share and failover gap on the simulator, beside naive baselines.
+    """Measure replica share and failover gap on the simulator.
+
+    Naive baselines run beside dewledge.
 
     Virtual proxies run the daemon's own decision core; network, databases and platform are
     simulated with the delays and limits of the deployment. One seed always gives one report.
--- a/src/dewledge/cli/check.py
+++ b/src/dewledge/cli/check.py
@@ -23,8 +23,9 @@
         ),
     ] = False,
 ) -> None:
-    """Check settings or resources; print every finding with its place and code.
+    """Check settings or resources and print every finding.
 
+    A finding has its place, its code and a message.
     Exits with 0 if there is none, else with 2.
     """
     if file.suffix == SETTINGS_SUFFIX:
--- a/src/dewledge/cli/demo_command.py
+++ b/src/dewledge/cli/demo_command.py
@@ -41,7 +41,7 @@
         ),
     ] = None,
 ) -> None:
-    """Show the main job at work, in one process over loopback, and check each step.
+    """Show the main job at work in one process, and check each step.
 
     Three proxies, three database groups and a platform start in this process. Shown are writes,
     reads on replicas in a session that roams over the proxies, a write that is repeated, a service
--- a/src/dewledge/cli/main.py
+++ b/src/dewledge/cli/main.py
@@ -23,7 +23,8 @@
     dewledge check proxy.toml
     dewledge proxy --config proxy.toml
 
-Operators describe databases, callers and rules, and change them through any proxy:
+Operators describe databases, callers and rules, and change them through any proxy.
+"dewledge apply --help" and so on explain each command:
 
 \b
     export DEWLEDGE_PROXY=127.0.0.1:7400 DEWLEDGE_TOKEN=...
--- a/src/dewledge/cli/operator_commands.py
+++ b/src/dewledge/cli/operator_commands.py
@@ -6,7 +6,7 @@
 import typer
 
 from dewledge.cli.check import read_text
-from dewledge.cli.http_client import ProxyClient
+from dewledge.cli.http_client import HttpAnswer, ProxyClient
 from dewledge.cli.operator_commands_change import (
     ChangeSubmission,
     Waiting,
@@ -73,8 +73,7 @@
         query["name"] = name
     if selector:
         query["selector"] = selector
-    answer = ProxyClient(proxy, token).get("/v1/resources", query)
-    answer.raise_for_refusal()
+    answer = _get("/v1/resources", proxy, token, query)
     resources = answer.body.get("resources", [])
     if output is OutputFormat.JSON:
         print_json(answer.body)
@@ -96,7 +95,10 @@
     timeout: TimeoutOption = DEFAULT_TIMEOUT,
     change_id: ChangeIdOption = None,
 ) -> None:
-    """Set and remove labels of one resource; its other labels stay as they are."""
+    """Set and remove labels of one resource.
+
+    Its other labels stay as they are.
+    """
     change = {"label": [_label_change(parse_kind(kind), name, labels)]}
     _submit(change, ProxyClient(proxy, token), output, timeout, change_id)
 
@@ -111,7 +113,10 @@
     timeout: TimeoutOption = DEFAULT_TIMEOUT,
     change_id: ChangeIdOption = None,
 ) -> None:
-    """Give a database no new work; open transactions there may finish within a bound."""
+    """Give a database no new work, or take that back.
+
+    Open transactions there may finish within a bound.
+    """
     if parse_kind(kind) is not Kind.DATABASE:
         message = "only databases are drained"
         raise InvalidInput([Finding("KIND", ErrorCode.MALFORMED_REQUEST, message)])
@@ -129,7 +134,10 @@
     timeout: TimeoutOption = DEFAULT_TIMEOUT,
     change_id: ChangeIdOption = None,
 ) -> None:
-    """Delete one resource; refused while others refer to it."""
+    """Delete one resource.
+
+    Refused while others refer to it.
+    """
     change = {"delete": [{"kind": str(parse_kind(kind)), "name": name}]}
     _submit(change, ProxyClient(proxy, token), output, timeout, change_id)
 
@@ -139,9 +147,11 @@
     token: TokenOption = "",
     output: OutputOption = OutputFormat.TABLE,
 ) -> None:
-    """Show how one proxy sees the system: revision, members, databases."""
-    answer = ProxyClient(proxy, token).get("/v1/status")
-    answer.raise_for_refusal()
+    """Show how one proxy sees the system.
+
+    Shown are its revision, the members, and the databases that it is the gateway of.
+    """
+    answer = _get("/v1/status", proxy, token)
     if output is OutputFormat.JSON:
         print_json(answer.body)
         return
@@ -154,6 +164,16 @@
         _print_items(items)
 
 
+def _get(
+    path: str, proxies: list[str], token: str, query: dict[str, str] | None = None
+) -> HttpAnswer:
+    """Asks the first proxy that can be reached. Raises InvalidInput or CommandFailed."""
+    with ProxyClient(proxies, token) as client:
+        answer = client.get(path, query)
+    answer.raise_for_refusal()
+    return answer
+
+
 def _print_items(items: list[Any]) -> None:
     documents = [item if isinstance(item, dict) else {"name": item} for item in items]
     columns = list(dict.fromkeys(key for document in documents for key in document))
@@ -205,5 +225,6 @@
     change_id: str | None,
 ) -> None:
     body = {"change_id": change_id or new_change_id(), **change}
-    result = ChangeSubmission(client, body, Waiting(timeout)).run()
+    with client:
+        result = ChangeSubmission(client, body, Waiting(timeout)).run()
     report_change(result, output)
--- a/src/dewledge/cli/proxy_command.py
+++ b/src/dewledge/cli/proxy_command.py
@@ -45,9 +45,10 @@
     log_level: Annotated[str | None, typer.Option(help="Least severe events to log.")] = None,
     setting: SettingOption = None,
 ) -> None:
-    """Run one proxy until SIGTERM or SIGINT, then stop without cutting a request.
+    """Run one proxy until SIGTERM or SIGINT.
 
-    Flags override the settings file. A second signal ends the process at once.
+    Flags override the settings file. A signal begins a planned stop, which cuts no request; a
+    second signal ends the process at once.
     """
     overrides: dict[str, object] = {
         "name": name,
--- a/src/dewledge/cli/query.py
+++ b/src/dewledge/cli/query.py
@@ -68,7 +68,8 @@
         body["session"] = session
     if key is not None:
         body["idempotency_key"] = key
-    answer = _ask(ProxyClient(proxy, token), body, deadline + ANSWER_GRACE)
+    with ProxyClient(proxy, token) as client:
+        answer = _ask(client, body, deadline + ANSWER_GRACE)
     _write_session(session_file, answer.body.get("session"))
     _print_answer(answer, output)
 
--- a/src/dewledge/cli/scale_command.py
+++ b/src/dewledge/cli/scale_command.py
@@ -30,7 +30,9 @@
     ] = None,
     output: Annotated[ScaleOutput, typer.Option(help="table or json.")] = ScaleOutput.TABLE,
 ) -> None:
-    """Measures control traffic, processor time, memory and spreading times with hollow nodes.
+    """Measure what control costs with many hollow nodes.
+
+    Measured are control traffic, processor time, memory and spreading times.
 
     Hollow nodes run the very membership, configuration spread and isolation guard of a proxy, many
     in one process, on a simulated network of two regions and six zones. A few real members run on
--- a/src/dewledge/cli/standin_commands.py
+++ b/src/dewledge/cli/standin_commands.py
@@ -36,7 +36,10 @@
 EXIT_INVALID = 2
 
 app = typer.Typer(
-    no_args_is_help=True, help="Small stand-ins for the platform and the database groups."
+    no_args_is_help=True,
+    add_completion=False,
+    rich_markup_mode=None,
+    help="Small stand-ins for the platform and the database groups.",
 )
 
 ConfigOption = Annotated[Path | None, typer.Option("--config", help="Settings file in TOML.")]
@@ -108,7 +111,7 @@
 
 @app.command()
 def resources(
-    deployment: Annotated[DeploymentName, typer.Option("--deployment", help="Which one.")],
+    deployment: Annotated[DeploymentName, typer.Option("--deployment", help="Whose resources.")],
     host: HostOption = DEFAULT_HOST,
     base_port: BasePortOption = DEFAULT_BASE_PORT,
 ) -> None:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -25,6 +25,17 @@
                 self.assertEqual(result.exit_code, 0)
                 self.assertIn("Usage: dewledge", result.output)
 
+    def test_help_is_plain_text_and_not_cut_short(self) -> None:
+        self.assertNotIn("...\n", run_command("--help").output.partition("Commands:")[2])
+        names = [[name] for name in LazyCommands(name="dewledge").list_commands(None)]
+        standins = [["standin", name] for name in ("platform", "group", "resources")]
+        for arguments in (*names, *standins):
+            with self.subTest(arguments=arguments):
+                result = run_command(*arguments, "--help")
+                self.assertEqual(result.exit_code, 0)
+                self.assertTrue(result.output.isascii())
+                self.assertNotIn("completion", result.output)
+
     def test_version(self) -> None:
         self.assertRegex(run_command("--version").output, r"^dewledge \d+\.\d+\.\d+\n$")
 
