Judge operators' answers, random faults together, and the simulator itself

A proposal that was answered done must stand in the store, one answered not run must not; of two operators at once the loser is told who was first.

--- a/src/dewledge/simulation/history.py
+++ b/src/dewledge/simulation/history.py
@@ -101,6 +101,20 @@
     drained: tuple[str, ...] = ()
 
 
+class ProposalRecord(msgspec.Struct, frozen=True):
+    """What an operator was told of a proposed change, and whether it stands in the store.
+
+    winner: the change that came first, as told to the one that lost.
+    """
+
+    time: float
+    change_id: str
+    outcome: Outcome
+    code: ErrorCode | None = None
+    winner: str | None = None
+    stands: bool = False
+
+
 class RevisionRecord(msgspec.Struct, frozen=True):
     """A proxy's configuration moved to a revision. incarnation: counts its restarts."""
 
@@ -134,6 +148,7 @@
     elections: list[ElectionRecord] = []
     work: list[WorkRecord] = []
     acceptances: list[AcceptanceRecord] = []
+    proposals: list[ProposalRecord] = []
     revisions: list[RevisionRecord] = []
     absences: list[AbsenceRecord] = []
     stops: list[StopRecord] = []
--- a/src/dewledge/simulation/platform_store.py
+++ b/src/dewledge/simulation/platform_store.py
@@ -40,6 +40,10 @@
         """Sets a row without a call; for the state that a run starts from."""
         self._rows[key] = Row(key, self._row(key).version + 1, value)
 
+    def has_row(self, key: str) -> bool:
+        """Tells whether a row has been written."""
+        return key in self._rows
+
     def call(self, call: StoreCall, reply: StoreReply) -> None:
         """Carries out a call and reports its result; a slow one times out on its caller."""
         self.calls += 1
--- a/src/dewledge/simulation/promises_operations.py
+++ b/src/dewledge/simulation/promises_operations.py
@@ -24,11 +24,14 @@
 
 
 def check_configuration(history: History) -> list[Violation]:
-    """An accepted change is in force on every proxy within the bound and never reverts."""
+    """An accepted change is in force on every proxy within the bound and never reverts.
+
+    What an operator was told of a proposal is what the store holds in the end.
+    """
     by_proxy: dict[str, list[RevisionRecord]] = defaultdict(list)
     for revision in history.revisions:
         by_proxy[revision.proxy].append(revision)
-    violations = []
+    violations = _check_proposals(history)
     for proxy, revisions in by_proxy.items():
         violations += _check_monotonic(proxy, revisions)
         for acceptance in history.acceptances:
@@ -37,6 +40,17 @@
     return violations
 
 
+def _check_proposals(history: History) -> list[Violation]:
+    violations = []
+    for proposal in history.proposals:
+        told = {Outcome.DONE: True, Outcome.NOT_RUN: False}.get(proposal.outcome)
+        if told is not None and told != proposal.stands:
+            stands = "stands" if proposal.stands else "does not stand"
+            evidence = f"{proposal.change_id} was answered {proposal.outcome}, and {stands}"
+            violations.append(Violation(Promise.CONFIGURATION_ANSWER, proposal.time, evidence))
+    return violations
+
+
 def _check_monotonic(proxy: str, revisions: list[RevisionRecord]) -> list[Violation]:
     violations = []
     for earlier, later in zip(revisions, revisions[1:], strict=False):
--- a/src/dewledge/simulation/simulated_proxy.py
+++ b/src/dewledge/simulation/simulated_proxy.py
@@ -80,7 +80,9 @@
     # The process.
 
     def start(self) -> None:
-        """Starts a new process under the same name."""
+        """Starts a new process under the same name, unless there is one."""
+        if self.state is not ProcessState.DEAD:
+            return
         self._record_absence()
         self.incarnation += 1
         self.state = ProcessState.RUNNING
@@ -133,10 +135,8 @@
 
     def restart_when_ended(self) -> None:
         """Starts a new process, at once or when the planned stop is over."""
-        if self.state is ProcessState.DEAD:
-            self.start()
-        else:
-            self._restart_after_stop = True
+        self._restart_after_stop = self.state is not ProcessState.DEAD
+        self.start()
 
     def begin_absence(self) -> None:
         """Notes that it is cut off from the others and the store."""
--- a/src/dewledge/simulation/violations.py
+++ b/src/dewledge/simulation/violations.py
@@ -17,6 +17,7 @@
     OWN_ANSWER = "own_answer"
     ANSWERED = "answered"
     CONFIGURATION_IN_FORCE = "configuration_in_force"
+    CONFIGURATION_ANSWER = "configuration_answer"
     CONFIGURATION_NEVER_REVERTS = "configuration_never_reverts"
     RETIRED_DATABASES = "retired_databases"
     PLANNED_STOP = "planned_stop"
--- a/src/dewledge/simulation/world.py
+++ b/src/dewledge/simulation/world.py
@@ -4,6 +4,8 @@
 from functools import partial
 from random import Random
 
+import msgspec
+
 from dewledge.core.calls import Access
 from dewledge.core.configuration import DRAIN_LABEL, ChangeSet, Configuration
 from dewledge.core.configuration_codec import encode_change, encode_content
@@ -23,7 +25,7 @@
 from dewledge.simulation.database_server import DatabaseServer, ServerSettings
 from dewledge.simulation.deployments import Deployment, build_configuration
 from dewledge.simulation.group_watch import GroupWatch
-from dewledge.simulation.history import AcceptanceRecord, History
+from dewledge.simulation.history import AcceptanceRecord, History, ProposalRecord
 from dewledge.simulation.interceptor import Interceptor
 from dewledge.simulation.network import Network
 from dewledge.simulation.platform_store import PlatformStore
@@ -63,7 +65,6 @@
         self.queue = EventQueue()
         self.history = History()
         self._unsent: dict[tuple[str, int, str], list[int]] = {}
-        self.proposals: list[ProposalFinished] = []
         self.platform = PlatformStore(self.queue)
         self._places = self._place_nodes()
         self.network = Network(self.queue, Random(seed + 1), self._delay)
@@ -99,6 +100,7 @@
         for proxy in self.proxies.values():
             proxy.record_open_absence()
         self._watch.collect_commits()
+        self._complete_proposals()
         return self.history
 
     # Links between proxies.
@@ -163,7 +165,7 @@
         """Has an operator propose a change through a proxy; an acceptance is recorded."""
 
         def finished(answer: ProposalFinished) -> None:
-            self.proposals.append(answer)
+            self._record_proposal(answer)
             if answer.change is not None:
                 drained = tuple(item.name for item in answer.change.put if _is_drained(item))
                 record = AcceptanceRecord(self.queue.now, answer.change.revision, drained)
@@ -171,6 +173,20 @@
 
         self.proxies[proxy].propose(change, finished)
 
+    def _record_proposal(self, answer: ProposalFinished) -> None:
+        winner = answer.winner.change_id if answer.winner is not None else None
+        record = ProposalRecord(
+            self.queue.now, answer.change_id, answer.outcome, answer.code, winner
+        )
+        self.history.proposals.append(record)
+
+    def _complete_proposals(self) -> None:
+        """Notes which proposals stand in the store at the end."""
+        self.history.proposals = [
+            msgspec.structs.replace(item, stands=self.platform.has_row(change_key(item.change_id)))
+            for item in self.history.proposals
+        ]
+
     # Looking.
 
     def running_proxies(self) -> list[str]:
--- a/tests/contracts/test_configuration.py
+++ b/tests/contracts/test_configuration.py
@@ -1,9 +1,12 @@
 """An accepted change is in force on every proxy in time, and never reverts."""
 
+from dewledge.core.calls import Outcome
+from dewledge.errors import ErrorCode
 from dewledge.simulation.faults import Fault, FaultKind
 from dewledge.simulation.naive import DeafToChanges
+from dewledge.simulation.scenario import run_scenario
 from dewledge.simulation.violations import Promise
-from tests.contracts.fault_table import ContractTestCase, Expected, Row
+from tests.contracts.fault_table import FIRST_SEED, SEEDS, ContractTestCase, Expected, Row
 
 CHANGE = Fault(FaultKind.DATABASE_DRAINED, 1.0)
 RACE = Fault(FaultKind.TWO_CHANGES, 1.0)
@@ -40,5 +43,15 @@
     def test_faults(self) -> None:
         self.check_rows(ROWS)
 
+    def test_of_two_operators_at_once_one_is_told_who_was_first(self) -> None:
+        for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
+            with self.subTest(seed=seed):
+                proposals = run_scenario(self.scenario((RACE,)), seed).history.proposals
+                done = [item for item in proposals if item.outcome is Outcome.DONE]
+                lost = [item for item in proposals if item.outcome is Outcome.NOT_RUN]
+                self.assertEqual((len(done), len(lost)), (1, 1))
+                self.assertIs(lost[0].code, ErrorCode.REVISION_CONFLICT)
+                self.assertEqual(lost[0].winner, done[0].change_id)
+
     def test_a_proxy_that_does_not_hear_of_changes_is_found(self) -> None:
         self.check_naive((CHANGE,), Promise.CONFIGURATION_IN_FORCE, DeafToChanges)
--- a/tests/contracts/test_replaced_primary.py
+++ b/tests/contracts/test_replaced_primary.py
@@ -23,6 +23,11 @@
         (Fault(CUT, 1.2, 2.0), Fault(FaultKind.GATEWAY_FROZEN, 1.0, 3.0)),
         (Expected.ELECTION,),
     ),
+    Row(
+        "cut while its gateway is frozen for a minute",
+        (Fault(CUT, 1.02, 2.0), Fault(FaultKind.GATEWAY_FROZEN, 1.0, 60.0)),
+        (Expected.ELECTION,),
+    ),
     Row(
         "cut while replicas receive late",
         (Fault(FaultKind.REPLICAS_LAG, 0.8, 2.0), Fault(CUT, 1.0, 3.0)),
--- a/tests/simulation/test_promises.py
+++ b/tests/simulation/test_promises.py
@@ -9,6 +9,7 @@
     AcceptanceRecord,
     ElectionRecord,
     History,
+    ProposalRecord,
     RevisionRecord,
     StopRecord,
     WorkRecord,
@@ -152,6 +153,16 @@
         history(revisions=[revision(0.0, 1)], acceptances=[AcceptanceRecord(1.0, 2)]),
         {Promise.CONFIGURATION_IN_FORCE},
     ),
+    (
+        "accepted change missing",
+        history(proposals=[ProposalRecord(1.0, "c", Outcome.DONE, stands=False)]),
+        {Promise.CONFIGURATION_ANSWER},
+    ),
+    (
+        "refused change stands",
+        history(proposals=[ProposalRecord(1.0, "c", Outcome.NOT_RUN, stands=True)]),
+        {Promise.CONFIGURATION_ANSWER},
+    ),
     (
         "configuration reverted",
         history(revisions=[revision(0.0, 2), revision(1.0, 1)]),
@@ -240,6 +251,10 @@
             work=[work(2.0, Operation.EXECUTE), work(9.0, Operation.EXECUTE, True)],
         ),
     ),
+    (
+        "change in doubt that stands",
+        history(proposals=[ProposalRecord(1.0, "c", Outcome.UNKNOWN, stands=True)]),
+    ),
     (
         "request cut by a killed proxy",
         history(read("a", 1, outcome=None, reset=True, answered_at=None)),
