Call a request unknown after a fault of the proxy; carry out the other effects after one fails

A fault while a request was taken was answered as not run, though the statement might have been sent by then (found by reading; the new test fails with the old answer). Callers are not called late in the first second after this process was frozen.

--- a/src/dewledge/shell/http_edge.py
+++ b/src/dewledge/shell/http_edge.py
@@ -7,7 +7,7 @@
 
 from dewledge.errors import ErrorCode, InvalidInput
 from dewledge.shell.configuration_handlers import ConfigurationHandlers
-from dewledge.shell.http_messages import Exchange, refusal
+from dewledge.shell.http_messages import Exchange, internal_fault, refusal
 from dewledge.shell.http_status import status_of_refusal
 from dewledge.shell.proxy_services import ProxyServices
 from dewledge.shell.statement_handlers import StatementHandlers
@@ -49,8 +49,7 @@
             )
         except Exception:
             logger.exception("request_fault")
-            code = ErrorCode.INTERNAL
-            exchange.respond(refusal(status_of_refusal(code), code, "a fault of the proxy"))
+            exchange.respond(internal_fault())
 
     def _dispatch(self, exchange: Exchange) -> None:
         methods = self._methods(exchange.request.path)
--- a/src/dewledge/shell/http_messages.py
+++ b/src/dewledge/shell/http_messages.py
@@ -8,6 +8,7 @@
 from dewledge.errors import ErrorCode, Finding
 
 JSON_TYPE = "application/json"
+INTERNAL_SERVER_ERROR = 500
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -62,7 +63,7 @@
 
 
 class RefusalBody(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The JSON body of a refusal: the request was not run."""
+    """The JSON body of an answer that the core has not made."""
 
     outcome: str
     code: ErrorCode
@@ -87,6 +88,12 @@
     return HttpResponse(status, msgspec.json.encode(body), JSON_TYPE, headers)
 
 
+def internal_fault() -> HttpResponse:
+    """Returns the answer after a fault of the proxy, which may have come after the sending."""
+    body = RefusalBody("unknown", ErrorCode.INTERNAL, "a fault of the proxy")
+    return HttpResponse(INTERNAL_SERVER_ERROR, msgspec.json.encode(body))
+
+
 def json_response(status: int, body: msgspec.Struct, headers: Headers = ()) -> HttpResponse:
     """Returns an answer with the JSON form of `body`."""
     return HttpResponse(status, msgspec.json.encode(body), JSON_TYPE, headers)
--- a/src/dewledge/shell/http_server.py
+++ b/src/dewledge/shell/http_server.py
@@ -29,6 +29,7 @@
         self._connections: set[HttpConnection] = set()
         self._leaving = False
         self._sweep_timer: Timer | None = None
+        self._last_sweep = loop.now()
 
     @property
     def connection_count(self) -> int:
@@ -109,6 +110,10 @@
 
     def _sweep(self) -> None:
         now = self._loop.now()
-        for connection in list(self._connections):
-            connection.check_time(now)
+        # After a freeze callers are not late: what they have sent just waits to be read.
+        was_held_up = now - self._last_sweep > 2 * SWEEP_SECONDS
+        self._last_sweep = now
+        if not was_held_up:
+            for connection in list(self._connections):
+                connection.check_time(now)
         self._sweep_timer = self._loop.call_later(SWEEP_SECONDS, self._sweep)
--- a/src/dewledge/shell/proxy_driver.py
+++ b/src/dewledge/shell/proxy_driver.py
@@ -238,7 +238,11 @@
 
     def _carry_out(self, effects: Iterable[ProxyEffect]) -> None:
         for effect in effects:
-            self._carriers[type(effect)](effect)
+            try:
+                self._carriers[type(effect)](effect)
+            except Exception:
+                # What the core asked for besides must still happen.
+                logger.bind(effect=type(effect).__name__).exception("effect_failed")
         if not self._reschedule_planned:
             self._reschedule_planned = True
             self._loop.call_before_sleep(self._reschedule)
--- a/tests/shell/test_http_edge.py
+++ b/tests/shell/test_http_edge.py
@@ -192,6 +192,13 @@
         }
         self.assertEqual(body_of(answer.body), expected)
 
+    def test_fault_of_the_proxy_leaves_the_outcome_unknown(self) -> None:
+        self.services.submit_call = None  # type: ignore[assignment, method-assign]
+        body = b'{"group":"g","sql":"s"}'
+        answer = self.services.ask("POST", "/v1/statements", CALLER_TOKEN, body)
+        found = (answer.status, body_of(answer.body)["outcome"], body_of(answer.body)["code"])
+        self.assertEqual(found, (500, "unknown", ErrorCode.INTERNAL))
+
     def test_caller_that_goes_is_told_to_the_core(self) -> None:
         self.services.answer = None
         body = b'{"group":"g","sql":"s"}'
