--- a/src/dewledge/core/configuration_store.py
+++ b/src/dewledge/core/configuration_store.py
@@ -6,8 +6,8 @@
 - ``revision/<n>`` and ``change/<change_id>``: the change set, written in the same transaction.
 - ``configuration/snapshot``: the newest snapshot. Never needed for a change to be accepted.
 
-Objects: ``snapshots/<revision>``, a whole configuration, so that a newcomer need not read every
-revision.
+Objects: ``snapshots/<slot>``, a whole configuration, so that a newcomer need not read every
+revision. Old ones are overwritten, since the platform's objects cannot be deleted.
 """
 
 from enum import StrEnum
@@ -23,6 +23,9 @@
 HEAD_KEY = "configuration/head"
 SNAPSHOT_KEY = "configuration/snapshot"
 
+SNAPSHOT_SLOTS = 7
+"""How many snapshots are kept; prime, so that regular distances between revisions use all slots."""
+
 
 def change_key(change_id: str) -> str:
     """Returns the key of the row that says whether a change was accepted."""
@@ -35,8 +38,12 @@
 
 
 def snapshot_object(revision: int) -> str:
-    """Returns the name of a snapshot in the object store."""
-    return f"snapshots/{revision}"
+    """Returns the name of a snapshot in the object store.
+
+    A snapshot of another revision may be found under it, when a proxy that was frozen wrote late.
+    It is as true, only older or newer; whoever reads it goes by the revision inside.
+    """
+    return f"snapshots/{revision % SNAPSHOT_SLOTS}"
 
 
 class HeadRow(msgspec.Struct, frozen=True):
--- a/tests/core/test_configuration_poller.py
+++ b/tests/core/test_configuration_poller.py
@@ -5,20 +5,31 @@
 from dewledge.core.calls import Outcome
 from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
 from dewledge.core.configuration_acceptance import AcceptanceSettings, ConfigurationAcceptance
+from dewledge.core.configuration_codec import (
+    decode_change,
+    decode_content,
+    decode_snapshot,
+    encode_snapshot,
+)
 from dewledge.core.configuration_poller import (
     ConfigurationPoller,
     PollerSettings,
     rank_pollers,
 )
 from dewledge.core.configuration_store import (
+    SNAPSHOT_KEY,
+    SNAPSHOT_SLOTS,
     ConfigurationLearned,
     GetObject,
+    HeadRow,
     ProposalFinished,
     ProposedChange,
     PutObject,
     ReadRow,
     StoreReached,
     Transact,
+    revision_key,
+    snapshot_object,
 )
 from dewledge.core.resources import GroupSpec, Kind, Resource
 from tests.core.store_harness import Cluster, Fault
@@ -93,6 +104,50 @@
                 self.assertEqual(cluster.store.calls > calls, not peers_answer)
 
 
+class SnapshotSlotTest(unittest.TestCase):
+    def test_snapshots_stay_bounded_and_the_newest_is_found(self) -> None:
+        cluster = Cluster()
+        poller(cluster, "proxy-1")
+        for _ in range(SNAPSHOT_SLOTS + 2):
+            fill(cluster, SETTINGS.snapshot_every)
+            cluster.run(cluster.now + 5.0)
+        self.assertEqual(len(cluster.store.objects), SNAPSHOT_SLOTS)
+        newest = decode_snapshot(cluster.store.objects[newest_snapshot(cluster)])
+        self.assertGreater(newest.revision, cluster.store.head() - SETTINGS.snapshot_every)
+
+    def test_what_a_thawed_proxy_left_in_a_slot_is_taken_for_what_it_is(self) -> None:
+        """Whatever the slot of the newest snapshot holds, a newcomer learns the same."""
+        cluster = Cluster()
+        poller(cluster, "proxy-1")
+        fill(cluster, 40)
+        cluster.run(cluster.now + 5.0)
+        older = Configuration(0, ())
+        for revision in range(1, 4):
+            row = cluster.store.rows[revision_key(revision)]
+            older = older.with_change(decode_change(row.value))
+        name = newest_snapshot(cluster)
+        newer = cluster.store.configuration()
+        for found in (encode_snapshot(older), encode_snapshot(newer), None):
+            with self.subTest(found=found and len(found)):
+                if found is None:
+                    del cluster.store.objects[name]
+                else:
+                    cluster.store.objects[name] = found
+                newcomer = f"newcomer-{found and len(found)}"
+                poller(cluster, newcomer)
+                cluster.run(cluster.now + 5.0)
+                learned = [e for who, e in cluster.seen if who == newcomer]
+                (last,) = [e for e in learned if isinstance(e, ConfigurationLearned)]
+                self.assertEqual(last.configuration.revision, newer.revision)
+                self.assertEqual(last.configuration.resources, newer.resources)
+
+
+def newest_snapshot(cluster: Cluster) -> str:
+    """Returns the name of the object that the snapshot row points to."""
+    row = decode_content(cluster.store.rows[SNAPSHOT_KEY].value, HeadRow)
+    return snapshot_object(row.revision)
+
+
 class FaultTest(unittest.TestCase):
     def test_an_accepted_change_is_learned_soon_whatever_one_call_does(self) -> None:
         for operation in (ReadRow, GetObject, Transact, PutObject):
