Hand a transaction's running operation on as one value

Cause: request, transaction, term before, result and time went as five arguments through four functions with the same signature.

Change: RunningOperation, which the transaction holds already, carries the term before too and is handed on; the job's end finds it in its transaction.

Ruled out: merging the ends of COMMIT, ROLLBACK and statement; each says something else about what took effect.

--- a/src/dewledge/core/gateway_transactions.py
+++ b/src/dewledge/core/gateway_transactions.py
@@ -94,10 +94,10 @@
         term_before = self._monitor.statuses.term(self._database)
 
         def ended(result: JobResult, at: float) -> None:
-            self._operation_ended(request, transaction, term_before, result, at)
+            self._operation_ended(transaction, result, at)
 
         job_id = self._jobs.start(transaction.connection, request.message, timeout, ended, now)
-        transaction.running = RunningOperation(request, job_id)
+        transaction.running = RunningOperation(request, job_id, term_before)
 
     def handle_primary(self, primary: str, term: int, now: float) -> None:
         """Ends the writing transactions whose database was replaced by `primary` in a later term.
@@ -207,35 +207,26 @@
         claim = Claim(self._database, result.position, term_before, write=False)
         self._monitor.confirm(claim, request.round_at_arrival, request.deadline, answer, now)
 
-    def _operation_ended(
-        self,
-        request: GatewayRequest,
-        transaction: Transaction,
-        term_before: int,
-        result: JobResult,
-        now: float,
-    ) -> None:
+    def _operation_ended(self, transaction: Transaction, result: JobResult, now: float) -> None:
+        running = transaction.running
+        assert running is not None
         transaction.running = None
-        operation = request.message.operation
+        operation = running.request.message.operation
         if operation is Operation.COMMIT:
-            self._commit_ended(request, transaction, term_before, result, now)
+            self._commit_ended(transaction, running, result, now)
         elif operation is Operation.ROLLBACK:
-            self._rollback_ended(request, transaction, result, now)
+            self._rollback_ended(transaction, running.request, result, now)
         else:
-            self._execute_ended(request, transaction, term_before, result, now)
+            self._execute_ended(transaction, running, result, now)
 
     def _commit_ended(
-        self,
-        request: GatewayRequest,
-        transaction: Transaction,
-        term_before: int,
-        result: JobResult,
-        now: float,
+        self, transaction: Transaction, running: RunningOperation, result: JobResult, now: float
     ) -> None:
+        request = running.request
         if isinstance(result, JobDone):
             self._end(transaction, ErrorCode.TRANSACTION_LOST, now, clean=True)
             if transaction.wrote:
-                self._conclusion.conclude_write(request, result, term_before, now)
+                self._conclusion.conclude_write(request, result, running.term_before, now)
             else:
                 self._registry.done(request, self._database, result)
         elif isinstance(result, JobNotRun):
@@ -248,7 +239,7 @@
             self._registry.unknown(request, result.code, result.message)
 
     def _rollback_ended(
-        self, request: GatewayRequest, transaction: Transaction, result: JobResult, now: float
+        self, transaction: Transaction, request: GatewayRequest, result: JobResult, now: float
     ) -> None:
         clean = isinstance(result, JobDone)
         self._end(transaction, ErrorCode.TRANSACTION_LOST, now, clean=clean)
@@ -259,13 +250,9 @@
             self._registry.not_run(request, ErrorCode.TRANSACTION_LOST, message)
 
     def _execute_ended(
-        self,
-        request: GatewayRequest,
-        transaction: Transaction,
-        term_before: int,
-        result: JobResult,
-        now: float,
+        self, transaction: Transaction, running: RunningOperation, result: JobResult, now: float
     ) -> None:
+        request = running.request
         broken = isinstance(result, JobUnknown)
         if broken or (isinstance(result, JobNotRun) and not result.connection_usable):
             transaction.ending = ErrorCode.TRANSACTION_LOST
@@ -278,7 +265,7 @@
         elif isinstance(result, JobNotRun):
             self._conclusion.conclude_not_run(request, result, now)
         elif request.message.access is Access.READ:
-            self._conclusion.conclude_read(request, result, term_before, now)
+            self._conclusion.conclude_read(request, result, running.term_before, now)
         else:
             self._registry.done(request, self._database, result)
 
--- a/src/dewledge/core/transactions.py
+++ b/src/dewledge/core/transactions.py
@@ -18,10 +18,14 @@
 
 
 class RunningOperation(msgspec.Struct, frozen=True):
-    """An operation of a transaction that its database has not answered yet."""
+    """An operation of a transaction that its database has not answered yet.
+
+    term_before: a term in which the database was seen before the operation started, 0 if never.
+    """
 
     request: GatewayRequest
     job_id: int
+    term_before: int
 
 
 class Transaction:
