Remove what nothing uses; name one plural for each kind

`dewledge get proxys` was taken, through an expression that built the wrong plural beside the right one.

Change: removed; parse_kind knows the singular and one plural.

Left, as others work there: OutboundPeer.is_unused, GroupDescription.is_known.

Shown: tests of the queue, admission, gateway, acceptance, poller and operators' commands pass; the new table of kinds fails on the old parse_kind ("proxys").

--- a/src/dewledge/cli/operator_commands.py
+++ b/src/dewledge/cli/operator_commands.py
@@ -191,8 +191,8 @@
     wanted = text.lower()
     for kind in Kind:
         singular = kind.lower()
-        plurals = (f"{singular}s", "proxies" if kind is Kind.PROXY else f"{singular}s")
-        if wanted in (singular, *plurals):
+        plural = "proxies" if kind is Kind.PROXY else f"{singular}s"
+        if wanted in (singular, plural):
             return kind
     kinds = ", ".join(kind.lower() for kind in Kind)
     message = f"{text!r} is none of {kinds}"
--- a/src/dewledge/core/configuration_store_task.py
+++ b/src/dewledge/core/configuration_store_task.py
@@ -63,7 +63,6 @@
     ) -> None:
         self.value: Value | None = None
         self.is_finished = False
-        self.store_answered = False
         self._steps = steps
         self._deadline = deadline
         self._caller = caller
@@ -94,10 +93,8 @@
             return []
         self._call_id = None
         if result.code is None:
-            self.store_answered = True
             return self._advance(result.value, now)
         if result.code is ErrorCode.REVISION_CONFLICT:
-            self.store_answered = True
             return self._throw(StoreConditionFailed("another version is there"), now)
         return self._retry(result.code, result.unknown, result.retry_after or 0.0, now)
 
--- a/src/dewledge/core/fair_queue.py
+++ b/src/dewledge/core/fair_queue.py
@@ -74,11 +74,6 @@
         self._forget(entry)
         return entry.item
 
-    def peek(self) -> Item | None:
-        """Returns the item to serve next without taking it, or None."""
-        self._drop_withdrawn(self._first)
-        return self._first[0][2].item if self._first else None
-
     def withdraw(self, entry: QueueEntry[Item]) -> bool:
         """Removes an item that will not be served; False if it no longer waits.
 
--- a/src/dewledge/core/gateway_request.py
+++ b/src/dewledge/core/gateway_request.py
@@ -39,7 +39,6 @@
     """
 
     __slots__ = (
-        "arrived_at",
         "cancelled",
         "deadline",
         "entry",
@@ -53,7 +52,6 @@
     def __init__(self, key: RequestKey, message: StatementRequest, now: float) -> None:
         self.key = key
         self.message = message
-        self.arrived_at = now
         self.deadline = now + message.remaining
         self.round_at_arrival = 0
         self.cancelled = False
--- a/tests/cli/test_operator_commands.py
+++ b/tests/cli/test_operator_commands.py
@@ -8,8 +8,11 @@
 from typing import Any
 
 from dewledge.cli.http_client import ProxyClient
+from dewledge.cli.operator_commands import parse_kind
 from dewledge.cli.operator_commands_change import ChangeSubmission, Waiting
 from dewledge.core.calls import Outcome
+from dewledge.core.resources import Kind
+from dewledge.errors import InvalidInput
 from tests.cli.stub_proxy import CUT, CommandRun, Reply, Request, StubProxy, run_command
 
 DONE = Reply(200, {"outcome": "done", "revision": 7})
@@ -225,6 +228,18 @@
         self.assertEqual(stub.requests, [])
 
 
+class KindTest(unittest.TestCase):
+    def test_kinds_are_read_in_any_case_and_number(self) -> None:
+        for kind in Kind:
+            plural = "proxies" if kind is Kind.PROXY else f"{kind}s"
+            for text in (kind, kind.lower(), kind.upper(), plural, plural.lower()):
+                with self.subTest(text):
+                    self.assertIs(parse_kind(text), kind)
+        for text in ("", "s", "proxys", "databasess"):
+            with self.subTest(text), self.assertRaises(InvalidInput):
+                parse_kind(text)
+
+
 class ShownTest(StubTest):
     RESOURCES = Reply(
         200,
