Write each default of a resource, and the check for shared values, once

Cause: the defaults of slots, connections and weight stood in the core's specs and again in the documents' models; two checks walked owners of values line by line alike; Resource listed the specs beside the union that names them.

Change: named constants, one _check_owners_differ, the union.

Shown: no change in behaviour; tests.core.test_resource_documents, test_configuration_codec, test_configuration_acceptance, tests.cli.test_check and tests.test_embedding pass (37).

--- a/src/dewledge/core/resource_documents_check.py
+++ b/src/dewledge/core/resource_documents_check.py
@@ -239,29 +239,33 @@
 
 
 def _check_addresses_differ(configuration: Configuration) -> list[Finding]:
-    owners: dict[str, str] = {}
-    findings: list[Finding] = []
-    for resource in configuration.of_kind(Kind.DATABASE):
-        if not isinstance(resource.spec, DatabaseSpec):
-            continue
-        owner = owners.setdefault(resource.spec.address, resource.name)
-        if owner != resource.name:
-            place = f"Database {resource.name} spec.address"
-            message = f"is the address of Database {owner}"
-            findings.append(Finding(place, ErrorCode.DUPLICATE_NAME, message))
-    return findings
+    found = [
+        (resource.spec.address, resource.name)
+        for resource in configuration.of_kind(Kind.DATABASE)
+        if isinstance(resource.spec, DatabaseSpec)
+    ]
+    return _check_owners_differ(found, Kind.DATABASE, "spec.address", "is the address of")
 
 
 def _check_tokens_differ(configuration: Configuration) -> list[Finding]:
+    found = [
+        (digest, resource.name)
+        for resource in configuration.of_kind(Kind.CALLER)
+        if isinstance(resource.spec, CallerSpec)
+        for digest in resource.spec.token_sha256
+    ]
+    return _check_owners_differ(found, Kind.CALLER, "spec.tokenSha256", "has a token of")
+
+
+def _check_owners_differ(
+    found: Iterable[tuple[str, str]], kind: Kind, path: str, relation: str
+) -> list[Finding]:
+    """Finds values, given with their owners' names, that a resource shares with an earlier one."""
     owners: dict[str, str] = {}
     findings: list[Finding] = []
-    for resource in configuration.of_kind(Kind.CALLER):
-        if not isinstance(resource.spec, CallerSpec):
-            continue
-        for digest in resource.spec.token_sha256:
-            owner = owners.setdefault(digest, resource.name)
-            if owner != resource.name:
-                place = f"Caller {resource.name} spec.tokenSha256"
-                message = f"has a token of Caller {owner}"
-                findings.append(Finding(place, ErrorCode.DUPLICATE_NAME, message))
+    for value, name in found:
+        owner = owners.setdefault(value, name)
+        if owner != name:
+            message = f"{relation} {kind} {owner}"
+            findings.append(Finding(f"{kind} {name} {path}", ErrorCode.DUPLICATE_NAME, message))
     return findings
--- a/src/dewledge/core/resource_documents_model.py
+++ b/src/dewledge/core/resource_documents_model.py
@@ -10,6 +10,10 @@
 
 from dewledge.core.calls import Access
 from dewledge.core.resources import (
+    DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_READ_WAIT,
+    DEFAULT_SLOTS,
+    DEFAULT_WEIGHT,
     SELECT_ALL,
     CallerSpec,
     Confirmation,
@@ -80,7 +84,7 @@
     """The spec of a Group."""
 
     confirmation: Confirmation = Confirmation.MAJORITY_POSITION
-    read_wait: StrictNumber = GroupSpec().read_wait
+    read_wait: StrictNumber = DEFAULT_READ_WAIT
 
     def to_spec(self) -> Spec:
         """Returns the spec of the core."""
@@ -94,8 +98,8 @@
     address: StrictStr
     zone: StrictStr
     region: StrictStr = ""
-    slots: StrictInt = 5
-    max_connections: StrictInt = 40
+    slots: StrictInt = DEFAULT_SLOTS
+    max_connections: StrictInt = DEFAULT_MAX_CONNECTIONS
 
     def to_spec(self) -> Spec:
         """Returns the spec of the core."""
@@ -118,7 +122,7 @@
     """The spec of a Caller."""
 
     token_sha256: Annotated[tuple[StrictStr, ...], Field(alias="tokenSha256")]
-    weight: StrictInt = 1
+    weight: StrictInt = DEFAULT_WEIGHT
 
     def to_spec(self) -> Spec:
         """Returns the spec of the core."""
--- a/src/dewledge/core/resources.py
+++ b/src/dewledge/core/resources.py
@@ -58,11 +58,17 @@
     MAJORITY_TERM = "majority_term"
 
 
+DEFAULT_READ_WAIT = 0.01
+DEFAULT_SLOTS = 5
+DEFAULT_MAX_CONNECTIONS = 40
+DEFAULT_WEIGHT = 1
+
+
 class GroupSpec(msgspec.Struct, frozen=True, array_like=True, tag="group"):
     """A database group. read_wait: seconds a read may wait for a replica to catch up."""
 
     confirmation: Confirmation = Confirmation.MAJORITY_POSITION
-    read_wait: float = 0.01
+    read_wait: float = DEFAULT_READ_WAIT
 
 
 class DatabaseSpec(msgspec.Struct, frozen=True, array_like=True, tag="database"):
@@ -72,8 +78,8 @@
     address: str
     zone: str
     region: str = ""
-    slots: int = 5
-    max_connections: int = 40
+    slots: int = DEFAULT_SLOTS
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
 
 
 class ProxySpec(msgspec.Struct, frozen=True, array_like=True, tag="proxy"):
@@ -86,7 +92,7 @@
     """A caller. token_sha256: hex digests of accepted tokens. weight: its share under load."""
 
     token_sha256: tuple[str, ...]
-    weight: int = 1
+    weight: int = DEFAULT_WEIGHT
 
 
 class RuleEffect(StrEnum):
@@ -124,4 +130,4 @@
     kind: Kind
     name: str
     labels: tuple[tuple[str, str], ...]
-    spec: GroupSpec | DatabaseSpec | ProxySpec | CallerSpec | RuleSpec
+    spec: Spec
