Bound the status read over connections that are found closed

Cause: read_status called itself again for each connection found closed before sending, a new one too, each time with the whole timeout: a database, or a box before it, that closes each connection at once led to a RecursionError on a status thread.

Change: kept connections are tried in turn, then one new one, all within one deadline. The contract of databases now also asks that a statement's text cannot end a transaction, on which the end of transactions on replaced primaries rests.

Before/after: the new test ends in RecursionError on the old code and with a refusal now; tests.adapters.test_http_database passes.

--- a/src/dewledge/adapters/http_database.py
+++ b/src/dewledge/adapters/http_database.py
@@ -23,6 +23,7 @@
     with_place,
 )
 from dewledge.adapters.http_exchange import (
+    MIN_WAIT_SECONDS,
     AnswerMissing,
     ClosedBeforeSending,
     HttpAnswer,
@@ -108,8 +109,7 @@
             raise ConnectRefused(f"cannot connect to {address}: {error}") from error
         connection = HttpDatabaseConnection(exchange)
         try:
-            time_left = deadline - time.monotonic()
-            answer = exchange.request("POST", self._open_target, NO_BODY, time_left)
+            answer = exchange.request("POST", self._open_target, NO_BODY, _time_until(deadline))
             if answer.status == OK_STATUS:
                 return connection
             raise error_of(decode_failure(answer.body))
@@ -128,18 +128,35 @@
 
     def read_status(self, address: str, timeout: float) -> DatabaseStatus:
         """Asks for the status over a connection kept for that; see DatabaseDriver."""
-        exchange = self._take_idle(address)
         try:
-            if exchange is None:
-                exchange = HttpExchange(address, timeout)
-            answer = exchange.request("GET", self._status_target, NO_BODY, timeout)
-            status = decode_status(answer.body)
-        except ClosedBeforeSending:
-            return self.read_status(address, timeout)
-        except (OSError, ValueError, AnswerMissing, ProtocolError, msgspec.DecodeError) as error:
-            if exchange is not None:
-                exchange.close()
+            return self._read_status(address, time.monotonic() + timeout)
+        except (
+            OSError,
+            ValueError,
+            ClosedBeforeSending,
+            AnswerMissing,
+            ProtocolError,
+            msgspec.DecodeError,
+        ) as error:
             raise ConnectRefused(f"no status from {address}: {error}") from error
+
+    def _read_status(self, address: str, deadline: float) -> DatabaseStatus:
+        while (kept := self._take_idle(address)) is not None:
+            try:
+                return self._ask_status(address, kept, deadline)
+            except ClosedBeforeSending:
+                continue  # the database closed it while it was idle; the next one may be open
+        opened = HttpExchange(address, _time_until(deadline))
+        return self._ask_status(address, opened, deadline)
+
+    def _ask_status(self, address: str, exchange: HttpExchange, deadline: float) -> DatabaseStatus:
+        time_left = _time_until(deadline)
+        answer = exchange.request("GET", self._status_target, NO_BODY, time_left)
+        try:
+            status = decode_status(answer.body)
+        except msgspec.DecodeError:
+            exchange.close()
+            raise
         self._keep_idle(address, exchange)
         return status
 
@@ -165,3 +182,7 @@
                 kept.append(exchange)
                 return
         exchange.close()
+
+
+def _time_until(deadline: float) -> float:
+    return max(deadline - time.monotonic(), MIN_WAIT_SECONDS)
--- a/tests/adapters/database_contract.py
+++ b/tests/adapters/database_contract.py
@@ -164,6 +164,17 @@
         other.rollback(TIMEOUT)
         self.assertEqual(self.bodies(other), ["mine"])
 
+    def test_text_cannot_end_a_transaction(self) -> None:
+        """On this rests that a transaction without a COMMIT never took effect."""
+        for text in ("COMMIT", "END", "ROLLBACK", "BEGIN", "SAVEPOINT x", "; COMMIT"):
+            with self.subTest(text):
+                self.connection.begin(TIMEOUT)
+                self.write(self.connection, insert("uncommitted"))
+                with self.assertRaises(StatementFailed):
+                    self.write(self.connection, Statement(text))
+                self.connection.rollback(TIMEOUT)
+                self.assertEqual(self.bodies(self.connection), [])
+
     def test_closed_connection_rolls_back_and_gives_its_place_back(self) -> None:
         for _ in range(2 * MAX_CONNECTIONS):
             connection = self.connect_when_possible()
--- a/tests/adapters/test_http_database.py
+++ b/tests/adapters/test_http_database.py
@@ -1,8 +1,10 @@
 """The driver for the stand-in databases, against the stand-in; and against a broken server."""
 
 import unittest
+from unittest.mock import patch
 
 from dewledge.adapters.http_database import HttpDatabaseDriver
+from dewledge.adapters.http_exchange import ClosedBeforeSending, HttpExchange
 from dewledge.core.calls import Access
 from dewledge.errors import ConnectionBroken, ConnectRefused, DatabaseError
 from dewledge.standin.group_client import GroupClient
@@ -93,6 +95,19 @@
                 with self.assertRaises(DatabaseError):
                     HttpDatabaseDriver().read_status(self.serve(self.OPENED, reply), TIMEOUT)
 
+    def test_status_of_one_that_closes_every_connection_ends(self) -> None:
+        driver = HttpDatabaseDriver()
+        self.addCleanup(driver.close)
+        address = self.serve(self.OPENED, None)
+
+        def closed_by_peer(exchange: HttpExchange, *_: object) -> None:
+            exchange.close()
+            raise ClosedBeforeSending("closed")
+
+        with patch.object(HttpExchange, "request", closed_by_peer):
+            with self.assertRaises(ConnectRefused):
+                driver.read_status(address, TIMEOUT)
+
     def test_open(self) -> None:
         for reply in (HttpReply(500), HttpReply(409, b"?")):
             with self.assertRaises(ConnectRefused):
