Say "no findings" plainly; let an admin call open one new connection at most

Cause: `dewledge check` ended with "nothing found", which reads like an empty file. A stand-in's admin client called itself again for each connection found closed, without bound, as the driver's status read did.

Change: "no findings"; one repeat over a new connection.

Shown: tests.cli.test_check, test_main and tests.standin.test_group_server pass.

--- a/src/dewledge/cli/check.py
+++ b/src/dewledge/cli/check.py
@@ -25,8 +25,7 @@
 ) -> None:
     """Check settings or resources and print every finding.
 
-    A finding has its place, its code and a message.
-    Exits with 0 if there is none, else with 2.
+    A finding has its place, its code and a message. Exits with 0 if there is none, else with 2.
     """
     if file.suffix == SETTINGS_SUFFIX:
         _check_settings(file)
@@ -41,7 +40,7 @@
     from dewledge.settings import load_settings
 
     settings = load_settings(file)
-    typer.echo(f"{file.name}: settings of proxy {settings.name}, nothing found")
+    typer.echo(f"{file.name}: settings of proxy {settings.name}, no findings")
 
 
 def _check_resources(file: Path, partial: bool) -> None:
@@ -52,7 +51,7 @@
     findings = [] if partial else check_configuration(Configuration(0, resources))
     if findings:
         raise InvalidInput([_in_file(finding, file) for finding in findings])
-    typer.echo(f"{file.name}: {len(resources)} resources, nothing found")
+    typer.echo(f"{file.name}: {len(resources)} resources, no findings")
 
 
 def _in_file(finding: Finding, file: Path) -> Finding:
--- a/src/dewledge/standin/admin_connection.py
+++ b/src/dewledge/standin/admin_connection.py
@@ -15,17 +15,23 @@
         self._exchange: HttpExchange | None = None
 
     def call(self, method: str, target: str, body: bytes = b"") -> HttpAnswer:
-        """Makes one call. Raises OSError, AnswerMissing, or ProtocolError unless it succeeded."""
-        if self._exchange is None or self._exchange.closed:
-            self._exchange = HttpExchange(self._address, CALL_TIMEOUT_SECONDS)
+        """Makes one call.
+
+        Raises OSError, ClosedBeforeSending, AnswerMissing, or ProtocolError unless it succeeded.
+        """
         try:
-            answer = self._exchange.request(method, target, body, CALL_TIMEOUT_SECONDS)
+            answer = self._send(method, target, body)
         except ClosedBeforeSending:
-            return self.call(method, target, body)
+            answer = self._send(method, target, body)
         if answer.status != OK:
             raise ProtocolError(f"{target} answered {answer.status}")
         return answer
 
+    def _send(self, method: str, target: str, body: bytes) -> HttpAnswer:
+        if self._exchange is None or self._exchange.closed:
+            self._exchange = HttpExchange(self._address, CALL_TIMEOUT_SECONDS)
+        return self._exchange.request(method, target, body, CALL_TIMEOUT_SECONDS)
+
     def close(self) -> None:
         """Closes the connection."""
         if self._exchange is not None:
