--- a/src/dewledge/simulation/world.py
+++ b/src/dewledge/simulation/world.py
@@ -98,7 +98,7 @@
         now = self.queue.now
         self.history.ended_at = now
         for proxy in self.proxies.values():
-            proxy.record_open_absence()
+            proxy.finish_absences()
         self._watch.collect_commits()
         self._complete_proposals()
         return self.history
--- a/tests/contracts/test_configuration.py
+++ b/tests/contracts/test_configuration.py
@@ -37,6 +37,7 @@
 
 
 class ConfigurationTest(ContractTestCase):
+    rate = 25.0
     load_time = 2.0
     settle = 7.0
 
--- a/tests/contracts/test_retired_databases.py
+++ b/tests/contracts/test_retired_databases.py
@@ -29,6 +29,7 @@
 
 
 class RetiredDatabasesTest(ContractTestCase):
+    rate = 25.0
     load_time = 10.0
 
     def test_faults(self) -> None:
