Let first reads of sessions start on replicas, by setting

Change: with first_read_lag_limit above 0 such a read takes its floor from a status round that begins after it arrived, asked of a gateway in the own zone, and goes to a replica. Off by default: the same promise, but more rounds.

--- a/src/dewledge/core/entry_settings.py
+++ b/src/dewledge/core/entry_settings.py
@@ -33,6 +33,9 @@
     gateway_avoid_time: a gateway whose link broke is avoided for so long where another will do.
     unseen_floor_age: assumed age of a floor above all positions seen here; at least one round trip
         to the caller has passed since it was issued.
+    first_read_lag_limit: a read without a floor starts on a replica, by read index, while some
+        replica's lag is below this; with 0 it always goes to the confirmed primary.
+    read_index_timeout: how long a read waits for its read index.
     retry_after: what a refused caller is told to wait, before jitter.
     """
 
@@ -60,4 +63,6 @@
     group_idle_after: float = 10.0
     gateway_avoid_time: float = 0.5
     unseen_floor_age: float = 0.005
+    first_read_lag_limit: float = 0.0
+    read_index_timeout: float = 0.2
     retry_after: float = 0.2
--- a/src/dewledge/core/pending_requests.py
+++ b/src/dewledge/core/pending_requests.py
@@ -38,6 +38,7 @@
     freshness, floor_age: what the latest choice of a replica was based on.
     confirm: the attempt asks for a round that confirms the term.
     recalled: its gateway was asked to give it back, unless it has started.
+    asked_read_index: a floor was asked for, so that without one the primary is next.
     held: seconds that it was held for replicas to catch up.
     wait_until: when it gives up waiting for a primary or gateway; set when it first waits.
     timer_id: its one timer: for the end of a hold, wait or attempt, or for the deadline.
@@ -62,6 +63,7 @@
     stale_answers: int = 0
     backoffs: int = 0
     recalled: bool = False
+    asked_read_index: bool = False
     held: float = 0.0
     excluded: tuple[str, ...] = ()
     avoided_gateways: tuple[str, ...] = ()
--- a/src/dewledge/core/read_index.py
+++ b/src/dewledge/core/read_index.py
@@ -1,9 +1,9 @@
-"""Finds the floor for reads of sessions that have none and whose rules exclude the primary.
+"""Finds the floor for reads of sessions that have none, so that a replica can serve them.
 
-Such a read cannot go to the confirmed primary. A status round that begins after the read arrived
-and reaches a majority shows a position at or beyond every write acknowledged before: with that
-position as its floor, a replica serves the read as well as the primary would. (The read index of
-Raft's follower reads, taken from any gateway of the group.)
+That is for callers whose rules exclude the primary, and by setting for all. A status round that
+begins after the read arrived and reaches a majority shows a position at or beyond every write
+acknowledged before: with that position as its floor, a replica serves the read as well as the
+primary would. (The read index of Raft's follower reads, taken from any gateway of the group.)
 """
 
 from collections.abc import Callable
--- a/src/dewledge/core/request_router.py
+++ b/src/dewledge/core/request_router.py
@@ -7,20 +7,13 @@
 from dewledge.core.pending_requests import PendingRequest, RequestState
 from dewledge.core.primary_doubt import DoubtReason, PrimaryClaim
 from dewledge.core.read_index import ReadIndex
+from dewledge.core.read_routing import ReadRouting
 from dewledge.core.request_finish import RequestFinisher
 from dewledge.core.request_sender import RequestSender
-from dewledge.core.server_selection import (
-    Freshness,
-    ReadChoice,
-    ReadQuery,
-    choose_replica,
-    readable_replicas,
-)
+from dewledge.core.server_selection import Freshness, ReadChoice
 from dewledge.core.status_watch import StatusWatch
 from dewledge.errors import ErrorCode
 
-DEFAULT_READ_WAIT = 0.01
-
 
 class RequestRouter:
     """Routes requests by the view of their group."""
@@ -30,6 +23,7 @@
         self._finisher = finisher
         self._watch = StatusWatch(state, self.release)
         self._sender = RequestSender(state)
+        self._reads = ReadRouting(state)
         self._read_index = ReadIndex(state, self.dispatch)
 
     @property
@@ -118,7 +112,7 @@
         if not len(group.wait):
             self._note_failover_over(group, had_waiters, now)
         for pending in taken:
-            if pending.is_read and not self._may_read(pending, claim.database):
+            if pending.is_read and not self._reads.may_use(pending, claim.database):
                 self._read_without_primary(pending, group, now)
             else:
                 self._send_to_primary(pending, group, claim, now)
@@ -137,7 +131,7 @@
 
     def _release_reads(self, group: EntryGroup, now: float) -> None:
         for pending in group.wait.floored_reads():
-            choice = self._choose_replica(pending, group, now)
+            choice = self._reads.choose_replica(pending, group, now)
             if choice is not None and choice.freshness is Freshness.KNOWN:
                 group.wait.discard(pending)
                 self._send_read(pending, group, choice, now)
@@ -158,7 +152,7 @@
         )
 
     def _dispatch_read(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
-        choice = self._choose_replica(pending, group, now)
+        choice = self._reads.choose_replica(pending, group, now)
         if choice is None:
             self._dispatch_to_primary(pending, group, now)
             return
@@ -177,41 +171,16 @@
         pending.excluded += (choice.database,)
         self._dispatch_read(pending, group, now)
 
-    def _choose_replica(
-        self, pending: PendingRequest, group: EntryGroup, now: float
-    ) -> ReadChoice | None:
-        state = self._state
-        floor = pending.floor
-        if floor is None or pending.stale_answers >= state.settings.max_stale_answers:
-            return None
-        request = pending.request
-        allowed = state.policy.read_databases(request.caller, request.group)
-        replicas = readable_replicas(allowed, group.description.primary, pending.excluded)
-        candidates = [name for name in replicas if not state.policy.is_drained(name)]
-        if not candidates:
-            return None
-        age = group.head.age_of(floor, now)
-        pending.floor_age = state.settings.unseen_floor_age if age is None else age
-        spec = state.configuration.group(request.group)
-        read_wait = DEFAULT_READ_WAIT if spec is None else spec.read_wait
-        query = ReadQuery(
-            floor=floor,
-            floor_age=pending.floor_age,
-            candidates=candidates,
-            read_wait=read_wait - pending.held,
-            zone=state.zone,
-            now=now,
-        )
-        return choose_replica(group.description, query, group.outstanding, state.random.random)
-
     def _dispatch_to_primary(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
         claim = group.primary_claim()
         if claim is None:
             self.wait_for_primary(pending, group, ErrorCode.NO_PRIMARY, now)
         elif self._state.policy.is_drained(claim.database):
             self.wait_for_primary(pending, group, ErrorCode.DATABASE_DRAINED, now)
-        elif pending.is_read and not self._may_read(pending, claim.database):
+        elif pending.is_read and not self._reads.may_use(pending, claim.database):
             self._read_without_primary(pending, group, now)
+        elif self._reads.may_start_on_replica(pending, group, claim):
+            self._ask_read_index(pending, group, now)
         elif self._is_doubted(pending, group, claim, now):
             self.wait_for_primary(pending, group, ErrorCode.NO_PRIMARY, now)
         else:
@@ -237,10 +206,6 @@
             return
         self._watch.note_sent_to_primary(group)
 
-    def _may_read(self, pending: PendingRequest, database: str) -> bool:
-        request = pending.request
-        return database in self._state.policy.read_databases(request.caller, request.group)
-
     def _read_without_primary(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
         """Waits until a replica that the rules allow is fresh, as long as there is time."""
         pending.last_code = ErrorCode.NO_FRESH_REPLICA
@@ -251,7 +216,7 @@
             self._finisher.not_run(pending, pending.last_code, message, retry_after)
         elif pending.floor is None:
             self._read_index.find(pending, gateway, now)
-            ask_again_at = now + self._state.settings.read_attempt_timeout
+            ask_again_at = now + self._state.settings.read_index_timeout
             self._sender.set_timer(pending, min(ask_again_at, self._wait_until(pending, now)))
         else:
             pending.excluded = ()
@@ -259,6 +224,15 @@
             self._sender.back_off(pending, now)
             self._watch.refresh(group, now)
 
+    def _ask_read_index(self, pending: PendingRequest, group: EntryGroup, now: float) -> None:
+        pending.asked_read_index = True
+        gateway = self._watch.near_gateway(group)
+        if gateway is None:
+            self.wait_for_gateway(pending, now)
+            return
+        self._read_index.find(pending, gateway, now)
+        self._sender.set_timer(pending, now + self._state.settings.read_index_timeout)
+
     def _wait_until(self, pending: PendingRequest, now: float) -> float:
         """The end of all waiting for this request, fixed when it first waits."""
         if pending.wait_until is None:
@@ -283,6 +257,9 @@
 
     def _waited(self, pending: PendingRequest, now: float) -> None:
         group = self._state.group(pending.request.group, now)
+        if pending.asked_read_index and pending.wait_until is None:
+            self.dispatch(pending, now)
+            return
         if pending.last_code is ErrorCode.NO_FRESH_REPLICA:
             self._read_without_primary(pending, group, now)
             return
--- a/src/dewledge/core/status_watch.py
+++ b/src/dewledge/core/status_watch.py
@@ -118,6 +118,15 @@
         spread = settings.probe_interval_most - settings.probe_interval_least
         return settings.probe_interval_least + spread * self._state.random.random()
 
+    def near_gateway(self, group: EntryGroup) -> str | None:
+        """Returns a gateway of the group in the entry's own zone, else one in its turn."""
+        for database in group.description.databases.values():
+            if database.zone == self._state.zone:
+                gateway = self._state.placement.active(database.name)
+                if gateway is not None:
+                    return gateway
+        return self.next_gateway(group)
+
     def next_gateway(self, group: EntryGroup) -> str | None:
         """Returns one of the group's gateways, each in its turn; None if it has none."""
         gateways = self._gateways(group)
--- a/tests/core/test_entry_reads.py
+++ b/tests/core/test_entry_reads.py
@@ -78,6 +78,41 @@
         self.assertEqual(self.harness.answer(request_id).served_by, "b")
 
 
+class FirstReadTest(unittest.TestCase):
+    """With `first_read_lag_limit`, a read without a floor starts on a replica."""
+
+    def setUp(self) -> None:
+        self.harness = EntryHarness(settings=EntrySettings(first_read_lag_limit=0.1))
+
+    def test_read_index_from_the_own_zone_leads_to_a_replica(self) -> None:
+        request_id = self.harness.read()
+        peer, question = self.harness.sent_of(GroupStatusRequest)[-1]
+        self.assertEqual((peer, question.fresh), ("ga", True))
+        shown = (status("a", DatabaseRole.PRIMARY, offset=12), status("b"), status("c"))
+        answer = GroupStatusAnswer(question.correlation, GROUP, shown, (0.0,) * 3)
+        self.harness.receive(peer, answer)
+        _, message = self.harness.last_request()
+        self.assertIn(message.database, ("b", "c"))
+        self.assertEqual(message.floor, position(1, 12))
+        self.harness.answer_done(position(1, 12), REPLICA)
+        self.assertEqual(self.harness.answer(request_id).outcome, Outcome.DONE)
+
+    def test_without_an_answer_the_confirmed_primary_serves_it(self) -> None:
+        self.harness.read()
+        self.harness.advance(0.25)
+        _, message = self.harness.last_request()
+        self.assertEqual((message.database, message.confirm, message.floor), ("a", True, None))
+
+    def test_lagging_replicas_are_not_waited_for(self) -> None:
+        for offset in range(11, 30):
+            self.harness.call()
+            self.harness.answer_done(position(1, offset))
+            self.harness.advance(0.5)
+            self.harness.show("a", offset=offset, b=10, c=10)
+        self.harness.read()
+        self.assertEqual(self.harness.last_request()[1].database, "a")
+
+
 class FreshnessTest(unittest.TestCase):
     def test_read_is_held_for_a_replica_about_to_be_fresh(self) -> None:
         """Replicas lag by 20 ms; a read of what was written 17 ms ago waits, within read_wait."""
