Let status rounds overlap, four at once and evenly spaced

A result that came while a round was in flight waited for its end and then for a whole round of its own: two round trips of 40 ms in place of one.

Change: up to four rounds are in flight, spaced by a quarter of the mean time of a round, and never closer than round_spacing. A database that owes an answer to a settled round is not asked again, so a dead one has at most four reads pending. The shell has four status threads for each database.

--- a/src/dewledge/core/gateway_settings.py
+++ b/src/dewledge/core/gateway_settings.py
@@ -9,7 +9,9 @@
     max_waiting: requests that may wait for one database.
     initial_service_time: assumed time of a statement until some have been measured.
     service_time_smoothing: weight of the newest measurement in the running mean, 0 to 1.
-    standby_connections: connections the next-ranked gateway keeps open.
+    stand_in_linger: how long the next-ranked gateway keeps all connections after a request that
+    it served in place of the active one.
+    standby_connections: connections the next-ranked gateway keeps open otherwise.
     open_retry_min, open_retry_max: bounds of the growing pause after a failed open.
     open_timeout: after this an open that was never reported counts as failed.
     statement_timeout: the longest a worker waits for the database, whatever the deadline.
@@ -25,6 +27,7 @@
     the status_timeout if that is more.
     round_spacing: least time between two rounds of a group that confirm results.
     look_spacing: the same for rounds that a failure or a status request asks for.
+    rounds_at_once: rounds of a group that may be under way, spread over the time a round takes.
     confirmation_retry_min, confirmation_retry_max: pause before a repeated confirming round.
     heartbeat_interval: time between rounds where this gateway serves a primary in use.
     idle_heartbeat_interval: the same for other groups that it serves.
@@ -39,6 +42,7 @@
     max_waiting: int = 256
     initial_service_time: float = 0.005
     service_time_smoothing: float = 0.05
+    stand_in_linger: float = 5.0
     standby_connections: int = 1
     open_retry_min: float = 0.05
     open_retry_max: float = 1.0
@@ -55,6 +59,7 @@
     round_max_age: float = 1.0
     round_spacing: float = 0.002
     look_spacing: float = 0.02
+    rounds_at_once: int = 4
     confirmation_retry_min: float = 0.005
     confirmation_retry_max: float = 0.025
     heartbeat_interval: float = 0.5
--- a/src/dewledge/core/status_rounds.py
+++ b/src/dewledge/core/status_rounds.py
@@ -1,8 +1,10 @@
 """Status rounds of one group: when one starts, whom it asks, which readings belong to it.
 
-A round asks every database of the group that is not being asked already, so a database that does
-not answer has one read pending and not one per round. The next round may start once the last one
-is settled: a majority answered in the same term, or nobody is left to answer.
+Rounds overlap, so that a result which comes while one is on its way need not wait for its end:
+up to `rounds_at_once`, evenly spaced over the time that a round usually takes. A round is settled
+once a majority answered in the same term, or nobody is left to answer. A database that owes an
+answer to a settled round is not asked again, so that one that does not answer has few reads
+pending and not one per round.
 """
 
 from collections.abc import Callable, Mapping
@@ -13,6 +15,9 @@
 from dewledge.core.gateway_context import GatewayContext, Timer
 from dewledge.core.jobs import StatusReading
 
+ROUND_TIME_GAIN = 0.125
+"""Weight of the newest round in the running mean of their durations."""
+
 
 class StatusRound:
     """One round: who was asked, and what came back so far.
@@ -91,8 +96,9 @@
         self._on_abandoned = on_abandoned
         self._addresses: dict[str, str] = {}
         self._rounds: dict[int, StatusRound] = {}
-        self._outstanding: dict[str, int] = {}
-        self._current: StatusRound | None = None
+        self._outstanding: dict[str, set[int]] = {}
+        self._unsettled: dict[int, StatusRound] = {}
+        self._round_time = 0.0
         self._start_timer: Timer | None = None
         self._start_at = 0.0
         self._wanted = False
@@ -110,14 +116,14 @@
 
     def in_flight_after(self, round_id: int) -> bool:
         """Tells whether a round later than `round_id` still waits for answers."""
-        return self._current is not None and self._current.round_id > round_id
+        return any(unsettled > round_id for unsettled in self._unsettled)
 
     def is_configured(self, database: str) -> bool:
         """Tells whether a database belongs to the group."""
         return database in self._addresses
 
     def want(self, now: float) -> None:
-        """Starts a round now, or as soon as the last one is settled and the spacing allows."""
+        """Starts a round now, or as soon as those in flight and the spacing allow."""
         self._wanted = True
         self._start_if_allowed(now)
 
@@ -147,12 +153,12 @@
         reading = self._checked(reading)
         status = reading.status if self.is_configured(reading.database) else None
         status_round.note(reading.database, status)
-        self._outstanding.pop(reading.database, None)
+        self._note_answered(reading.database, round_id)
         if status_round.complete:
             self._forget(status_round)
         self._on_reading(status_round, reading, now)
-        if self._current is status_round and status_round.settled:
-            self._current = None
+        if status_round.settled and self._unsettled.pop(round_id, None) is not None:
+            self._learn_round_time(now - status_round.started_at)
         if self._wanted:
             self._start_if_allowed(now)
 
@@ -170,17 +176,36 @@
         self.want(now)
 
     def _start_if_allowed(self, now: float) -> None:
-        if self._current is not None:
+        if len(self._unsettled) >= self._context.settings.rounds_at_once:
             return
-        asked = [name for name in self._addresses if name not in self._outstanding]
+        asked = [name for name in self._addresses if self._may_ask(name)]
         if not asked:
             return
-        allowed_at = self.last_started_at + self._context.settings.round_spacing
+        allowed_at = self.last_started_at + self._spacing()
         if now < allowed_at:
             self.want_at(allowed_at, now)
             return
         self._start(asked, now)
 
+    def _may_ask(self, database: str) -> bool:
+        pending = self._outstanding.get(database, ())
+        return all(round_id in self._unsettled for round_id in pending)
+
+    def _spacing(self) -> float:
+        """Spreads the rounds evenly: of a burst, the last should not wait for a whole round."""
+        settings = self._context.settings
+        if not self._unsettled:
+            return settings.round_spacing
+        return max(settings.round_spacing, self._round_time / settings.rounds_at_once)
+
+    def _learn_round_time(self, duration: float) -> None:
+        if self._round_time == 0.0:
+            self._round_time = duration
+        self._round_time += ROUND_TIME_GAIN * (duration - self._round_time)
+
+    def _note_answered(self, database: str, round_id: int) -> None:
+        self._outstanding.get(database, set()).discard(round_id)
+
     def _start(self, asked: list[str], now: float) -> None:
         self._wanted = False
         self._context.cancel(self._start_timer)
@@ -192,8 +217,9 @@
             now + settings.round_age_bound, lambda at: self._abandon(status_round, at)
         )
         self._rounds[round_id] = status_round
-        self._outstanding.update(dict.fromkeys(asked, round_id))
-        self._current = status_round
+        for name in asked:
+            self._outstanding.setdefault(name, set()).add(round_id)
+        self._unsettled[round_id] = status_round
         self.newest_round = round_id
         self.last_started_at = now
         addresses = tuple(self._addresses[name] for name in asked)
@@ -204,8 +230,7 @@
 
     def _abandon(self, status_round: StatusRound, now: float) -> None:
         self._forget(status_round)
-        if self._current is status_round:
-            self._current = None
+        self._unsettled.pop(status_round.round_id, None)
         self._on_abandoned(status_round, now)
         if self._wanted:
             self._start_if_allowed(now)
@@ -215,5 +240,4 @@
         self._rounds.pop(status_round.round_id, None)
         self._context.round_owners.pop(status_round.round_id, None)
         for database in status_round.asked:
-            if self._outstanding.get(database) == status_round.round_id:
-                del self._outstanding[database]
+            self._note_answered(database, status_round.round_id)
--- a/src/dewledge/shell/database_workers.py
+++ b/src/dewledge/shell/database_workers.py
@@ -10,19 +10,31 @@
 from loguru import logger
 
 from dewledge.adapters.job_runner import run_job
+from dewledge.core.calls import Operation
 from dewledge.core.effects import CloseConnection, OpenConnection, ReadStatuses, RunJob
-from dewledge.core.jobs import Job, JobResult, JobUnknown, StatusReading
+from dewledge.core.jobs import Job, JobNotRun, JobResult, JobUnknown, StatusReading
 from dewledge.core.ports import DatabaseConnection, DatabaseDriver
-from dewledge.errors import DewledgeError, ErrorCode
+from dewledge.errors import ConnectRefused, DewledgeError, ErrorCode
 from dewledge.shell.event_loop import EventLoop
 
 JOB_THREADS = 64
 """At most so many calls to one database at once; the gateway's slots keep it far lower."""
 
-STATUS_THREADS = 2
+STATUS_THREADS = 4
+"""As many status rounds as may be under way at once, so that none waits for a thread."""
+
 CONNECT_SECONDS = 2.0
 UNUSED_SECONDS = 60.0
 
+LATEST_START_SECONDS = 1.0
+"""How long after the event that led to it new work is begun at the database.
+
+A process that was frozen in between may hold an old configuration, and the core cannot know yet.
+"""
+
+NEW_WORK = (Operation.EXECUTE, Operation.BEGIN)
+STOOD_STILL = "the process stood still before it was sent"
+
 
 class DatabaseHandler(Protocol):
     """What the workers report, on the loop's thread."""
@@ -89,7 +101,7 @@
         threads = self._threads_of(effect.database)
         threads.connections += 1
         self._connections[effect.connection_id] = _Connection(threads)
-        threads.jobs.submit(self._open, effect.connection_id, effect.address)
+        threads.jobs.submit(self._open, effect.connection_id, effect.address, self._loop.event_time)
 
     def run(self, effect: RunJob) -> None:
         """Runs a job on its connection."""
@@ -100,7 +112,7 @@
             self._loop.post(partial(self._handler.job_result, result))
             return
         connection.is_busy = True
-        connection.threads.jobs.submit(self._run, connection.wrapped, job)
+        connection.threads.jobs.submit(self._run, connection.wrapped, job, self._loop.event_time)
 
     def close(self, effect: CloseConnection) -> None:
         """Closes a connection, after the job that runs on it."""
@@ -147,9 +159,11 @@
 
     # On the executors' threads.
 
-    def _open(self, connection_id: int, address: str) -> None:
+    def _open(self, connection_id: int, address: str, ordered_at: float) -> None:
         opened: DatabaseConnection | ErrorCode
         try:
+            if self._loop.now() - ordered_at > LATEST_START_SECONDS:
+                raise ConnectRefused(STOOD_STILL)
             opened = self._driver.connect(address, CONNECT_SECONDS)
         except DewledgeError as error:
             opened = error.code
@@ -158,9 +172,13 @@
             opened = ErrorCode.INTERNAL
         self._loop.post(partial(self._opened, connection_id, opened))
 
-    def _run(self, wrapped: DatabaseConnection, job: Job) -> None:
+    def _run(self, wrapped: DatabaseConnection, job: Job, ordered_at: float) -> None:
+        result: JobResult
         try:
-            result = run_job(wrapped, job)
+            if job.operation in NEW_WORK and self._loop.now() - ordered_at > LATEST_START_SECONDS:
+                result = JobNotRun(job.job_id, ErrorCode.DEADLINE_EXCEEDED, STOOD_STILL, True)
+            else:
+                result = run_job(wrapped, job)
         except Exception as error:
             logger.exception("job_fault")
             result = JobUnknown(job.job_id, ErrorCode.INTERNAL, str(error))
