--- a/src/dewledge/simulation/callers.py
+++ b/src/dewledge/simulation/callers.py
@@ -17,6 +17,9 @@
 REFUSED_CONNECTION_ATTEMPTS = 6
 """Proxies that a caller tries in turn when nothing listens at the one it chose."""
 
+GIVE_UP_TIME = 1.0
+"""Seconds after which a caller gives up a connection on which nothing passes."""
+
 AnswerHandler = Callable[[RequestRecord, CallerAnswer | None], None]
 
 
@@ -163,7 +166,9 @@
     def _try_proxy(self) -> None:
         self._attempts += 1
         proxy = self._world.proxies[self._record.proxy]
-        self._world.network.send_reliably(self._client, proxy.name, lambda: self._arrive(proxy))
+        self._world.network.send_reliably(
+            self._client, proxy.name, lambda: self._arrive(proxy), self._cut_off
+        )
 
     def _arrive(self, proxy: SimulatedProxy) -> None:
         if proxy.state is ProcessState.DEAD:
@@ -173,12 +178,16 @@
 
     def _reply_from(self, proxy: SimulatedProxy) -> Callable[[CallerAnswer], None]:
         return lambda answer: self._world.network.send_reliably(
-            proxy.name, self._client, lambda: self._answered(answer)
+            proxy.name, self._client, lambda: self._answered(answer), self._cut_off
         )
 
     def _reset_from(self, proxy: SimulatedProxy) -> Callable[[], None]:
         return lambda: self._world.network.send_reliably(proxy.name, self._client, self._reset)
 
+    def _cut_off(self) -> None:
+        """Nothing passes: after a while the caller gives its connection up."""
+        self._world.queue.call_after(GIVE_UP_TIME, self._reset)
+
     def _reset(self) -> None:
         if not self._finished:
             self._record.reset = True
--- a/src/dewledge/simulation/faults.py
+++ b/src/dewledge/simulation/faults.py
@@ -11,6 +11,7 @@
 from dewledge.core.resources import Kind
 from dewledge.simulation.network import NO_FAULTS, LinkFaults
 from dewledge.simulation.simulated_proxy import SimulatedProxy
+from dewledge.simulation.site_faults import SiteFaults
 from dewledge.simulation.world import World
 from dewledge.standin.group_types import LagStage
 
@@ -45,6 +46,8 @@
     PROXY_FROZEN = "some proxy frozen"
     PROXY_CUT = "some proxy cut off from the others and the store"
     PROXY_STOPPED = "some proxy stopped as planned and restarted"
+    SITE_CUT = "site of the primary cut off, with its callers"
+    SITE_LOST = "site of the primary lost"
     STORE_DOWN = "store down"
     STORE_SLOW = "store slow"
     STORE_ANSWER_LOST = "answer of the store lost"
@@ -75,6 +78,7 @@
     def __init__(self, world: World, random: Random) -> None:
         self._world = world
         self._random = random
+        self._sites = SiteFaults(world)
         self._changes = 0
 
     def schedule(self, fault: Fault, begins_at: float) -> None:
@@ -91,7 +95,7 @@
         if kind in LINK_FAULTS:
             self._world.network.set_faults(LINK_FAULTS[kind])
             return lambda: self._world.network.set_faults(NO_FAULTS)
-        for begin in (self._begin_at_primaries, self._begin_at_proxy, self._begin_at_platform):
+        for begin in (self._begin_at_primaries, self._begin_at_proxy, self._begin_elsewhere):
             end = begin(kind)
             if end is not None:
                 return end
@@ -207,9 +211,13 @@
 
         return heal
 
-    def _begin_at_platform(self, kind: FaultKind) -> Callable[[], None] | None:
+    def _begin_elsewhere(self, kind: FaultKind) -> Callable[[], None] | None:
         platform = self._world.platform
         match kind:
+            case FaultKind.SITE_CUT:
+                return self._sites.cut_off()
+            case FaultKind.SITE_LOST:
+                return self._sites.lose()
             case FaultKind.STORE_DOWN:
                 platform.down = True
                 return lambda: setattr(platform, "down", False)
--- a/src/dewledge/simulation/network.py
+++ b/src/dewledge/simulation/network.py
@@ -78,12 +78,15 @@
             return
         self._schedule_in_order(source, destination, self._delay(source, destination), deliver)
 
-    def send_reliably(self, source: str, destination: str, deliver: Action) -> None:
-        """Like `send_stream` on a link that only a cut can harm, such as a caller's own."""
-        if self.is_cut(source, destination):
-            self.lost += 1
-            return
-        self._schedule_in_order(source, destination, self._delay(source, destination), deliver)
+    def send_reliably(
+        self, source: str, destination: str, deliver: Action, cut: Action | None = None
+    ) -> None:
+        """Like `send_stream` on a link that only a cut can harm, such as a caller's own.
+
+        `cut` runs in place of `deliver` if a cut keeps the message from arriving.
+        """
+        delay = self._delay(source, destination)
+        self._schedule_in_order(source, destination, delay, deliver, cut)
 
     def _schedule(self, source: str, destination: str, deliver: Action) -> None:
         delay = self._delay(source, destination)
@@ -94,19 +97,28 @@
         self._schedule_in_order(source, destination, delay, deliver)
 
     def _schedule_in_order(
-        self, source: str, destination: str, delay: float, deliver: Action
+        self,
+        source: str,
+        destination: str,
+        delay: float,
+        deliver: Action,
+        cut: Action | None = None,
     ) -> None:
         link = (source, destination)
         arrival = max(self._queue.now + delay, self._last_arrival.get(link, 0.0))
         self._last_arrival[link] = arrival
-        self._queue.call_at(arrival, self._unless_cut(source, destination, deliver))
+        self._queue.call_at(arrival, self._unless_cut(source, destination, deliver, cut))
 
-    def _unless_cut(self, source: str, destination: str, deliver: Action) -> Action:
+    def _unless_cut(
+        self, source: str, destination: str, deliver: Action, cut: Action | None = None
+    ) -> Action:
         def arrive() -> None:
-            if self.is_cut(source, destination):
-                self.lost += 1
+            if not self.is_cut(source, destination):
+                deliver()
                 return
-            deliver()
+            self.lost += 1
+            if cut is not None:
+                cut()
 
         return arrive
 
--- a/tests/contracts/test_at_most_once.py
+++ b/tests/contracts/test_at_most_once.py
@@ -18,6 +18,7 @@
     Row("gateway frozen", (Fault(FaultKind.GATEWAY_FROZEN, 1.0),), (Expected.UNKNOWN,)),
     Row("primary cut off", (CUT,), (Expected.UNKNOWN, Expected.ELECTION)),
     Row("primary frozen", (Fault(FaultKind.PRIMARY_FROZEN, 1.0),), (Expected.ELECTION,)),
+    Row("site cut off", (Fault(FaultKind.SITE_CUT, 1.0, 2.0),), (Expected.UNKNOWN,)),
     Row("connections reset", (Fault(FaultKind.CONNECTIONS_RESET, 1.0),)),
     Row(
         "primary cut off after its gateway was killed",
--- a/tests/contracts/test_replaced_primary.py
+++ b/tests/contracts/test_replaced_primary.py
@@ -33,6 +33,12 @@
         (Fault(FaultKind.REPLICAS_LAG, 0.8, 2.0), Fault(CUT, 1.0, 3.0)),
         (Expected.UNKNOWN,),
     ),
+    Row(
+        "site cut off, with its callers",
+        (Fault(FaultKind.SITE_CUT, 1.0),),
+        (Expected.ELECTION, Expected.UNKNOWN),
+    ),
+    Row("site lost", (Fault(FaultKind.SITE_LOST, 1.0),), (Expected.ELECTION,)),
     Row(
         "cut while messages are lost",
         (Fault(FaultKind.MESSAGES_LOST, 0.5, 4.0), Fault(CUT, 1.0, 3.0)),
