Begin no work at a database on what was decided before a freeze

Cause (tests.processes DrainTest, primary row; 4 of 4 rows failed under load): a gateway thawed after a drain opened connections and sent a BEGIN to the drained database before its first check of contact. Ended jobs made the pool open connections in the tick before that check, and worker threads frozen before their first byte went on with what was ordered. Ruled out: a stale configuration once serving again (it was in force before, in each log).

--- a/src/dewledge/core/connection_pool.py
+++ b/src/dewledge/core/connection_pool.py
@@ -39,6 +39,7 @@
         self._retry_pause = 0.0
         self._retry_timer: Timer | None = None
         self._failure: ErrorCode | None = None
+        self._is_held = False
 
     @property
     def open_count(self) -> int:
@@ -75,6 +76,15 @@
             self._close(self._idle.pop(0))
         self._fill(now)
 
+    def hold(self) -> None:
+        """Opens nothing until `resume`, because this proxy may hold an old configuration."""
+        self._is_held = True
+
+    def resume(self, now: float) -> None:
+        """Ends `hold`, and opens towards the target."""
+        self._is_held = False
+        self._fill(now)
+
     def lend(self) -> int:
         """Takes an idle connection, the one used last. Raises IndexError if there is none."""
         connection = self._idle.pop()
@@ -144,7 +154,7 @@
         return len(self._opening) + len(self._idle) + len(self._lent)
 
     def _fill(self, now: float) -> None:
-        if self._retry_timer is not None:
+        if self._is_held or self._retry_timer is not None:
             return
         while self._total() < self._target:
             self._open(now)
@@ -188,7 +198,7 @@
     def _retry(self, now: float) -> None:
         """Tries one; if that opens, the others follow."""
         self._retry_timer = None
-        if self._total() < self._target:
+        if self._total() < self._target and not self._is_held:
             self._open(now)
 
     def _replace_all(self) -> None:
--- a/src/dewledge/core/gateway.py
+++ b/src/dewledge/core/gateway.py
@@ -57,9 +57,8 @@
     def set_serving(self, serving: bool, now: float) -> list[Effect]:
         """Tells whether this proxy may serve; cut off for too long, it refuses what has not run."""
         self._routing.serving = serving
-        if not serving:
-            for database in self._roster.databases.values():
-                database.refuse_waiting()
+        for database in self._roster.databases.values():
+            database.set_serving(serving, now)
         return self._context.take_effects()
 
     def handle_peer_connected(self, peer: str, incarnation: int, now: float) -> list[Effect]:
--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -10,7 +10,7 @@
 from dewledge.core.admission import Refusal, ServiceRate
 from dewledge.core.calls import Access
 from dewledge.core.connection_pool import ConnectionPool
-from dewledge.core.gateway_context import GatewayContext
+from dewledge.core.gateway_context import GatewayContext, Timer
 from dewledge.core.gateway_report import DatabaseReport, GatewayRole
 from dewledge.core.gateway_request import GatewayRequest, RequestRegistry
 from dewledge.core.gateway_transactions import GatewayTransactions
@@ -53,6 +53,8 @@
         self._search_interval = settings.no_primary_interval
         self._connection_bound = 0
         self._running_statements = 0
+        self._stands_in_until = float("-inf")
+        self._stand_in_timer: Timer | None = None
         self._begin_next = True
         self._open_failures = OpenFailureLog(context, name)
         self._pool = ConnectionPool(context, name, self._opened, self._open_failed)
@@ -126,6 +128,8 @@
         if refusal is not None:
             self._refuse(request, refusal)
             return
+        if self.role is not GatewayRole.ACTIVE:
+            self._stand_in(now)
         if self._can_start(request):
             self._start(request, now)
             return
@@ -142,8 +146,12 @@
         """Removes a request that waits; False if it has started."""
         return self._room_of(request).withdraw(request)
 
-    def refuse_waiting(self) -> None:
-        """Gives up what waits, because this proxy is cut off."""
+    def set_serving(self, serving: bool, now: float) -> None:
+        """Cut off, this proxy gives up what waits and opens no connection."""
+        if serving:
+            self._pool.resume(now)
+            return
+        self._pool.hold()
         self._refuse_waiting(ISOLATED)
 
     def leave(self, now: float) -> None:
@@ -216,14 +224,23 @@
         limit = self._context.settings.drain_transaction_limit
         self._transactions.bound_all(limit, ErrorCode.DATABASE_DRAINED, now)
 
+    def _stand_in(self, now: float) -> None:
+        """Serves in place of the active gateway: all connections, until it is asked no more."""
+        linger = self._context.settings.stand_in_linger
+        self._stands_in_until = now + linger
+        self._context.cancel(self._stand_in_timer)
+        self._stand_in_timer = self._context.call_at(now + linger, self._adjust_pool)
+        self._adjust_pool(now)
+
     def _adjust_pool(self, now: float) -> None:
-        self._pool.configure(self._address, self._pool_target(), now)
+        self._pool.configure(self._address, self._pool_target(now), now)
 
-    def _pool_target(self) -> int:
+    def _pool_target(self, now: float) -> int:
         if self.drained:
             return 0
         all_slots = min(self._slots, self._connection_bound)
-        if self.role is GatewayRole.ACTIVE or not self.is_idle:
+        stands_in = self.role is GatewayRole.STANDBY and now < self._stands_in_until
+        if self.role is GatewayRole.ACTIVE or stands_in or not self.is_idle:
             return all_slots
         if self.role is GatewayRole.STANDBY:
             return min(self._context.settings.standby_connections, all_slots)
--- a/src/dewledge/core/proxy_core.py
+++ b/src/dewledge/core/proxy_core.py
@@ -111,7 +111,7 @@
 
     def tick(self, now: float) -> list[ProxyEffect]:
         """Does what is due. Call it at `next_wake`, or earlier without harm."""
-        effects: list[Any] = []
+        effects: list[Any] = self._router.check_serving(now)
         for part in self._timed:
             wake = part.next_wake()
             if wake is not None and wake <= now:
@@ -233,8 +233,10 @@
         return self._router.finish(effects, now)
 
     def handle_job_result(self, result: JobResult, now: float) -> list[ProxyEffect]:
-        """Takes the result of a job."""
-        return self._router.finish(self._parts.gateway.handle_job_result(result, now), now)
+        """Takes the result of a job; it may be the first event after a freeze."""
+        effects: list[Any] = self._router.check_serving(now)
+        effects += self._parts.gateway.handle_job_result(result, now)
+        return self._router.finish(effects, now)
 
     def handle_status_reading(
         self, round_id: int, reading: StatusReading, now: float
--- a/src/dewledge/shell/event_loop.py
+++ b/src/dewledge/shell/event_loop.py
@@ -46,6 +46,7 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.now = clock
+        self._event_time: float | None = None
         self._selector = selectors.DefaultSelector()
         self._timers: list[Timer] = []
         self._posted: deque[Callback] = deque()
@@ -142,13 +143,19 @@
         for callback in callbacks:
             self._call(callback)
 
-    @staticmethod
-    def _call(callback: Callable[..., None], *arguments: int) -> None:
+    @property
+    def event_time(self) -> float:
+        """When the callback that runs now began; outside of callbacks the present time."""
+        return self.now() if self._event_time is None else self._event_time
+
+    def _call(self, callback: Callable[..., None], *arguments: int) -> None:
         # One connection's fault must not end the process that serves all the others.
+        self._event_time = self.now()
         try:
             callback(*arguments)
         except Exception:
             logger.exception("loop_callback_failed")
+        self._event_time = None
 
     def _wake(self) -> None:
         with contextlib.suppress(BlockingIOError, OSError):
