Let the next gateway serve while the active one finds no way to the database

Cause: a database's active gateway was the only one that served it until membership had declared it dead, and for ever when it was alive but cut off from its databases: entries that turned to the next gateway were sent back with WRONG_GATEWAY. A gateway whose whole group is silent says DATABASE_UNREACHABLE, not NO_PRIMARY. Both gateways serving for a moment is harmless, as before: the database's limit and term are the guards. Ruled out: shorter membership timeouts (they cost control traffic on all nodes and do nothing for the cut-off gateway), and taking the other path on NO_PRIMARY as well (an extra hop in each election).

--- a/src/dewledge/core/answer_handler.py
+++ b/src/dewledge/core/answer_handler.py
@@ -149,7 +149,8 @@
         if reaction is Reaction.READ_ELSEWHERE and pending.is_read:
             self._read_elsewhere(pending, group, now)
         elif reaction is Reaction.FIND_PRIMARY:
-            self._find_primary(pending, group, message.code, now)
+            if not self._uses_other_path(pending, message.code, now):
+                self._find_primary(pending, group, message.code, now)
         elif reaction is Reaction.FOLLOW:
             self._follow(pending, message, now)
         elif reaction is Reaction.OTHER_GATEWAY:
@@ -191,6 +192,12 @@
         else:
             self._router.dispatch(pending, now)
 
+    def _uses_other_path(self, pending: PendingRequest, code: ErrorCode, now: float) -> bool:
+        """A gateway that is cut off from a database says the same as one whose database is gone."""
+        if code not in _UNREACHABLE_CODES or pending.freshness is not None:
+            return False
+        return self._router.sender.send_by_other_path(pending, now)
+
     def _follow(self, pending: PendingRequest, message: StatementNotRun, now: float) -> None:
         target = message.gateway
         pending.redirects += 1
--- a/src/dewledge/core/gateway_roster.py
+++ b/src/dewledge/core/gateway_roster.py
@@ -114,6 +114,11 @@
         """Returns the active gateway of a database, or None."""
         return self._placement.active(database) if self._placement else None
 
+    def is_next_gateway(self, database: str) -> bool:
+        """Tells whether this is the gateway that serves if the active one cannot."""
+        ranked = self._placement.ranked(database) if self._placement else ()
+        return self._context.me in ranked[1:2]
+
     def other_gateway(self, database: str) -> str | None:
         """Returns the best ranked gateway that is not this one, or None."""
         ranked = self._placement.ranked(database) if self._placement else ()
--- a/src/dewledge/core/gateway_routing.py
+++ b/src/dewledge/core/gateway_routing.py
@@ -92,7 +92,7 @@
         elif self.leaving:
             gateway = self._roster.other_gateway(message.database)
             self._registry.not_run(request, ErrorCode.LEAVING, gateway=gateway)
-        elif active != self._context.me:
+        elif active != self._context.me and not self._stands_in(message):
             self._registry.not_run(request, ErrorCode.WRONG_GATEWAY, gateway=active)
         elif message.remaining <= 0:
             self._registry.not_run(request, ErrorCode.DEADLINE_EXCEEDED)
@@ -100,6 +100,9 @@
             return False
         return True
 
+    def _stands_in(self, message: StatementRequest) -> bool:
+        return message.fallback and self._roster.is_next_gateway(message.database)
+
     def _route_in_transaction(
         self, request: GatewayRequest, transaction_id: str, now: float
     ) -> None:
--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -149,6 +149,7 @@
         """Tells why a write on `database` could not be confirmed, from a recent round, or None.
 
         NOT_PRIMARY: another database is primary. NO_PRIMARY: no majority stands behind any.
+        DATABASE_UNREACHABLE: none of the group answered, so it may be this proxy that is cut off.
         Sparing the database such a write spares the caller an unknown outcome.
         """
         if self._seen is None or now - self._seen.started_at > self._settings.status_cache_age:
@@ -157,6 +158,8 @@
         if primary == database:
             return None
         self.look_again(now)
+        if not self._seen.statuses:
+            return ErrorCode.DATABASE_UNREACHABLE
         return ErrorCode.NO_PRIMARY if primary is None else ErrorCode.NOT_PRIMARY
 
     def on_answer(self, database: str, callback: Callable[[float], None]) -> None:
--- a/src/dewledge/core/messages.py
+++ b/src/dewledge/core/messages.py
@@ -31,6 +31,8 @@
     remaining: seconds until the caller's deadline, as of sending.
     floor: a read below it is discarded by the gateway and answered NOT_FRESH.
     confirm: a read that must be followed by a status round showing the term at a majority.
+    fallback: the entry finds no way to the database through its active gateway, so the next one
+        is to serve it. Both may serve it at once: the database's limit and term are the guards.
     """
 
     correlation: int
@@ -45,6 +47,7 @@
     confirm: bool = False
     idempotency_key: str | None = None
     transaction: str | None = None
+    fallback: bool = False
 
 
 class StatementDone(msgspec.Struct, frozen=True, array_like=True, tag="done"):
--- a/src/dewledge/core/request_sender.py
+++ b/src/dewledge/core/request_sender.py
@@ -1,5 +1,7 @@
 """Sends requests to gateways, one attempt at a time, and holds them in between."""
 
+import msgspec
+
 from dewledge.core.calls import Operation
 from dewledge.core.entry_state import EntryState
 from dewledge.core.messages import StatementRequest
@@ -10,12 +12,20 @@
 _MOST_DOUBLINGS = 16
 
 
+class _Path(msgspec.Struct, frozen=True):
+    """The way to a database through one gateway."""
+
+    gateway: str
+    database: str
+
+
 class RequestSender:
     """Chooses gateways and keeps each request's one timer."""
 
     def __init__(self, state: EntryState) -> None:
         self._state = state
         self._avoid_until: dict[str, float] = {}
+        self._blocked_until: dict[_Path, float] = {}
 
     def avoid_gateway(self, gateway: str, now: float) -> None:
         """Prefers other gateways to this one for a while."""
@@ -32,10 +42,32 @@
             return False
         pending.attempts += 1
         pending.confirm = confirm
-        self.send_to(pending, gateway, database, now)
+        fallback = gateway != self._state.placement.active(database)
+        self.send_to(pending, gateway, database, now, fallback)
         return True
 
-    def send_to(self, pending: PendingRequest, gateway: str, database: str, now: float) -> None:
+    def send_by_other_path(self, pending: PendingRequest, now: float) -> bool:
+        """Sends a request that its gateway could not serve through the next gateway.
+
+        Returns False if that one is known to find no way to the database either.
+        """
+        database = pending.database
+        until = now + self._state.settings.gateway_avoid_time
+        self._blocked_until[_Path(pending.peer, database)] = until
+        gateway = self._choose_gateway(pending, database, now)
+        if gateway is None or self._is_blocked(gateway, database, now):
+            return False
+        self.send_to(pending, gateway, database, now, fallback=True)
+        return True
+
+    def send_to(
+        self,
+        pending: PendingRequest,
+        gateway: str,
+        database: str,
+        now: float,
+        fallback: bool = False,
+    ) -> None:
         """Sends the request to this gateway, in place of any attempt before."""
         correlation = self._state.next_correlation()
         self._state.pending.attach(pending, correlation, gateway)
@@ -44,7 +76,7 @@
         pending.sent_at = now
         group = self._state.group(pending.request.group, now)
         group.note_sent(pending)
-        self._state.send(gateway, self._message(pending, now))
+        self._state.send(gateway, self._message(pending, now, fallback))
         self.set_timer(pending, self._attempt_end(pending, now))
 
     def hold(self, pending: PendingRequest, until: float) -> None:
@@ -75,10 +107,20 @@
         ranked = self._state.placement.ranked(database)[:_CANDIDATE_GATEWAYS]
         usable = [gateway for gateway in ranked if gateway not in pending.avoided_gateways]
         for gateway in usable:
-            if not self._is_avoided(gateway, now):
+            if not self._is_avoided(gateway, now) and not self._is_blocked(gateway, database, now):
                 return gateway
         return usable[0] if usable else None
 
+    def _is_blocked(self, gateway: str, database: str, now: float) -> bool:
+        path = _Path(gateway, database)
+        until = self._blocked_until.get(path)
+        if until is None:
+            return False
+        if until > now:
+            return True
+        del self._blocked_until[path]
+        return False
+
     def _is_avoided(self, gateway: str, now: float) -> bool:
         until = self._avoid_until.get(gateway)
         if until is None:
@@ -95,7 +137,7 @@
             return pending.request.deadline
         return now + settings.read_attempt_timeout * 2.0 ** max(0, pending.attempts - 1)
 
-    def _message(self, pending: PendingRequest, now: float) -> StatementRequest:
+    def _message(self, pending: PendingRequest, now: float, fallback: bool) -> StatementRequest:
         request = pending.request
         remaining = request.deadline - now
         margin = min(self._state.settings.answer_margin, remaining * _MARGIN_SHARE)
@@ -113,4 +155,5 @@
             confirm=pending.confirm,
             idempotency_key=request.idempotency_key,
             transaction=request.transaction,
+            fallback=fallback,
         )
