--- a/tests/core/test_gateway.py
+++ b/tests/core/test_gateway.py
@@ -287,6 +287,42 @@
         harness.configure(placement=FixedPlacement())
         self.assertEqual([report.connections for report in harness.gateway.reports()], [2, 2, 2])
 
+    def test_next_gateway_stands_in_only_if_asked_to(self) -> None:
+        """Rows: name, placement, fallback, outcome while the read waits for its job."""
+        refused = "not run: wrong_gateway"
+        cases = [
+            ("next, not asked to", ("there", "here"), False, refused),
+            ("next", ("there", "here"), True, "waiting"),
+            ("neither active nor next", ("there", "third", "here"), True, refused),
+        ]
+        for name, order, fallback, outcome in cases:
+            with self.subTest(name):
+                harness = GatewayHarness()
+                harness.configure(placement=FixedPlacement(*order))
+                key = harness.send(database="cases-2", fallback=fallback)
+                self.assertEqual(harness.outcome(key), outcome)
+
+    def test_standing_in_opens_all_connections_and_gives_them_back(self) -> None:
+        harness = GatewayHarness()
+        harness.configure(placement=FixedPlacement("there", "here"))
+        harness.write(fallback=True)
+        harness.open_all()
+        self.assertEqual([report.connections for report in harness.gateway.reports()], [2, 1, 1])
+        harness.finish(position=LogPosition(1, 11))
+        harness.confirm_all(offset=11)
+        self.assertEqual(harness.gateway.reports()[0].connections, 2)
+        harness.run_until(harness.now + harness.settings.stand_in_linger)
+        self.assertEqual(harness.gateway.reports()[0].connections, 1)
+
+    def test_cut_off_from_the_whole_group_is_not_taken_for_a_lost_primary(self) -> None:
+        harness = ready()
+        key = harness.send(confirm=True)
+        for status_round in list(harness.rounds):
+            for database in status_round.databases:
+                harness.read_status(status_round, database, None)
+        self.assertNotEqual(harness.outcome(key), "done")
+        self.assertEqual(harness.outcome(harness.write()), "not run: database_unreachable")
+
     def test_drained_database(self) -> None:
         harness = ready(slots=1)
         running, queued = harness.send(), harness.send()
