--- a/src/dewledge/simulation/simulated_proxy.py
+++ b/src/dewledge/simulation/simulated_proxy.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from dewledge.core.calls import CallerAnswer, CallerRequest
+from dewledge.core.calls import CallerRequest
 from dewledge.core.configuration_spread import ConfigurationChanged
 from dewledge.core.configuration_store import ProposalFinished, ProposedChange, StoreCall
 from dewledge.core.effects import (
@@ -29,6 +29,7 @@
 from dewledge.simulation.database_client import ClientReports, DatabaseClient
 from dewledge.simulation.history import RevisionRecord
 from dewledge.simulation.planned_stop import PlannedStop
+from dewledge.simulation.reply_desk import AnswerReply, ProposalReply, ReplyDesk
 from dewledge.standin.link_delays import Place
 
 if TYPE_CHECKING:
@@ -36,8 +37,6 @@
 
 MILLISECONDS = 1000
 
-AnswerReply = Callable[[CallerAnswer], None]
-ProposalReply = Callable[[ProposalFinished], None]
 Handler = Callable[[ProxyCore, float], Iterable[ProxyEffect]]
 
 
@@ -67,9 +66,7 @@
         self._random = random
         self._parked: list[Action] = []
         self._wake: ScheduledEvent | None = None
-        self._calls: dict[int, AnswerReply] = {}
-        self._ended_watchers: dict[int, Action] = {}
-        self._proposals: dict[str, ProposalReply] = {}
+        self._desk = ReplyDesk()
         self._peer_incarnations: dict[str, int] = {}
         self._absences = AbsenceTracker(name, world.queue, world.history)
         self._restart_after_stop = False
@@ -87,8 +84,7 @@
         self.leaving = False
         self._restart_after_stop = False
         self._parked = []
-        self._calls = {}
-        self._proposals = {}
+        self._desk = ReplyDesk()
         self._peer_incarnations = {}
         world = self._world
         number = int(self.now() * MILLISECONDS) + 1
@@ -170,8 +166,7 @@
 
     def receive_call(self, request: CallerRequest, reply: AnswerReply, ended: Action) -> None:
         """Takes a caller's request; `ended` runs if the process ends before its answer."""
-        self._calls[request.request_id] = reply
-        self._ended_watchers[request.request_id] = ended
+        self._desk.expect_answer(request.request_id, reply, ended)
         request = self._interceptor.call(request)
         self._handle(lambda core, now: core.handle_call(request, now))
 
@@ -200,7 +195,7 @@
 
     def propose(self, change: ProposedChange, reply: ProposalReply) -> None:
         """Takes an operator's change."""
-        self._proposals[change.change_id] = reply
+        self._desk.expect_proposal(change.change_id, reply)
         self._handle(lambda core, now: core.propose(change, now))
 
     def submit_again(self, request: CallerRequest, delay: float = 0.0) -> None:
@@ -259,7 +254,7 @@
     def _carry_out(self, effect: ProxyEffect) -> None:
         match effect:
             case AnswerCaller():
-                self._answer(effect)
+                self._desk.answer(effect)
             case SendToPeer():
                 self._world.send_to_peer(self, effect.peer, effect.message)
             case SendDatagram():
@@ -279,21 +274,10 @@
             case ConfigurationChanged():
                 self._record_revision(effect.configuration.revision)
             case ProposalFinished():
-                self._finish_proposal(effect)
+                self._desk.finish_proposal(effect)
             case LogEvent():
                 self.log.append((self.now(), effect))
 
-    def _answer(self, effect: AnswerCaller) -> None:
-        self._ended_watchers.pop(effect.request_id, None)
-        reply = self._calls.get(effect.request_id)
-        if reply is not None:
-            reply(effect.answer)
-
-    def _finish_proposal(self, finished: ProposalFinished) -> None:
-        reply = self._proposals.pop(finished.change_id, None)
-        if reply is not None:
-            reply(finished)
-
     def _call_store(self, call: StoreCall) -> None:
         run = self._reporter()
         if not self.store_cut:
@@ -346,10 +330,7 @@
         self._absences.begin(AbsenceReason.DEAD)
         self.state = ProcessState.DEAD
         self._parked = []
-        self._calls = {}
-        watchers, self._ended_watchers = self._ended_watchers, {}
-        for watcher in watchers.values():
-            watcher()
+        self._desk.end()
         self._database.close_all()
         if self._wake is not None:
             self._wake.cancel()
--- a/tests/contracts/fault_table.py
+++ b/tests/contracts/fault_table.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from dewledge.core.calls import Outcome
+from dewledge.core.proxy_parts import ProxyCoreSettings
 from dewledge.simulation.faults import Fault
 from dewledge.simulation.interceptor import Interceptor
 from dewledge.simulation.population import PopulationSettings
@@ -80,6 +81,8 @@
     load_time = LOAD_TIME
     settle = SETTLE
     rate = RATE
+    settings = ProxyCoreSettings()
+    naive_seeds = NAIVE_SEEDS
 
     def check_rows(self, rows: tuple[Row, ...]) -> None:
         """Fails with the seed and the evidence if a run of a row breaks any promise."""
@@ -101,17 +104,21 @@
         make_interceptor: MakeInterceptor = Interceptor,
     ) -> None:
         """Fails if the checkers do not find the promise broken by a naive way."""
-        for seed in range(FIRST_SEED, FIRST_SEED + NAIVE_SEEDS):
+        for seed in range(FIRST_SEED, FIRST_SEED + self.naive_seeds):
             verdict = run_scenario(self.scenario(faults), seed, make_interceptor)
             if promise in {violation.promise for violation in verdict.violations}:
                 return
-        self.fail(f"{promise} was not found broken in {NAIVE_SEEDS} seeds")
+        self.fail(f"{promise} was not found broken in {self.naive_seeds} seeds")
 
     def scenario(self, faults: tuple[Fault, ...]) -> Scenario:
         """Returns the scenario of this module."""
         population = PopulationSettings(rate=self.rate, sessions=SESSIONS, workloads=self.workloads)
         return Scenario(
-            faults=faults, population=population, load_time=self.load_time, settle=self.settle
+            faults=faults,
+            population=population,
+            settings=self.settings,
+            load_time=self.load_time,
+            settle=self.settle,
         )
 
     def check_run(self, row: Row, verdict: Verdict) -> None:
