--- a/src/dewledge/adapters/http_exchange.py
+++ b/src/dewledge/adapters/http_exchange.py
@@ -79,6 +79,10 @@
         )
 
     def _exchange(self, request: bytes, deadline: float) -> HttpAnswer:
+        if time.monotonic() >= deadline:
+            # A process that was frozen until now must not send what it decided before.
+            self.close()
+            raise ClosedBeforeSending("its time was over before it was sent")
         self._set_time_left(deadline)
         self._socket.sendall(request)
         reader = _AnswerReader()
