--- a/tests/processes/test_drain_and_isolation.py
+++ b/tests/processes/test_drain_and_isolation.py
@@ -47,7 +47,7 @@
             observation.load.await_progress()
             gateway = self.cluster.gateway_of(database)
             reader = observation.caller(f"reader {row.name}")
-            held = HeldReads(observation, gateway)
+            held = HeldReads(observation, row.name, gateway)
             for caller in (reader, *held.callers):
                 caller.amend()
             self.cluster.freeze_proxy(gateway)
@@ -113,9 +113,9 @@
 class HeldReads:
     """Callers whose reads wait at a frozen proxy, patiently, until it thaws."""
 
-    def __init__(self, observation: Observation, proxy: ProxyProcess) -> None:
+    def __init__(self, observation: Observation, name: str, proxy: ProxyProcess) -> None:
         self.callers = [
-            observation.caller(f"held {proxy.name} {index}", HELD_SECONDS)
+            observation.caller(f"held {name} {index}", HELD_SECONDS)
             for index in range(HELD_CALLERS)
         ]
         self._threads = [
