Keep probing sound at any probe interval

Cause: the interval is a setting of the process; the time for a direct answer (0.3 s) and the silence limit (4 s) were not tied to it.

Change: a direct answer gets half the interval at most; the silence limit is two intervals at least. At the default of 1 s nothing changes.

--- a/src/dewledge/core/membership.py
+++ b/src/dewledge/core/membership.py
@@ -29,6 +29,7 @@
 from dewledge.core.membership_settings import (
     MembershipSettings,
     estimate_reachable,
+    silence_limit,
     transmit_limit,
 )
 from dewledge.core.membership_sync import TableSync
@@ -101,7 +102,7 @@
     def reachable_count(self) -> int:
         """Estimated members within reach, this one included, as of the latest call."""
         contacts = self._prober.contacts
-        if (self._last_call or 0.0) - contacts.answered_at > self._settings.contact_silence:
+        if (self._last_call or 0.0) - contacts.answered_at > silence_limit(self._settings):
             return 1
         return estimate_reachable(self._table.living_count, contacts.answered, contacts.asked)
 
--- a/src/dewledge/core/membership_dialogue.py
+++ b/src/dewledge/core/membership_dialogue.py
@@ -19,7 +19,7 @@
 from dewledge.core.membership_outbox import Outbox
 from dewledge.core.membership_probe import Prober
 from dewledge.core.membership_relay import Relay, RelayBook
-from dewledge.core.membership_settings import MembershipSettings
+from dewledge.core.membership_settings import MembershipSettings, direct_probe_time
 from dewledge.core.membership_sync import TableSync
 from dewledge.core.membership_view import MemberView
 
@@ -151,7 +151,7 @@
     def _relay(self, request: PingRequest, address: str, now: float) -> None:
         target = self._view.table.get(request.target)
         sequence = self._prober.next_sequence()
-        deadline = now + self._settings.probe_timeout
+        deadline = now + direct_probe_time(self._settings)
         relay = Relay(address, request.sequence, deadline)
         if target is None or target.is_gone or not self._relays.add(sequence, relay):
             self._outbox.send(address, Nack(request.sequence), now)
--- a/src/dewledge/core/membership_probe.py
+++ b/src/dewledge/core/membership_probe.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from dewledge.core.member import Member
-from dewledge.core.membership_settings import MembershipSettings
+from dewledge.core.membership_settings import MembershipSettings, direct_probe_time
 from dewledge.core.membership_table import MemberTable
 
 NEVER = float("-inf")
@@ -135,7 +135,7 @@
         target = self._next_target(table)
         if target is None:
             return None
-        indirect_at = now + self._settings.probe_timeout * self.health.factor
+        indirect_at = now + direct_probe_time(self._settings) * self.health.factor
         self.current = Probe(target, self.next_sequence(), now, indirect_at, now + interval)
         return self.current
 
--- a/src/dewledge/core/membership_settings.py
+++ b/src/dewledge/core/membership_settings.py
@@ -56,6 +56,19 @@
     shared_key: bytes = b""
 
 
+def direct_probe_time(settings: MembershipSettings) -> float:
+    """Returns how long a probed member may take before others are asked, seconds.
+
+    At most half the interval, so that a short interval still leaves time for the others.
+    """
+    return min(settings.probe_timeout, settings.probe_interval / 2)
+
+
+def silence_limit(settings: MembershipSettings) -> float:
+    """Returns the time without any answer after which a member counts itself alone, seconds."""
+    return max(settings.contact_silence, 2 * settings.probe_interval)
+
+
 def decades(members: int) -> float:
     """Returns the decimal logarithm of the number of members, at least 1."""
     return max(1.0, math.log10(max(1, members)))
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -28,7 +28,9 @@
 from dewledge.core.membership_settings import (
     MembershipSettings,
     confirmations_needed,
+    direct_probe_time,
     estimate_reachable,
+    silence_limit,
     suspicion_time,
     transmit_limit,
 )
@@ -287,6 +289,13 @@
         )
         self.assertEqual(transmit_limit(SETTINGS, 3), SETTINGS.transmit_minimum)
 
+    def test_any_probe_interval_leaves_time_for_helpers_and_for_answers(self) -> None:
+        for interval in (0.1, 0.5, 1.0, 5.0):
+            with self.subTest(interval=interval):
+                settings = MembershipSettings(probe_interval=interval)
+                self.assertLess(direct_probe_time(settings), interval)
+                self.assertGreater(silence_limit(settings), interval)
+
     def test_reachable_estimates(self) -> None:
         cases = [
             # living, answered, asked, estimate
