Keep time for confirmation when a waiting write is started

Cause: a write left the queue with time for its service, and none for the status round that confirms it; under moderate overload most writes ended as unknown and the work was lost. Change: the group monitor measures how long a confirmation usually takes (running mean and two mean deviations); a write that waits is admitted and started only if service and confirmation both fit. A statement that finds a free connection starts as before, so the measure never runs dry. Ruled out: a fixed margin (the one that serves here, 0.2 s, is too much for a near group and too little for a far one), and more service times in place of it (two were not enough).

--- a/src/dewledge/core/admission.py
+++ b/src/dewledge/core/admission.py
@@ -5,6 +5,7 @@
 from dewledge.errors import ErrorCode
 
 LARGEST_STEP = 10.0
+USUAL_DEVIATIONS = 2.0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -41,6 +42,29 @@
         return (ahead + 1.0) * self._mean / max(slots, 1)
 
 
+class UsualTime:
+    """A time that most measured ones do not exceed: the running mean and some mean deviations."""
+
+    def __init__(self, smoothing: float) -> None:
+        self._smoothing = smoothing
+        self._mean: float | None = None
+        self._deviation = 0.0
+
+    @property
+    def seconds(self) -> float:
+        """The estimate; 0 until a time was measured."""
+        return 0.0 if self._mean is None else self._mean + USUAL_DEVIATIONS * self._deviation
+
+    def note(self, duration: float) -> None:
+        """Takes in one measured time, seconds."""
+        if self._mean is None:
+            self._mean = duration
+            return
+        error = duration - self._mean
+        self._mean += self._smoothing * error
+        self._deviation += self._smoothing * (abs(error) - self._deviation)
+
+
 def wait_refusal(expected_wait: float, remaining: float) -> Refusal | None:
     """Refuses a request that would most likely still wait at its deadline."""
     if expected_wait <= remaining:
--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway_database.py
@@ -21,7 +21,13 @@
 from dewledge.core.running_jobs import RunningJobs
 from dewledge.core.statement_conclusion import StatementConclusion
 from dewledge.core.transactions import Transaction, TransactionTable
-from dewledge.core.waiting_room import DRAINED, ISOLATED, UNREACHABLE, WaitingRoom
+from dewledge.core.waiting_room import (
+    DRAINED,
+    ISOLATED,
+    UNREACHABLE,
+    TimeNeeded,
+    WaitingRoom,
+)
 from dewledge.errors import ErrorCode
 
 TIMED_OUT_SHARE = 0.95
@@ -182,7 +188,8 @@
         return self._begins if request.begins_transaction else self._statements
 
     def _new_waiting_room(self, rate: ServiceRate) -> WaitingRoom:
-        return WaitingRoom(self._context, rate, self._refuse, self._expire)
+        needed = TimeNeeded(rate, lambda: self._monitor.confirmation_time)
+        return WaitingRoom(self._context, rate, needed, self._refuse, self._expire)
 
     def _refusal(self, request: GatewayRequest, now: float) -> Refusal | None:
         if self._pool.failure is ErrorCode.DATABASE_UNREACHABLE and not self._pool.open_count:
--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/group_monitor.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from dewledge.core.admission import UsualTime
 from dewledge.core.confirmation import Claim, Verdict, judge
 from dewledge.core.effects import SendToPeer
 from dewledge.core.gateway_context import GatewayContext, Timer
@@ -17,13 +18,18 @@
 
 
 class _Waiter:
-    """A claim that waits for a round later than `after_round`."""
+    """A claim that waits, since `began_at`, for a round later than `after_round`."""
 
-    __slots__ = ("after_round", "claim", "on_verdict", "timer")
+    __slots__ = ("after_round", "began_at", "claim", "on_verdict", "timer")
 
     def __init__(
-        self, claim: Claim, after_round: int, on_verdict: Callable[[Verdict, float], None]
+        self,
+        claim: Claim,
+        after_round: int,
+        on_verdict: Callable[[Verdict, float], None],
+        began_at: float,
     ) -> None:
+        self.began_at = began_at
         self.claim = claim
         self.after_round = after_round
         self.on_verdict = on_verdict
@@ -63,6 +69,7 @@
         self._last_use = float("-inf")
         self._search_pause = context.settings.no_primary_interval
         self._known_primary: str | None = None
+        self._confirmation_time = UsualTime(context.settings.service_time_smoothing)
         self.statuses = StatusCache()
 
     @property
@@ -75,6 +82,11 @@
         """Results that wait for confirmation."""
         return len(self._waiters)
 
+    @property
+    def confirmation_time(self) -> float:
+        """Seconds that the confirmation of a result usually takes at most, as measured here."""
+        return self._confirmation_time.seconds
+
     @property
     def primary(self) -> str | None:
         """The primary that the latest statuses show, or None."""
@@ -132,7 +144,7 @@
 
         The verdict is SUPERSEDED as soon as a later term is seen, EXPIRED at the deadline.
         """
-        waiter = _Waiter(claim, after_round, on_verdict)
+        waiter = _Waiter(claim, after_round, on_verdict, now)
         if self._latest is not None and self._counts(waiter, self._latest, now):
             verdict = self._judge(waiter, self._latest)
             if verdict is not Verdict.UNDECIDED:
@@ -223,6 +235,8 @@
         waiter = self._waiters.pop(number)
         self._context.cancel(waiter.timer)
         self._retry_pause = 0.0
+        if waiter.claim.write and verdict is Verdict.CONFIRMED:
+            self._confirmation_time.note(now - waiter.began_at)
         waiter.on_verdict(verdict, now)
 
     def _counts(self, waiter: _Waiter, status_round: StatusRound, now: float) -> bool:
--- a/src/dewledge/core/waiting_room.py
+++ b/src/dewledge/core/waiting_room.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from dewledge.core.admission import Refusal, ServiceRate, full_refusal, wait_refusal
+from dewledge.core.calls import Access
 from dewledge.core.fair_queue import FairQueue
 from dewledge.core.gateway_context import GatewayContext
 from dewledge.core.gateway_request import GatewayRequest
@@ -16,18 +17,41 @@
 """A statement that has waited starts only with so many usual service times left."""
 
 
+class TimeNeeded:
+    """How long a request takes from its start to its answer, as a rule; in seconds."""
+
+    def __init__(self, rate: ServiceRate, confirmation_time: Callable[[], float]) -> None:
+        self._rate = rate
+        self._confirmation_time = confirmation_time
+
+    def __call__(self, request: GatewayRequest) -> float:
+        """Estimates it. What a BEGIN waits for is a slot: once started, it is soon answered."""
+        if request.begins_transaction:
+            return 0.0
+        needed = START_MARGIN * self._rate.service_time
+        if request.message.access is Access.WRITE:
+            needed += self._confirmation_time()
+        return needed
+
+
 class WaitingRoom:
-    """Requests waiting for one kind of service; `on_refused(request, refusal)` gives them up."""
+    """Requests waiting for one kind of service.
+
+    time_needed: seconds from a request's start to its answer, as a rule.
+    on_refused, on_expired: give a request up.
+    """
 
     def __init__(
         self,
         context: GatewayContext,
         rate: ServiceRate,
+        time_needed: TimeNeeded,
         on_refused: Callable[[GatewayRequest, Refusal], None],
         on_expired: Callable[[GatewayRequest], None],
     ) -> None:
         self._context = context
         self._rate = rate
+        self._time_needed = time_needed
         self._on_refused = on_refused
         self._on_expired = on_expired
         self._queue: FairQueue[GatewayRequest] = FairQueue()
@@ -89,10 +113,7 @@
             request = self._queue.pop()
 
     def _latest_start(self, request: GatewayRequest) -> float:
-        """Returns when it must have started; what a BEGIN waits for is a slot, not a statement."""
-        if request.begins_transaction:
-            return request.deadline
-        return request.deadline - START_MARGIN * self._rate.service_time
+        return request.deadline - self._time_needed(request)
 
     def _expire(self, request: GatewayRequest) -> None:
         if self.withdraw(request):
--- a/tests/core/test_waiting_room.py
+++ b/tests/core/test_waiting_room.py
@@ -9,10 +9,12 @@
 from dewledge.core.gateway_request import GatewayRequest, RequestKey
 from dewledge.core.gateway_settings import GatewaySettings
 from dewledge.core.messages import StatementRequest
-from dewledge.core.waiting_room import START_MARGIN, WaitingRoom
+from dewledge.core.waiting_room import START_MARGIN, TimeNeeded, WaitingRoom
 
 SERVICE_TIME = 0.1
-NEEDED = START_MARGIN * SERVICE_TIME
+CONFIRMATION_TIME = 0.07
+TO_READ = START_MARGIN * SERVICE_TIME
+TO_WRITE = TO_READ + CONFIRMATION_TIME
 A_BIT = 0.01
 
 
@@ -21,14 +23,21 @@
         context = GatewayContext("here", GatewaySettings(), Random(1))
         self.refused: list[Refusal] = []
         self.expired: list[GatewayRequest] = []
+        rate = ServiceRate(SERVICE_TIME, 0.05)
         self.room = WaitingRoom(
             context,
-            ServiceRate(SERVICE_TIME, 0.05),
+            rate,
+            TimeNeeded(rate, lambda: CONFIRMATION_TIME),
             lambda _, refusal: self.refused.append(refusal),
             self.expired.append,
         )
 
-    def admit(self, remaining: float, operation: Operation = Operation.EXECUTE) -> GatewayRequest:
+    def admit(
+        self,
+        remaining: float,
+        operation: Operation = Operation.EXECUTE,
+        access: Access = Access.WRITE,
+    ) -> GatewayRequest:
         message = StatementRequest(
             correlation=1,
             caller="officers",
@@ -36,7 +45,7 @@
             database="cases-1",
             remaining=remaining,
             operation=operation,
-            access=Access.WRITE,
+            access=access,
         )
         request = GatewayRequest(RequestKey("peer", 1, 1), message, 0.0)
         self.room.admit(request, 1.0, 1, 0.0)
@@ -44,23 +53,25 @@
 
     def test_start(self) -> None:
         rows = (
-            ("enough time left", Operation.EXECUTE, NEEDED + A_BIT, True),
-            ("too little left to run", Operation.EXECUTE, NEEDED - A_BIT, False),
-            ("past its deadline", Operation.EXECUTE, -A_BIT, False),
-            ("a begin runs no statement", Operation.BEGIN, A_BIT, True),
+            ("enough time left", Operation.EXECUTE, Access.READ, TO_READ + A_BIT, True),
+            ("too little left to run", Operation.EXECUTE, Access.READ, TO_READ - A_BIT, False),
+            ("enough to be confirmed", Operation.EXECUTE, Access.WRITE, TO_WRITE + A_BIT, True),
+            ("too little for that", Operation.EXECUTE, Access.WRITE, TO_WRITE - A_BIT, False),
+            ("past its deadline", Operation.EXECUTE, Access.READ, -A_BIT, False),
+            ("a begin runs no statement", Operation.BEGIN, Access.WRITE, A_BIT, True),
         )
-        for name, operation, left, starts in rows:
+        for name, operation, access, left, starts in rows:
             with self.subTest(name):
                 self.expired.clear()
-                request = self.admit(1.0, operation)
+                request = self.admit(1.0, operation, access)
                 taken = self.room.next(1.0 - left)
                 self.assertIs(taken, request if starts else None)
                 self.assertEqual(self.expired, [] if starts else [request])
 
     def test_admission_counts_the_time_to_run(self) -> None:
-        self.admit(SERVICE_TIME + NEEDED - A_BIT)
+        self.admit(SERVICE_TIME + TO_WRITE - A_BIT)
         self.assertEqual(len(self.refused), 1)
-        self.admit(SERVICE_TIME + NEEDED + A_BIT)
+        self.admit(SERVICE_TIME + TO_WRITE + A_BIT)
         self.assertEqual(len(self.refused), 1)
         self.assertEqual(len(self.room), 1)
 
