Count the store as reached only once the proxy has caught up with it

Cause: a poll that read a newer head and then failed to read the change counted as contact with the store, so a proxy that missed an accepted change went on serving, and told its peers it was fresh. Change: contact is told after the change is learned, or when there is none to learn.

--- a/src/dewledge/core/configuration_poller.py
+++ b/src/dewledge/core/configuration_poller.py
@@ -197,7 +197,7 @@
             return [LogEvent("configuration_poll_failed", (("error", polled.error),))]
         self._failures = 0
         self._schedule(now, self._interval())
-        effects: list[PollerEffect] = [StoreReached()]
+        effects: list[PollerEffect] = []
         if polled.head_revision < self._configuration.revision:
             # A poll that began before an acceptance here also ends this way, so this is no alarm.
             fields = (
@@ -214,10 +214,10 @@
         self.is_started = True
         learned = polled.learned
         if not learned or learned.configuration.revision <= self._configuration.revision:
-            return []
+            return [StoreReached()]
         self._configuration = learned.configuration
         fields = (("revision", learned.configuration.revision), ("changes", len(learned.changes)))
-        return [learned, LogEvent("configuration_learned_from_store", fields)]
+        return [learned, StoreReached(), LogEvent("configuration_learned_from_store", fields)]
 
     def _interval(self) -> float:
         shortest = self._settings.interval
--- a/tests/core/test_configuration_poller.py
+++ b/tests/core/test_configuration_poller.py
@@ -166,6 +166,12 @@
         self.assertTrue(machine.is_started)
         (learned,) = cluster.effects(ConfigurationLearned)
         self.assertEqual(learned.configuration.revision, 40)
+        told = [
+            type(effect)
+            for _, effect in cluster.seen
+            if isinstance(effect, ConfigurationLearned | StoreReached)
+        ]
+        self.assertIs(told[0], ConfigurationLearned, "up to date before it has caught up")
 
     def test_polling_goes_on_through_an_outage_and_recovers(self) -> None:
         cluster = Cluster()
