Give the first read's replica and the gossip key a setting; keep views within the control budget

Cause: with all 467 groups in use, 20 view refreshes a second cost 19 KB/s, sent and received, of the 10 KB/s for control (derived from 470 bytes measured by dewledge scale). Statements' answers refresh a view between them. The process defaults for status rounds and drains now equal the core's: 0.5 s, and 5 s, since a drained database must be left within seconds. gossip_key and first_read_lag_limit reach the core. Ruled out: deltas of views, until the statements' own refresh proves too little.

--- a/src/dewledge/settings.py
+++ b/src/dewledge/settings.py
@@ -37,6 +37,7 @@
 SessionKey = Annotated[str, Field(min_length=MIN_SESSION_KEY_CHARACTERS)]
 SessionKeys = Annotated[tuple[SessionKey, ...], AfterValidator(_not_empty)]
 Seconds = Annotated[float, Field(gt=0, le=86_400, allow_inf_nan=False)]
+SecondsOrNone = Annotated[float, Field(ge=0, le=86_400, allow_inf_nan=False)]
 Count = Annotated[int, Field(ge=1, le=100_000_000)]
 Share = Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)]
 
@@ -89,7 +90,7 @@
         default=30.0, description="Between two reads of the platform's machine list."
     )
     status_interval: Seconds = Field(
-        default=0.25, description="Between two status rounds of a group without writes."
+        default=0.5, description="Between two status rounds of a group without writes."
     )
     status_timeout: Seconds = Field(
         default=0.5, description="How long a database may take to answer one."
@@ -98,7 +99,7 @@
         default=30.0, description="A transaction without a statement for this long is rolled back."
     )
     drain_bound: Seconds = Field(
-        default=30.0,
+        default=5.0,
         description="Open transactions on a drained database have this long to finish.",
     )
     leave_bound: Seconds = Field(
@@ -107,6 +108,11 @@
     isolation_bound: Seconds = Field(
         default=5.0, description="Without store and peers for this long, new work is refused."
     )
+    first_read_lag_limit: SecondsOrNone = Field(
+        default=0.0,
+        description="A session's first read may start on a replica while some replica's lag is "
+        "below this: more reads on replicas, somewhat slower; 0: it goes to the primary.",
+    )
     store_call_timeout: Seconds = Field(
         default=2.0, description="Longest single call to the platform."
     )
@@ -144,6 +150,12 @@
         "all open. To change them, add the new one last everywhere, then move it first, "
         "then remove the old one.",
     )
+    gossip_key: str = Field(
+        default="",
+        repr=False,
+        description="Secret that authenticates membership datagrams, the same on every proxy; "
+        "empty: not authenticated.",
+    )
     bootstrap_operator_token_sha256: Annotated[str, Field(pattern=SHA256_PATTERN)] | None = Field(
         default=None,
         repr=False,
--- a/src/dewledge/shell/core_settings.py
+++ b/src/dewledge/shell/core_settings.py
@@ -22,6 +22,7 @@
             max_pending=limits.max_requests_in_flight,
             max_pending_per_caller=max(1, limits.max_requests_in_flight // 2),
             retry_ratio=limits.max_retry_share,
+            first_read_lag_limit=timings.first_read_lag_limit,
         ),
         gateway=GatewaySettings(
             max_waiting=limits.max_queue_per_database,
@@ -30,7 +31,9 @@
             transaction_idle_limit=timings.transaction_idle_timeout,
             drain_transaction_limit=timings.drain_bound,
         ),
-        membership=MembershipSettings(probe_interval=timings.probe_interval),
+        membership=MembershipSettings(
+            probe_interval=timings.probe_interval, shared_key=settings.gossip_key.encode()
+        ),
         isolation=IsolationSettings(timings.isolation_bound),
         acceptance=AcceptanceSettings(
             proposal_bound=timings.proposal_bound,
