--- a/src/dewledge/settings.py
+++ b/src/dewledge/settings.py
@@ -37,7 +37,7 @@
 SessionKey = Annotated[str, Field(min_length=MIN_SESSION_KEY_CHARACTERS)]
 SessionKeys = Annotated[tuple[SessionKey, ...], AfterValidator(_not_empty)]
 Seconds = Annotated[float, Field(gt=0, le=86_400, allow_inf_nan=False)]
-SecondsOrNone = Annotated[float, Field(ge=0, le=86_400, allow_inf_nan=False)]
+SecondsFromZero = Annotated[float, Field(ge=0, le=86_400, allow_inf_nan=False)]
 Count = Annotated[int, Field(ge=1, le=100_000_000)]
 Share = Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)]
 
@@ -108,7 +108,7 @@
     isolation_bound: Seconds = Field(
         default=5.0, description="Without store and peers for this long, new work is refused."
     )
-    first_read_lag_limit: SecondsOrNone = Field(
+    first_read_lag_limit: SecondsFromZero = Field(
         default=0.0,
         description="A session's first read may start on a replica while some replica's lag is "
         "below this: more reads on replicas, somewhat slower; 0: it goes to the primary.",
--- a/tests/shell/test_core_settings.py
+++ b/tests/shell/test_core_settings.py
@@ -38,7 +38,7 @@
         without_change = parts(limits, timings)
         for section in (limits, timings):
             for name, value in section:
-                changed = section.model_copy(update={name: value * 2})
+                changed = section.model_copy(update={name: value * 2 + 1})
                 chosen = (changed, timings) if section is limits else (limits, changed)
                 has_effect = parts(*chosen) != without_change
                 with self.subTest(name):
