--- a/tests/processes/observed_cluster.py
+++ b/tests/processes/observed_cluster.py
@@ -1,5 +1,6 @@
 """A cluster of processes that notes the faults done to it, and can be made whole again."""
 
+import contextlib
 import math
 import signal
 import time
@@ -61,6 +62,18 @@
         found = [it for it in self.group_client.statuses() if it.role is DatabaseRole.PRIMARY]
         return max(found, key=lambda it: it.term).database if found else ""
 
+    def gateway_of(self, database: str) -> ProxyProcess:
+        """Waits until some proxy is its gateway; after a kill there is none for a moment."""
+        found: list[ProxyProcess] = []
+
+        def is_found() -> bool:
+            with contextlib.suppress(AssertionError):
+                found.append(super(ObservedCluster, self).gateway_of(database))
+            return bool(found)
+
+        await_state(f"{database} has a gateway", is_found)
+        return found[-1]
+
     def await_new_primary(self, old: str) -> None:
         """Waits until another database is primary."""
         await_state("another primary", lambda: self.current_primary() not in ("", old))
