Take the word of a primary in a later term at once

Change: a round shows a primary also if a database says so in a later term than that of any primary seen when the round began; a majority elected it, in whatever term the others were seen. In the known term a majority is asked for as before, since an old primary that is cut off says so too. It is a hint for routing only: confirmation judges the readings themselves.

Ruled out: the same for a term later than any seen.

The new test fails with the change taken out.

--- a/src/dewledge/core/status_rounds.py
+++ b/src/dewledge/core/status_rounds.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping
 
 from dewledge.core.confirmation import highest_term, majority_of, primary_of
-from dewledge.core.database_status import DatabaseStatus
+from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.effects import ReadStatuses
 from dewledge.core.gateway_context import GatewayContext, Timer
 from dewledge.core.jobs import StatusReading
@@ -22,7 +22,8 @@
 class StatusRound:
     """One round: who was asked, and what came back so far.
 
-    primary: the primary that a majority stands behind, as far as the answers go.
+    primary: the primary that a majority stands behind, as far as the answers go; or one of a later
+        term than any primary seen when the round began, which a majority must have elected.
     settled: complete, or a majority of the group answered in the highest term seen.
     """
 
@@ -35,16 +36,23 @@
         "settled",
         "started_at",
         "statuses",
+        "primary_term_before",
         "timer",
     )
 
     def __init__(
-        self, round_id: int, started_at: float, asked: frozenset[str], group_size: int
+        self,
+        round_id: int,
+        started_at: float,
+        asked: frozenset[str],
+        group_size: int,
+        primary_term_before: int,
     ) -> None:
         self.round_id = round_id
         self.started_at = started_at
         self.asked = asked
         self.group_size = group_size
+        self.primary_term_before = primary_term_before
         self.answered: set[str] = set()
         self.statuses: dict[str, DatabaseStatus] = {}
         self.primary: str | None = None
@@ -60,9 +68,15 @@
         term = highest_term(known)
         in_term = sum(1 for item in known if item.term == term)
         has_majority = in_term >= majority_of(self.group_size)
-        self.primary = primary_of(known, self.group_size) if has_majority else None
+        self.primary = primary_of(known, self.group_size) if has_majority else self._elected()
         self.settled = self.complete or has_majority
 
+    def _elected(self) -> str | None:
+        newest = max(self.statuses.values(), key=lambda item: item.term, default=None)
+        if newest is None or newest.term <= self.primary_term_before:
+            return None
+        return newest.database if newest.role is DatabaseRole.PRIMARY else None
+
     @property
     def complete(self) -> bool:
         """Everyone asked has answered or timed out."""
@@ -99,6 +113,7 @@
         self._outstanding: dict[str, set[int]] = {}
         self._unsettled: dict[int, StatusRound] = {}
         self._round_time = 0.0
+        self._primary_term = 0
         self._start_timer: Timer | None = None
         self._start_at = 0.0
         self._wanted = False
@@ -153,6 +168,8 @@
         reading = self._checked(reading)
         status = reading.status if self.is_configured(reading.database) else None
         status_round.note(reading.database, status)
+        if status is not None and status.role is DatabaseRole.PRIMARY:
+            self._primary_term = max(self._primary_term, status.term)
         self._note_answered(reading.database, round_id)
         if status_round.complete:
             self._forget(status_round)
@@ -212,7 +229,9 @@
         self._start_timer = None
         settings = self._context.settings
         round_id = self._context.next_id()
-        status_round = StatusRound(round_id, now, frozenset(asked), self.group_size)
+        status_round = StatusRound(
+            round_id, now, frozenset(asked), self.group_size, self._primary_term
+        )
         status_round.timer = self._context.call_at(
             now + settings.round_age_bound, lambda at: self._abandon(status_round, at)
         )
--- a/tests/core/test_status_rounds.py
+++ b/tests/core/test_status_rounds.py
@@ -3,13 +3,15 @@
 import unittest
 
 from dewledge.core.gateway_settings import GatewaySettings
+from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest
 from dewledge.core.positions import LogPosition
-from tests.core.gateway_harness import DATABASES, GatewayHarness
+from tests.core.gateway_harness import DATABASES, GROUP, GatewayHarness
 
 ONE, TWO, THREE = DATABASES
 ROUND_TIME = 0.04
 AT_ONCE = GatewaySettings().rounds_at_once
 SPACING = ROUND_TIME / AT_ONCE
+QUESTION = 1_000_000
 
 
 def ready(rounds_at_once: int = AT_ONCE) -> GatewayHarness:
@@ -102,5 +104,45 @@
         self.assertLessEqual(pending, AT_ONCE)
 
 
+class NewPrimaryTest(unittest.TestCase):
+    """Who is told "no primary" looks again later, so the new one should show at once."""
+
+    def ask(self, harness: GatewayHarness) -> None:
+        message = GroupStatusRequest(QUESTION, GROUP, fresh=True)
+        harness.run_until(harness.now + 0.1)
+        harness.answer_rounds(offset=100)
+        harness.take(harness.gateway.handle_group_status_request("entry", message, harness.now))
+        harness.run_until(harness.now + 0.03)
+
+    def test_word_of_a_primary_in_a_later_term_is_passed_on_at_once(self) -> None:
+        harness = ready()
+        self.ask(harness)
+        harness.read(harness.rounds[-1], TWO, term=2, primary=TWO)
+        answer = harness.answer(("entry", QUESTION))
+        assert isinstance(answer, GroupStatusAnswer)
+        self.assertEqual([item.term for item in answer.statuses if item.database == TWO], [2])
+
+    def test_word_of_a_primary_in_the_known_term_waits_for_a_majority(self) -> None:
+        harness = ready()
+        self.ask(harness)
+        harness.read(harness.rounds[-1], ONE, offset=100)
+        self.assertIsNone(harness.answer(("entry", QUESTION)))
+        harness.read(harness.rounds[-1], TWO, offset=100)
+        self.assertIsNotNone(harness.answer(("entry", QUESTION)))
+
+    def test_candidate_in_a_later_term_is_no_primary(self) -> None:
+        harness = ready()
+        self.ask(harness)
+        harness.read(harness.rounds[-1], TWO, term=2, primary="nobody")
+        self.assertIsNone(harness.answer(("entry", QUESTION)))
+
+    def test_word_of_the_new_primary_confirms_no_write(self) -> None:
+        harness = ready()
+        key = write(harness, 101)
+        harness.run_until(harness.now + SPACING)
+        harness.read(harness.rounds[-1], TWO, term=2, primary=TWO, offset=101)
+        self.assertEqual(harness.outcome(key), "unknown: not_confirmed")
+
+
 if __name__ == "__main__":
     unittest.main()
