--- a/src/dewledge/core/gateway_roster.py
+++ b/src/dewledge/core/gateway_roster.py
@@ -83,7 +83,7 @@
         roles.update(dict.fromkeys(placement.standby_databases_of(me), GatewayRole.STANDBY))
         roles.update(dict.fromkeys(placement.databases_of(me), GatewayRole.ACTIVE))
         self._note_active(roles)
-        for group in self._active.keys() | self._monitors.keys():
+        for group in sorted(self._active.keys() | self._monitors.keys()):
             self._configure_monitor(self.monitor(group, now), group, now)
         for name, role in roles.items():
             self._configure_database(name, role, policy.is_drained(name), now)
