Refuse writes at once when a drained primary stays in office

Cause: with the primary drained and no election in sight, writes and reads without a session token waited their whole deadline, up to 10 s, and were then refused: an answer held back. Change: from the moment the drain is met, requests wait 1 s in all for a successor; later ones are refused at once with DATABASE_DRAINED and a time to come back, until there is a successor. Ruled out: refusing at once from the start, since an operator who drains a primary often moves it too. Before: the new test finds no answer after 1.1 s; after: 64 entry tests pass.

--- a/src/dewledge/core/entry_settings.py
+++ b/src/dewledge/core/entry_settings.py
@@ -19,6 +19,8 @@
     answer_margin: kept back from the deadline that a gateway is told, so that its verdict arrives
         in time; never more than a tenth of what remains.
     failover_wait_limit: longest wait of one request for a new primary.
+    drained_wait_limit: how long requests wait for the successor of a drained primary; after that
+        they are refused at once until there is one.
     failover_wait_requests: requests of one group that may wait for its primary.
     failover_margin: time that must remain before the deadline when a waiting request is sent.
     probe_interval_least, probe_interval_most: bounds of the random pause between status probes
@@ -52,6 +54,7 @@
     read_attempt_timeout: float = 0.5
     answer_margin: float = 0.03
     failover_wait_limit: float = 10.0
+    drained_wait_limit: float = 1.0
     failover_wait_requests: int = 1000
     failover_margin: float = 0.05
     probe_interval_least: float = 0.05
--- a/src/dewledge/core/request_router.py
+++ b/src/dewledge/core/request_router.py
@@ -71,6 +71,8 @@
         if wait.start(now):
             self._state.log("failover_started", ("group", group.description.group))
         until = self._wait_until(pending, now)
+        if code is ErrorCode.DATABASE_DRAINED and wait.started_at is not None:
+            until = min(until, wait.started_at + self._state.settings.drained_wait_limit)
         if until <= now or wait.is_full or wait.is_hopeless(until, now):
             self._finisher.not_run(
                 pending, code, "the group has no primary", self._primary_retry_after(group, now)
--- a/tests/core/test_entry_retries.py
+++ b/tests/core/test_entry_retries.py
@@ -250,6 +250,22 @@
         harness.answer_done(position(2, 11))
         self.assertEqual(harness.answer(request_id).outcome, Outcome.DONE)
 
+    def test_drained_primary_that_stays_in_office_ends_the_waiting(self) -> None:
+        harness = EntryHarness(config=configuration(drained=("a",)))
+        waited = harness.call(deadline=60.0)
+        for _ in range(11):
+            harness.advance(0.1)
+            harness.show("a")
+        at_once = harness.call(deadline=60.0)
+        for request_id in (waited, at_once):
+            answer = harness.answer(request_id)
+            expected = (Outcome.NOT_RUN, ErrorCode.DATABASE_DRAINED)
+            self.assertEqual((answer.outcome, answer.code), expected)
+            self.assertGreater(answer.retry_after, 0)
+        harness.show("b", term=2)
+        harness.call()
+        self.assertEqual(harness.last_request()[1].database, "b")
+
     def test_drained_primary_without_successor_is_not_run(self) -> None:
         harness = EntryHarness(config=configuration(drained=("a",)))
         request_id = harness.call(access=Access.WRITE, deadline=1.0)
