--- a/tests/contracts/test_at_most_once.py
+++ b/tests/contracts/test_at_most_once.py
@@ -19,6 +19,12 @@
     Row("primary cut off", (CUT,), (Expected.UNKNOWN, Expected.ELECTION)),
     Row("primary frozen", (Fault(FaultKind.PRIMARY_FROZEN, 1.0),), (Expected.ELECTION,)),
     Row("site cut off", (Fault(FaultKind.SITE_CUT, 1.0, 2.0),), (Expected.UNKNOWN,)),
+    Row("another gateway stands in", (Fault(FaultKind.GATEWAY_CUT, 1.0),), (Expected.UNKNOWN,)),
+    Row(
+        "another gateway stands in, answers of commits lost",
+        (Fault(FaultKind.GATEWAY_CUT, 0.8), ANSWERS_LOST),
+        (Expected.REPEATED,),
+    ),
     Row("connections reset", (Fault(FaultKind.CONNECTIONS_RESET, 1.0),)),
     Row(
         "primary cut off after its gateway was killed",
--- a/tests/contracts/test_own_writes.py
+++ b/tests/contracts/test_own_writes.py
@@ -26,6 +26,7 @@
         (Expected.ELECTION,),
     ),
     Row("gateway killed", (Fault(FaultKind.GATEWAY_KILLED, 1.0),)),
+    Row("another gateway stands in", (Fault(FaultKind.GATEWAY_CUT, 1.0),)),
     Row("site cut off, with its callers", (Fault(FaultKind.SITE_CUT, 1.0),), (Expected.ELECTION,)),
     Row("site lost", (Fault(FaultKind.SITE_LOST, 1.0),), (Expected.ELECTION,)),
     Row("proxy cut off", (Fault(FaultKind.PROXY_CUT, 1.0),)),
--- a/tests/contracts/test_replaced_primary.py
+++ b/tests/contracts/test_replaced_primary.py
@@ -38,6 +38,11 @@
         (Fault(FaultKind.SITE_CUT, 1.0),),
         (Expected.ELECTION, Expected.UNKNOWN),
     ),
+    Row(
+        "cut while another gateway stands in",
+        (Fault(FaultKind.GATEWAY_CUT, 0.8, 3.0), Fault(CUT, 1.5, 2.0)),
+        (Expected.ELECTION,),
+    ),
     Row("site lost", (Fault(FaultKind.SITE_LOST, 1.0),), (Expected.ELECTION,)),
     Row(
         "cut while messages are lost",
--- a/tests/contracts/test_transactions.py
+++ b/tests/contracts/test_transactions.py
@@ -13,6 +13,7 @@
     Row("messages lost", (Fault(FaultKind.MESSAGES_LOST, 0.5, 4.0),), (Expected.UNKNOWN,)),
     Row("gateway killed inside", (Fault(FaultKind.GATEWAY_KILLED, 1.0),), (Expected.NOT_RUN,)),
     Row("gateway frozen inside", (Fault(FaultKind.GATEWAY_FROZEN, 1.0),), (Expected.NOT_RUN,)),
+    Row("another gateway stands in", (Fault(FaultKind.GATEWAY_CUT, 1.0),), (Expected.UNKNOWN,)),
     Row("entry killed inside", (Fault(FaultKind.PROXY_KILLED, 1.0),)),
     Row("connections reset inside", (Fault(FaultKind.CONNECTIONS_RESET, 1.0),)),
     Row("primary slow", (Fault(FaultKind.DATABASE_SLOW, 0.5, 4.0),), (Expected.NOT_RUN,)),
