--- a/src/dewledge/simulation/callers.py
+++ b/src/dewledge/simulation/callers.py
@@ -7,8 +7,8 @@
 
 from dewledge.core.calls import Access, CallerAnswer, CallerRequest, Operation, Outcome, Statement
 from dewledge.core.database_status import DatabaseRole
+from dewledge.core.entry.session_token import SessionTokenCodec
 from dewledge.core.positions import LogPosition, satisfies
-from dewledge.core.session_token import SessionTokenCodec
 from dewledge.simulation.core_factory import session_codec
 from dewledge.simulation.history import RequestRecord
 from dewledge.simulation.simulated_proxy import ProcessState, SimulatedProxy
--- a/src/dewledge/simulation/core_factory.py
+++ b/src/dewledge/simulation/core_factory.py
@@ -2,10 +2,10 @@
 
 from random import Random
 
-from dewledge.core.member import Member
-from dewledge.core.proxy_core import ProxyCore
-from dewledge.core.proxy_parts import ProxyCoreSettings
-from dewledge.core.session_token import SessionTokenCodec
+from dewledge.core.entry.session_token import SessionTokenCodec
+from dewledge.core.membership.member import Member
+from dewledge.core.proxy.core import ProxyCore
+from dewledge.core.proxy.parts import ProxyCoreSettings
 
 SESSION_KEY = b"the simulation's session key"
 
--- a/src/dewledge/simulation/deployments.py
+++ b/src/dewledge/simulation/deployments.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from dewledge.core.calls import Access
-from dewledge.core.configuration import Configuration
-from dewledge.core.resources import (
+from dewledge.core.configuration.configuration import Configuration
+from dewledge.core.configuration.resources import (
     CallerSpec,
     DatabaseSpec,
     GroupSpec,
@@ -41,6 +41,7 @@
     read_service_time: float
     write_service_time: float
     proxies_per_site: int = 2
+    group_spec: GroupSpec = GroupSpec()
 
     def proxies(self) -> dict[str, Place]:
         """Returns the proxies by name, spread over the zones."""
@@ -80,7 +81,7 @@
 
 def build_configuration(deployment: Deployment, revision: int = 1) -> Configuration:
     """Returns the resources of a deployment; every caller may read and write every group."""
-    resources = [_resource(Kind.GROUP, group, GroupSpec()) for group in deployment.groups]
+    resources = [_resource(Kind.GROUP, group, deployment.group_spec) for group in deployment.groups]
     resources += [_resource(Kind.PROXY, name, ProxySpec()) for name in deployment.proxies()]
     for group in deployment.groups:
         resources += _database_resources(deployment, group)
--- a/src/dewledge/simulation/interceptor.py
+++ b/src/dewledge/simulation/interceptor.py
@@ -6,7 +6,7 @@
 from dewledge.core.calls import CallerRequest
 from dewledge.core.jobs import JobResult
 from dewledge.core.messages import PeerMessage
-from dewledge.core.proxy_effects import ProxyEffect
+from dewledge.core.proxy.effects import ProxyEffect
 
 if TYPE_CHECKING:
     from dewledge.simulation.simulated_proxy import SimulatedProxy
--- a/src/dewledge/simulation/naive.py
+++ b/src/dewledge/simulation/naive.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from dewledge.core.calls import Access, CallerRequest, Operation, Outcome
-from dewledge.core.configuration_store import StoreCall, StoreCaller
+from dewledge.core.configuration.store import StoreCall, StoreCaller
 from dewledge.core.effects import AnswerCaller, RunJob, SendToPeer
 from dewledge.core.jobs import Job, JobDone, JobResult
 from dewledge.core.messages import (
@@ -21,7 +21,7 @@
     StatementRequest,
 )
 from dewledge.core.positions import LOG_START
-from dewledge.core.proxy_effects import ProxyEffect
+from dewledge.core.proxy.effects import ProxyEffect
 from dewledge.simulation.core_factory import session_codec
 from dewledge.simulation.interceptor import Interceptor
 from dewledge.simulation.simulated_proxy import SimulatedProxy
--- a/src/dewledge/simulation/platform_store.py
+++ b/src/dewledge/simulation/platform_store.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.store import (
     GetObject,
     PutObject,
     ReadRow,
--- a/src/dewledge/simulation/reply_desk.py
+++ b/src/dewledge/simulation/reply_desk.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from dewledge.core.calls import CallerAnswer
-from dewledge.core.configuration_store import ProposalFinished
+from dewledge.core.configuration.store import ProposalFinished
 from dewledge.core.effects import AnswerCaller
 from dewledge.simulation.clock import Action
 
--- a/src/dewledge/simulation/simulated_proxy.py
+++ b/src/dewledge/simulation/simulated_proxy.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from dewledge.core.calls import CallerRequest
-from dewledge.core.configuration_spread import ConfigurationChanged
-from dewledge.core.configuration_store import ProposalFinished, ProposedChange, StoreCall
+from dewledge.core.configuration.spread import ConfigurationChanged
+from dewledge.core.configuration.store import ProposalFinished, ProposedChange, StoreCall
 from dewledge.core.effects import (
     AnswerCaller,
     CloseConnection,
@@ -18,11 +18,11 @@
     SendToPeer,
 )
 from dewledge.core.jobs import JobResult
-from dewledge.core.member import Member
-from dewledge.core.membership_messages import SendDatagram
+from dewledge.core.membership.member import Member
+from dewledge.core.membership.messages import SendDatagram
 from dewledge.core.messages import decode
-from dewledge.core.proxy_core import ProxyCore
-from dewledge.core.proxy_effects import ProxyEffect, ReadMachineList
+from dewledge.core.proxy.core import ProxyCore
+from dewledge.core.proxy.effects import ProxyEffect, ReadMachineList
 from dewledge.simulation.absences import AbsenceReason, AbsenceTracker
 from dewledge.simulation.clock import Action, ScheduledEvent
 from dewledge.simulation.core_factory import make_core
--- a/src/dewledge/simulation/world.py
+++ b/src/dewledge/simulation/world.py
@@ -7,9 +7,10 @@
 import msgspec
 
 from dewledge.core.calls import Access
-from dewledge.core.configuration import DRAIN_LABEL, ChangeSet, Configuration
-from dewledge.core.configuration_codec import encode_change, encode_content
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.codec import encode_change, encode_content
+from dewledge.core.configuration.configuration import DRAIN_LABEL, ChangeSet, Configuration
+from dewledge.core.configuration.resources import Kind, Resource
+from dewledge.core.configuration.store import (
     HEAD_KEY,
     HeadRow,
     ProposalFinished,
@@ -19,8 +20,7 @@
 )
 from dewledge.core.messages import PeerMessage, StatementRequest, encode
 from dewledge.core.ports import MachineState
-from dewledge.core.proxy_parts import ProxyCoreSettings
-from dewledge.core.resources import Kind, Resource
+from dewledge.core.proxy.parts import ProxyCoreSettings
 from dewledge.simulation.clock import EventQueue
 from dewledge.simulation.database_server import DatabaseServer, ServerSettings
 from dewledge.simulation.deployments import Deployment, build_configuration
--- a/tests/contracts/fault_table.py
+++ b/tests/contracts/fault_table.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from dewledge.core.calls import Outcome
-from dewledge.core.proxy_parts import ProxyCoreSettings
+from dewledge.core.proxy.parts import ProxyCoreSettings
 from dewledge.simulation.faults import Fault
 from dewledge.simulation.interceptor import Interceptor
 from dewledge.simulation.population import PopulationSettings
--- a/tests/contracts/test_overload.py
+++ b/tests/contracts/test_overload.py
@@ -9,7 +9,7 @@
 from dewledge.core.calls import Outcome
 from dewledge.core.effects import SendToPeer
 from dewledge.core.messages import StatementRequest
-from dewledge.core.proxy_effects import ProxyEffect
+from dewledge.core.proxy.effects import ProxyEffect
 from dewledge.errors import ErrorCode
 from dewledge.simulation.deployments import PERMITS
 from dewledge.simulation.history import RequestRecord
