--- a/src/dewledge/bench/variants.py
+++ b/src/dewledge/bench/variants.py
@@ -7,9 +7,9 @@
 
 from dewledge.core.calls import CallerRequest, Operation, Outcome
 from dewledge.core.effects import AnswerCaller
-from dewledge.core.entry_settings import EntrySettings
-from dewledge.core.proxy_effects import ProxyEffect
-from dewledge.core.proxy_parts import ProxyCoreSettings
+from dewledge.core.entry.settings import EntrySettings
+from dewledge.core.proxy.effects import ProxyEffect
+from dewledge.core.proxy.parts import ProxyCoreSettings
 from dewledge.simulation.interceptor import Interceptor
 from dewledge.simulation.naive import NoFreshnessCheck, PoolsOfItsOwn, ReadsToPrimary
 from dewledge.simulation.simulated_proxy import SimulatedProxy
--- a/src/dewledge/coordination.py
+++ b/src/dewledge/coordination.py
@@ -39,16 +39,29 @@
     `LogEvent` (one line for the log), `DewledgeError` and `ErrorCode`.
 """
 
-from dewledge.core.admission import Refusal, ServiceRate, full_refusal, wait_refusal
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import Access
-from dewledge.core.configuration import (
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import (
     EMPTY_CONFIGURATION,
     ChangeSet,
     Configuration,
     ResourceKey,
 )
-from dewledge.core.configuration_spread import (
+from dewledge.core.configuration.resources import (
+    CallerSpec,
+    DatabaseSpec,
+    Expression,
+    GroupSpec,
+    Kind,
+    ProxySpec,
+    Resource,
+    RuleEffect,
+    RuleSpec,
+    Selector,
+    SelectorOperator,
+)
+from dewledge.core.configuration.selectors import matches
+from dewledge.core.configuration.spread import (
     ConfigurationChanged,
     ConfigurationSpread,
     SpreadEffect,
@@ -56,8 +69,7 @@
 )
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.effects import LogEvent, SendToPeer
-from dewledge.core.fair_queue import FairQueue, QueueEntry
-from dewledge.core.group_description import (
+from dewledge.core.entry.group_description import (
     DatabaseDescription,
     GroupDescription,
     describe,
@@ -67,44 +79,32 @@
     with_status,
     with_unavailable,
 )
-from dewledge.core.isolation import IsolationGuard, IsolationSettings
-from dewledge.core.member import Member, MemberState
-from dewledge.core.membership import Membership
-from dewledge.core.membership_messages import (
+from dewledge.core.entry.retry_budget import RetryBudget
+from dewledge.core.entry.server_selection import (
+    Freshness,
+    ReadChoice,
+    ReadQuery,
+    choose_replica,
+    readable_replicas,
+)
+from dewledge.core.entry.session_token import NO_FLOORS, SessionFloors, SessionTokenCodec
+from dewledge.core.gateway.admission import Refusal, ServiceRate, full_refusal, wait_refusal
+from dewledge.core.gateway.fair_queue import FairQueue, QueueEntry
+from dewledge.core.membership.isolation import IsolationGuard, IsolationSettings
+from dewledge.core.membership.member import Member, MemberState
+from dewledge.core.membership.membership import Membership
+from dewledge.core.membership.messages import (
     MembersChanged,
     MembershipEffect,
     PeerRevisionSeen,
     SendDatagram,
     StoreContactSeen,
 )
-from dewledge.core.membership_settings import MembershipSettings
+from dewledge.core.membership.placement import GatewayPlacement
+from dewledge.core.membership.settings import MembershipSettings
 from dewledge.core.messages import decode as decode_message
 from dewledge.core.messages import encode as encode_message
-from dewledge.core.placement import GatewayPlacement
 from dewledge.core.positions import LOG_START, LogPosition, TermStart, is_cut_off, satisfies
-from dewledge.core.resources import (
-    CallerSpec,
-    DatabaseSpec,
-    Expression,
-    GroupSpec,
-    Kind,
-    ProxySpec,
-    Resource,
-    RuleEffect,
-    RuleSpec,
-    Selector,
-    SelectorOperator,
-)
-from dewledge.core.retry_budget import RetryBudget
-from dewledge.core.selectors import matches
-from dewledge.core.server_selection import (
-    Freshness,
-    ReadChoice,
-    ReadQuery,
-    choose_replica,
-    readable_replicas,
-)
-from dewledge.core.session_token import NO_FLOORS, SessionFloors, SessionTokenCodec
 from dewledge.errors import BadSessionToken, DewledgeError, ErrorCode, ProtocolError
 
 __all__ = [
--- /dev/null
+++ b/src/dewledge/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Resources and rules: read, checked, accepted once, spread to every proxy."""
--- a/src/dewledge/core/configuration_acceptance.py
+++ b/src/dewledge/core/configuration/acceptance.py
@@ -10,13 +10,13 @@
 import msgspec
 
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
-from dewledge.core.configuration_acceptance_steps import (
+from dewledge.core.configuration.acceptance_steps import (
     Acceptance,
     accept_change,
     look_up_change,
 )
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION, Configuration
+from dewledge.core.configuration.store import (
     ChangeLookedUp,
     ConfigurationLearned,
     ProposalFinished,
@@ -25,7 +25,7 @@
     StoreCaller,
     StoreResult,
 )
-from dewledge.core.configuration_store_task import RetrySettings, StoreTask
+from dewledge.core.configuration.store_task import RetrySettings, StoreTask
 from dewledge.core.effects import LogEvent
 from dewledge.errors import ErrorCode
 
--- a/src/dewledge/core/configuration_acceptance_steps.py
+++ b/src/dewledge/core/configuration/acceptance_steps.py
@@ -8,9 +8,8 @@
 import msgspec
 
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import ChangeSet, Configuration, ResourceKey
-from dewledge.core.configuration_acceptance_change import resolve_change
-from dewledge.core.configuration_codec import (
+from dewledge.core.configuration.acceptance_change import resolve_change
+from dewledge.core.configuration.codec import (
     decode_change,
     decode_content,
     decode_snapshot,
@@ -18,7 +17,8 @@
     encode_content,
     encode_snapshot,
 )
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.configuration import ChangeSet, Configuration, ResourceKey
+from dewledge.core.configuration.store import (
     HEAD_KEY,
     NO_REVISION,
     SNAPSHOT_KEY,
@@ -35,7 +35,7 @@
     revision_key,
     snapshot_object,
 )
-from dewledge.core.configuration_store_task import StoreGaveUp, StoreSteps
+from dewledge.core.configuration.store_task import StoreGaveUp, StoreSteps
 from dewledge.core.ports import Row, RowWrite
 from dewledge.errors import (
     DewledgeError,
--- a/src/dewledge/core/authorization.py
+++ b/src/dewledge/core/configuration/authorization.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from dewledge.core.calls import Access
-from dewledge.core.configuration import DRAIN_LABEL, Configuration
-from dewledge.core.resources import (
+from dewledge.core.configuration.configuration import DRAIN_LABEL, Configuration
+from dewledge.core.configuration.resources import (
     SELECT_ALL,
     CallerSpec,
     Kind,
@@ -15,7 +15,7 @@
     RuleSpec,
     Selector,
 )
-from dewledge.core.selectors import LabelIndex
+from dewledge.core.configuration.selectors import LabelIndex
 
 BOOTSTRAP_OPERATOR = "bootstrap-operator"
 """The caller that presents the operator token of the settings; no Caller resource may be so named.
--- a/src/dewledge/core/configuration.py
+++ b/src/dewledge/core/configuration/configuration.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from dewledge.core.resources import (
+from dewledge.core.configuration.resources import (
     CallerSpec,
     DatabaseSpec,
     GroupSpec,
--- a/src/dewledge/core/configuration_poller.py
+++ b/src/dewledge/core/configuration/poller.py
@@ -14,16 +14,16 @@
 import msgspec
 import xxhash
 
-from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
-from dewledge.core.configuration_acceptance_steps import catch_up, read_head, write_snapshot
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.acceptance_steps import catch_up, read_head, write_snapshot
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION, Configuration
+from dewledge.core.configuration.store import (
     ConfigurationLearned,
     StoreCall,
     StoreCaller,
     StoreReached,
     StoreResult,
 )
-from dewledge.core.configuration_store_task import RetrySettings, StoreSteps, StoreTask
+from dewledge.core.configuration.store_task import RetrySettings, StoreSteps, StoreTask
 from dewledge.core.effects import LogEvent
 from dewledge.errors import DewledgeError
 
--- a/src/dewledge/core/resource_documents_model.py
+++ b/src/dewledge/core/configuration/resource_documents_model.py
@@ -9,7 +9,7 @@
 from pydantic.alias_generators import to_camel
 
 from dewledge.core.calls import Access
-from dewledge.core.resources import (
+from dewledge.core.configuration.resources import (
     DEFAULT_MAX_CONNECTIONS,
     DEFAULT_READ_WAIT,
     DEFAULT_SLOTS,
--- a/src/dewledge/core/configuration_spread.py
+++ b/src/dewledge/core/configuration/spread.py
@@ -11,21 +11,21 @@
 
 import msgspec
 
-from dewledge.core.configuration import (
-    EMPTY_CONFIGURATION,
-    ChangeSet,
-    Configuration,
-    ResourceKey,
-)
-from dewledge.core.configuration_codec import (
+from dewledge.core.configuration.codec import (
     decode_change,
     decode_snapshot,
     encode_change,
     encode_snapshot,
 )
-from dewledge.core.configuration_history import ChangeHistory, RecordedChange
+from dewledge.core.configuration.configuration import (
+    EMPTY_CONFIGURATION,
+    ChangeSet,
+    Configuration,
+    ResourceKey,
+)
+from dewledge.core.configuration.history import ChangeHistory, RecordedChange
 from dewledge.core.effects import LogEvent, SendToPeer
-from dewledge.core.member import Member
+from dewledge.core.membership.member import Member
 from dewledge.core.messages import (
     ConfigurationDelta,
     ConfigurationDigest,
--- a/src/dewledge/core/configuration_store.py
+++ b/src/dewledge/core/configuration/store.py
@@ -15,9 +15,9 @@
 import msgspec
 
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import ChangeSet, Configuration, ResourceKey
+from dewledge.core.configuration.configuration import ChangeSet, Configuration, ResourceKey
+from dewledge.core.configuration.resources import Resource
 from dewledge.core.ports import Row, RowWrite
-from dewledge.core.resources import Resource
 from dewledge.errors import ErrorCode, Finding
 
 HEAD_KEY = "configuration/head"
--- /dev/null
+++ b/src/dewledge/core/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: from a caller's request to its one answer."""
--- a/src/dewledge/core/answer_handler.py
+++ b/src/dewledge/core/entry/answer_handler.py
@@ -1,18 +1,18 @@
 """Takes gateways' answers, and the loss of a gateway, and settles or moves the requests on."""
 
 from dewledge.core.calls import Operation
-from dewledge.core.entry_group import EntryGroup
-from dewledge.core.entry_reactions import Reaction, reaction_to, transaction_code
-from dewledge.core.entry_state import EntryState
-from dewledge.core.group_description import with_gamble, with_primary_denied, with_unavailable
+from dewledge.core.entry.group import EntryGroup
+from dewledge.core.entry.group_description import with_gamble, with_primary_denied, with_unavailable
+from dewledge.core.entry.pending_requests import PendingRequest
+from dewledge.core.entry.primary_doubt import DoubtReason, PrimaryClaim
+from dewledge.core.entry.primary_watch import is_write
+from dewledge.core.entry.reactions import Reaction, reaction_to, transaction_code
+from dewledge.core.entry.request_finish import RequestFinisher
+from dewledge.core.entry.request_router import RequestRouter
+from dewledge.core.entry.server_selection import Freshness
+from dewledge.core.entry.state import EntryState
 from dewledge.core.messages import StatementDone, StatementNotRun, StatementUnknown
-from dewledge.core.pending_requests import PendingRequest
 from dewledge.core.positions import satisfies
-from dewledge.core.primary_doubt import DoubtReason, PrimaryClaim
-from dewledge.core.primary_watch import is_write
-from dewledge.core.request_finish import RequestFinisher
-from dewledge.core.request_router import RequestRouter
-from dewledge.core.server_selection import Freshness
 from dewledge.errors import ErrorCode
 
 _UNREACHABLE_CODES = frozenset({ErrorCode.DATABASE_UNREACHABLE})
--- a/src/dewledge/core/entry.py
+++ b/src/dewledge/core/entry/entry.py
@@ -11,25 +11,25 @@
 
 from random import Random
 
-from dewledge.core.answer_handler import AnswerHandler
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import Access, CallerRequest, Operation
-from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION, Configuration
 from dewledge.core.effects import Effect
-from dewledge.core.entry_group import EntryGroup
-from dewledge.core.entry_settings import EntrySettings
-from dewledge.core.entry_state import EntryState
+from dewledge.core.entry.answer_handler import AnswerHandler
+from dewledge.core.entry.group import EntryGroup
+from dewledge.core.entry.pending_requests import PendingRequest
+from dewledge.core.entry.request_finish import RequestFinisher
+from dewledge.core.entry.request_router import RequestRouter
+from dewledge.core.entry.session_token import NO_FLOORS, SessionFloors, SessionTokenCodec
+from dewledge.core.entry.settings import EntrySettings
+from dewledge.core.entry.state import EntryState
+from dewledge.core.membership.placement import GatewayPlacement
 from dewledge.core.messages import (
     GroupStatusAnswer,
     StatementDone,
     StatementNotRun,
     StatementUnknown,
 )
-from dewledge.core.pending_requests import PendingRequest
-from dewledge.core.placement import GatewayPlacement
-from dewledge.core.request_finish import RequestFinisher
-from dewledge.core.request_router import RequestRouter
-from dewledge.core.session_token import NO_FLOORS, SessionFloors, SessionTokenCodec
 from dewledge.core.transaction_ids import gateway_of_transaction
 from dewledge.errors import BadSessionToken, ErrorCode
 
--- a/src/dewledge/core/entry_group.py
+++ b/src/dewledge/core/entry/group.py
@@ -3,9 +3,8 @@
 from collections.abc import Iterable
 
 from dewledge.core.database_status import DatabaseStatus
-from dewledge.core.entry_settings import EntrySettings
-from dewledge.core.failover_wait import FailoverWait
-from dewledge.core.group_description import (
+from dewledge.core.entry.failover_wait import FailoverWait
+from dewledge.core.entry.group_description import (
     GroupDescription,
     describe,
     with_applied,
@@ -13,11 +12,12 @@
     with_lag_sample,
     with_status,
 )
-from dewledge.core.head_history import HeadHistory
-from dewledge.core.pending_requests import PendingRequest
+from dewledge.core.entry.head_history import HeadHistory
+from dewledge.core.entry.pending_requests import PendingRequest
+from dewledge.core.entry.primary_doubt import PrimaryClaim
+from dewledge.core.entry.primary_watch import PrimaryWatch
+from dewledge.core.entry.settings import EntrySettings
 from dewledge.core.positions import LogPosition
-from dewledge.core.primary_doubt import PrimaryClaim
-from dewledge.core.primary_watch import PrimaryWatch
 
 
 class EntryGroup:
--- a/src/dewledge/core/pending_requests.py
+++ b/src/dewledge/core/entry/pending_requests.py
@@ -5,10 +5,10 @@
 from enum import Enum, auto
 
 from dewledge.core.calls import Access, CallerRequest, Operation
-from dewledge.core.entry_settings import EntrySettings
+from dewledge.core.entry.server_selection import Freshness
+from dewledge.core.entry.session_token import SessionFloors
+from dewledge.core.entry.settings import EntrySettings
 from dewledge.core.positions import LogPosition
-from dewledge.core.server_selection import Freshness
-from dewledge.core.session_token import SessionFloors
 from dewledge.errors import ErrorCode
 
 
--- a/src/dewledge/core/primary_doubt.py
+++ b/src/dewledge/core/entry/primary_doubt.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from dewledge.core.group_description import GroupDescription
+from dewledge.core.entry.group_description import GroupDescription
 from dewledge.core.positions import LogPosition
 
 
--- a/src/dewledge/core/read_index.py
+++ b/src/dewledge/core/entry/read_index.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Callable
 
-from dewledge.core.entry_group import EntryGroup
-from dewledge.core.entry_state import EntryState
+from dewledge.core.entry.group import EntryGroup
+from dewledge.core.entry.pending_requests import PendingRequest, RequestState
+from dewledge.core.entry.state import EntryState
 from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest
-from dewledge.core.pending_requests import PendingRequest, RequestState
 from dewledge.core.positions import LogPosition
 
 SAME_ROUND_AGES = 1e-6
--- a/src/dewledge/core/request_sender.py
+++ b/src/dewledge/core/entry/request_sender.py
@@ -3,9 +3,9 @@
 import msgspec
 
 from dewledge.core.calls import Operation
-from dewledge.core.entry_state import EntryState
+from dewledge.core.entry.pending_requests import PendingRequest, RequestState
+from dewledge.core.entry.state import EntryState
 from dewledge.core.messages import StatementRequest
-from dewledge.core.pending_requests import PendingRequest, RequestState
 
 _MARGIN_SHARE = 0.1
 _CANDIDATE_GATEWAYS = 2
--- a/src/dewledge/core/server_selection.py
+++ b/src/dewledge/core/entry/server_selection.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from dewledge.core.database_status import DatabaseRole
-from dewledge.core.group_description import DatabaseDescription, GroupDescription
+from dewledge.core.entry.group_description import DatabaseDescription, GroupDescription
 from dewledge.core.positions import LogPosition, is_cut_off, satisfies
 
 LAG_DEVIATIONS = 2.0
--- a/src/dewledge/core/entry_state.py
+++ b/src/dewledge/core/entry/state.py
@@ -2,16 +2,16 @@
 
 from random import Random
 
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import CallerAnswer, Outcome
-from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION, Configuration
 from dewledge.core.effects import AnswerCaller, Effect, LogEvent, SendToPeer
-from dewledge.core.entry_group import EntryGroup
-from dewledge.core.entry_settings import EntrySettings
+from dewledge.core.entry.group import EntryGroup
+from dewledge.core.entry.pending_requests import PendingRequest, PendingRequests
+from dewledge.core.entry.retry_budget import RetryBudget
+from dewledge.core.entry.settings import EntrySettings
+from dewledge.core.membership.placement import GatewayPlacement
 from dewledge.core.messages import PeerMessage
-from dewledge.core.pending_requests import PendingRequest, PendingRequests
-from dewledge.core.placement import GatewayPlacement
-from dewledge.core.retry_budget import RetryBudget
 from dewledge.core.timer_queue import TimerQueue
 from dewledge.errors import ErrorCode
 
--- a/src/dewledge/core/status_watch.py
+++ b/src/dewledge/core/entry/status_watch.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from dewledge.core.entry_group import EntryGroup
-from dewledge.core.entry_state import EntryState
+from dewledge.core.entry.group import EntryGroup
+from dewledge.core.entry.state import EntryState
 from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest
 
 POLL_JITTER = 0.25
--- a/src/dewledge/core/gateway_context.py
+++ b/src/dewledge/core/gateway/context.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from dewledge.core.effects import Effect, LogEvent
-from dewledge.core.gateway_settings import GatewaySettings
+from dewledge.core.gateway.settings import GatewaySettings
 from dewledge.core.jobs import JobResult, StatusReading
 from dewledge.core.timer_queue import TimerQueue
 from dewledge.errors import ErrorCode
--- a/src/dewledge/core/gateway_database.py
+++ b/src/dewledge/core/gateway/database.py
@@ -7,27 +7,27 @@
 
 import msgspec
 
-from dewledge.core.admission import Refusal, ServiceRate
 from dewledge.core.calls import Access
-from dewledge.core.connection_pool import ConnectionPool
-from dewledge.core.gateway_context import GatewayContext, Timer
-from dewledge.core.gateway_report import DatabaseReport, GatewayRole
-from dewledge.core.gateway_request import GatewayRequest, RequestRegistry
-from dewledge.core.gateway_transactions import GatewayTransactions
-from dewledge.core.group_monitor import GroupMonitor
-from dewledge.core.jobs import JobDone, JobNotRun, JobResult, JobUnknown
-from dewledge.core.open_failure_log import OpenFailureLog
-from dewledge.core.resources import DatabaseSpec
-from dewledge.core.running_jobs import RunningJobs
-from dewledge.core.statement_conclusion import StatementConclusion
-from dewledge.core.transactions import Transaction, TransactionTable
-from dewledge.core.waiting_room import (
+from dewledge.core.configuration.resources import DatabaseSpec
+from dewledge.core.gateway.admission import Refusal, ServiceRate
+from dewledge.core.gateway.connection_pool import ConnectionPool
+from dewledge.core.gateway.context import GatewayContext, Timer
+from dewledge.core.gateway.group_monitor import GroupMonitor
+from dewledge.core.gateway.open_failure_log import OpenFailureLog
+from dewledge.core.gateway.report import DatabaseReport, GatewayRole
+from dewledge.core.gateway.request import GatewayRequest, RequestRegistry
+from dewledge.core.gateway.running_jobs import RunningJobs
+from dewledge.core.gateway.statement_conclusion import StatementConclusion
+from dewledge.core.gateway.transaction_operations import GatewayTransactions
+from dewledge.core.gateway.transactions import Transaction, TransactionTable
+from dewledge.core.gateway.waiting_room import (
     DRAINED,
     ISOLATED,
     UNREACHABLE,
     TimeNeeded,
     WaitingRoom,
 )
+from dewledge.core.jobs import JobDone, JobNotRun, JobResult, JobUnknown
 from dewledge.errors import ErrorCode
 
 TIMED_OUT_SHARE = 0.95
--- a/src/dewledge/core/gateway.py
+++ b/src/dewledge/core/gateway/gateway.py
@@ -9,14 +9,15 @@
 
 from random import Random
 
-from dewledge.core.configuration import Configuration
+from dewledge.core.configuration.configuration import Configuration
 from dewledge.core.effects import Effect, SendToPeer
-from dewledge.core.gateway_context import GatewayContext
-from dewledge.core.gateway_report import DatabaseReport
-from dewledge.core.gateway_request import GatewayRequest, RequestRegistry
-from dewledge.core.gateway_roster import DrainPolicy, GatewayRoster, Placement
-from dewledge.core.gateway_routing import GatewayRouting
-from dewledge.core.gateway_settings import GatewaySettings
+from dewledge.core.gateway.context import GatewayContext
+from dewledge.core.gateway.report import DatabaseReport
+from dewledge.core.gateway.request import GatewayRequest, RequestRegistry
+from dewledge.core.gateway.roster import DrainPolicy, GatewayRoster, Placement
+from dewledge.core.gateway.routing import GatewayRouting
+from dewledge.core.gateway.settings import GatewaySettings
+from dewledge.core.gateway.transactions import TransactionTable
 from dewledge.core.jobs import JobResult, StatusReading
 from dewledge.core.messages import (
     CancelRequest,
@@ -24,7 +25,6 @@
     GroupStatusRequest,
     StatementRequest,
 )
-from dewledge.core.transactions import TransactionTable
 from dewledge.errors import ErrorCode
 
 
--- a/src/dewledge/core/group_monitor.py
+++ b/src/dewledge/core/gateway/group_monitor.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable, Mapping
 
-from dewledge.core.admission import UsualTime
-from dewledge.core.confirmation import Claim, Verdict, judge
+from dewledge.core.configuration.resources import Confirmation
 from dewledge.core.effects import SendToPeer
-from dewledge.core.gateway_context import GatewayContext, Timer
+from dewledge.core.gateway.admission import UsualTime
+from dewledge.core.gateway.confirmation import Claim, Verdict, judge
+from dewledge.core.gateway.context import GatewayContext, Timer
+from dewledge.core.gateway.status_cache import StatusCache
+from dewledge.core.gateway.status_rounds import StatusRound, StatusRounds
 from dewledge.core.jobs import StatusReading
 from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest
-from dewledge.core.resources import Confirmation
-from dewledge.core.status_cache import StatusCache
-from dewledge.core.status_rounds import StatusRound, StatusRounds
 from dewledge.errors import ErrorCode
 
 RETRY_GROWTH = 1.5
--- a/src/dewledge/core/gateway_request.py
+++ b/src/dewledge/core/gateway/request.py
@@ -7,8 +7,8 @@
 from dewledge.core.calls import Operation
 from dewledge.core.database_status import DatabaseStatus
 from dewledge.core.effects import SendToPeer
-from dewledge.core.fair_queue import QueueEntry
-from dewledge.core.gateway_context import GatewayContext, Timer
+from dewledge.core.gateway.context import GatewayContext, Timer
+from dewledge.core.gateway.fair_queue import QueueEntry
 from dewledge.core.jobs import JobDone
 from dewledge.core.messages import (
     StatementDone,
--- a/src/dewledge/core/running_jobs.py
+++ b/src/dewledge/core/gateway/running_jobs.py
@@ -7,7 +7,7 @@
 
 from dewledge.core.calls import Access, Operation, Statement
 from dewledge.core.effects import RunJob
-from dewledge.core.gateway_context import GatewayContext, Timer
+from dewledge.core.gateway.context import GatewayContext, Timer
 from dewledge.core.jobs import IdempotencyRecord, Job, JobResult, JobUnknown
 from dewledge.core.messages import StatementRequest
 from dewledge.errors import ErrorCode
--- a/src/dewledge/core/statement_conclusion.py
+++ b/src/dewledge/core/gateway/statement_conclusion.py
@@ -1,10 +1,10 @@
 """From a job's result to the answer: which of the three outcomes is true, and when it is known."""
 
 from dewledge.core.calls import Access
-from dewledge.core.confirmation import Claim, Verdict
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
-from dewledge.core.gateway_request import GatewayRequest, RequestRegistry
-from dewledge.core.group_monitor import GroupMonitor
+from dewledge.core.gateway.confirmation import Claim, Verdict
+from dewledge.core.gateway.group_monitor import GroupMonitor
+from dewledge.core.gateway.request import GatewayRequest, RequestRegistry
 from dewledge.core.jobs import JobDone, JobNotRun, JobUnknown
 from dewledge.core.positions import satisfies
 from dewledge.errors import ErrorCode
--- a/src/dewledge/core/status_cache.py
+++ b/src/dewledge/core/gateway/status_cache.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from dewledge.core.confirmation import primary_of
 from dewledge.core.database_status import DatabaseStatus
+from dewledge.core.gateway.confirmation import primary_of
 from dewledge.core.positions import TermStart
 
 KEPT_TERM_STARTS = 32
--- a/src/dewledge/core/status_rounds.py
+++ b/src/dewledge/core/gateway/status_rounds.py
@@ -9,10 +9,10 @@
 
 from collections.abc import Callable, Mapping
 
-from dewledge.core.confirmation import highest_term, majority_of, primary_of
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.effects import ReadStatuses
-from dewledge.core.gateway_context import GatewayContext, Timer
+from dewledge.core.gateway.confirmation import highest_term, majority_of, primary_of
+from dewledge.core.gateway.context import GatewayContext, Timer
 from dewledge.core.jobs import StatusReading
 
 ROUND_TIME_GAIN = 0.125
--- a/src/dewledge/core/gateway_transactions.py
+++ b/src/dewledge/core/gateway/transaction_operations.py
@@ -4,17 +4,17 @@
 
 import msgspec
 
-from dewledge.core.admission import ServiceRate
 from dewledge.core.calls import Access, Operation
-from dewledge.core.confirmation import Claim, Verdict
-from dewledge.core.connection_pool import ConnectionPool
-from dewledge.core.gateway_context import GatewayContext, Timer
-from dewledge.core.gateway_request import GatewayRequest, RequestRegistry
-from dewledge.core.group_monitor import GroupMonitor
+from dewledge.core.gateway.admission import ServiceRate
+from dewledge.core.gateway.confirmation import Claim, Verdict
+from dewledge.core.gateway.connection_pool import ConnectionPool
+from dewledge.core.gateway.context import GatewayContext, Timer
+from dewledge.core.gateway.group_monitor import GroupMonitor
+from dewledge.core.gateway.request import GatewayRequest, RequestRegistry
+from dewledge.core.gateway.running_jobs import RunningJobs
+from dewledge.core.gateway.statement_conclusion import StatementConclusion
+from dewledge.core.gateway.transactions import RunningOperation, Transaction, TransactionTable
 from dewledge.core.jobs import JobDone, JobNotRun, JobResult, JobUnknown
-from dewledge.core.running_jobs import RunningJobs
-from dewledge.core.statement_conclusion import StatementConclusion
-from dewledge.core.transactions import RunningOperation, Transaction, TransactionTable
 from dewledge.errors import ErrorCode
 
 ROLLBACK_TIMEOUT = 1.0
--- a/src/dewledge/core/transactions.py
+++ b/src/dewledge/core/gateway/transactions.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from dewledge.core.gateway_context import Timer
-from dewledge.core.gateway_request import GatewayRequest
+from dewledge.core.gateway.context import Timer
+from dewledge.core.gateway.request import GatewayRequest
 from dewledge.core.transaction_ids import make_transaction_id
 from dewledge.errors import ErrorCode
 
--- /dev/null
+++ b/src/dewledge/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which proxies are alive, and what follows: placement and isolation."""
--- a/src/dewledge/core/membership_dialogue.py
+++ b/src/dewledge/core/membership/dialogue.py
@@ -1,9 +1,9 @@
 """What membership answers to each kind of datagram."""
 
-from dewledge.core.member import claim_of
-from dewledge.core.membership_contact import ContactPings
-from dewledge.core.membership_join import Joiner
-from dewledge.core.membership_messages import (
+from dewledge.core.membership.contact import ContactPings
+from dewledge.core.membership.join import Joiner
+from dewledge.core.membership.member import claim_of
+from dewledge.core.membership.messages import (
     Ack,
     Envelope,
     Nack,
@@ -16,12 +16,12 @@
     SyncAnswer,
     SyncRequest,
 )
-from dewledge.core.membership_outbox import Outbox
-from dewledge.core.membership_probe import Prober
-from dewledge.core.membership_relay import Relay, RelayBook
-from dewledge.core.membership_settings import MembershipSettings, direct_probe_time
-from dewledge.core.membership_sync import TableSync
-from dewledge.core.membership_view import MemberView
+from dewledge.core.membership.outbox import Outbox
+from dewledge.core.membership.probe import Prober
+from dewledge.core.membership.relay import Relay, RelayBook
+from dewledge.core.membership.settings import MembershipSettings, direct_probe_time
+from dewledge.core.membership.sync import TableSync
+from dewledge.core.membership.view import MemberView
 
 NEVER = float("-inf")
 NO_SEQUENCE = -1
--- a/src/dewledge/core/membership_join.py
+++ b/src/dewledge/core/membership/join.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from dewledge.core.membership_settings import MembershipSettings
+from dewledge.core.membership.settings import MembershipSettings
 from dewledge.core.ports import MachineState
 
 NOT_WAITING = float("inf")
--- a/src/dewledge/core/membership.py
+++ b/src/dewledge/core/membership/membership.py
@@ -8,13 +8,13 @@
 from collections.abc import Iterable
 from random import Random
 
-from dewledge.core.isolation import is_majority
-from dewledge.core.member import Member, MemberState, claim_of
-from dewledge.core.membership_broadcast import BroadcastQueue, ByteBudget
-from dewledge.core.membership_contact import ContactPings
-from dewledge.core.membership_dialogue import MembershipDialogue
-from dewledge.core.membership_join import Joiner
-from dewledge.core.membership_messages import (
+from dewledge.core.membership.broadcast import BroadcastQueue, ByteBudget
+from dewledge.core.membership.contact import ContactPings
+from dewledge.core.membership.dialogue import MembershipDialogue
+from dewledge.core.membership.isolation import is_majority
+from dewledge.core.membership.join import Joiner
+from dewledge.core.membership.member import Member, MemberState, claim_of
+from dewledge.core.membership.messages import (
     MembersChanged,
     MembershipEffect,
     News,
@@ -23,18 +23,18 @@
     PullRequest,
     decode_datagram,
 )
-from dewledge.core.membership_outbox import Outbox
-from dewledge.core.membership_probe import Prober
-from dewledge.core.membership_reconnect import Reconnector
-from dewledge.core.membership_settings import (
+from dewledge.core.membership.outbox import Outbox
+from dewledge.core.membership.probe import Prober
+from dewledge.core.membership.reconnect import Reconnector
+from dewledge.core.membership.settings import (
     MembershipSettings,
     estimate_reachable,
     silence_limit,
     transmit_limit,
 )
-from dewledge.core.membership_sync import TableSync
-from dewledge.core.membership_table import MemberTable
-from dewledge.core.membership_view import MemberView
+from dewledge.core.membership.sync import TableSync
+from dewledge.core.membership.table import MemberTable
+from dewledge.core.membership.view import MemberView
 from dewledge.core.ports import MachineState
 from dewledge.errors import ProtocolError
 
--- a/src/dewledge/core/membership_messages.py
+++ b/src/dewledge/core/membership/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from dewledge.core.effects import LogEvent
-from dewledge.core.member import Claim, Member
+from dewledge.core.membership.member import Claim, Member
 from dewledge.errors import ProtocolError
 
 MEMBERSHIP_VERSION = 1
--- a/src/dewledge/core/membership_outbox.py
+++ b/src/dewledge/core/membership/outbox.py
@@ -1,9 +1,9 @@
 """Collects the effects of one call into membership and composes its datagrams."""
 
 from dewledge.core.effects import LogEvent
-from dewledge.core.member import Claim
-from dewledge.core.membership_broadcast import BroadcastQueue
-from dewledge.core.membership_messages import (
+from dewledge.core.membership.broadcast import BroadcastQueue
+from dewledge.core.membership.member import Claim
+from dewledge.core.membership.messages import (
     MAX_CLAIM_BYTES,
     MEMBERSHIP_VERSION,
     Body,
--- a/src/dewledge/core/membership_probe.py
+++ b/src/dewledge/core/membership/probe.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from dewledge.core.member import Member
-from dewledge.core.membership_settings import MembershipSettings, direct_probe_time
-from dewledge.core.membership_table import MemberTable
+from dewledge.core.membership.member import Member
+from dewledge.core.membership.settings import MembershipSettings, direct_probe_time
+from dewledge.core.membership.table import MemberTable
 
 NEVER = float("-inf")
 MAX_URGENT = 16
--- a/src/dewledge/core/membership_reconnect.py
+++ b/src/dewledge/core/membership/reconnect.py
@@ -2,14 +2,14 @@
 
 from random import Random
 
-from dewledge.core.member import Member, MemberState, claim_of
-from dewledge.core.membership_dialogue import MembershipDialogue
-from dewledge.core.membership_join import Joiner, gossip_addresses
-from dewledge.core.membership_messages import News, Ping
-from dewledge.core.membership_outbox import Outbox
-from dewledge.core.membership_settings import MembershipSettings
-from dewledge.core.membership_sync import TableSync
-from dewledge.core.membership_table import MemberTable
+from dewledge.core.membership.dialogue import MembershipDialogue
+from dewledge.core.membership.join import Joiner, gossip_addresses
+from dewledge.core.membership.member import Member, MemberState, claim_of
+from dewledge.core.membership.messages import News, Ping
+from dewledge.core.membership.outbox import Outbox
+from dewledge.core.membership.settings import MembershipSettings
+from dewledge.core.membership.sync import TableSync
+from dewledge.core.membership.table import MemberTable
 from dewledge.core.ports import MachineState
 
 FORGET_INTERVAL = 60.0
--- a/src/dewledge/core/membership_view.py
+++ b/src/dewledge/core/membership/view.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from dewledge.core.member import (
+from dewledge.core.membership.broadcast import BroadcastQueue
+from dewledge.core.membership.member import (
     GONE_STATES,
     PLACED_STATES,
     Claim,
@@ -14,10 +15,9 @@
     claim_of,
     supersedes,
 )
-from dewledge.core.membership_broadcast import BroadcastQueue
-from dewledge.core.membership_settings import MembershipSettings
-from dewledge.core.membership_suspicion import SuspicionTimers
-from dewledge.core.membership_table import MemberTable
+from dewledge.core.membership.settings import MembershipSettings
+from dewledge.core.membership.suspicion import SuspicionTimers
+from dewledge.core.membership.table import MemberTable
 
 UNNAMED_ACCUSER = ""
 
--- /dev/null
+++ b/src/dewledge/core/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Entry, gateway, membership and configuration assembled into one state machine."""
--- a/src/dewledge/core/proxy_core.py
+++ b/src/dewledge/core/proxy/core.py
@@ -8,26 +8,26 @@
 from random import Random
 from typing import Any
 
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import CallerRequest, Outcome
-from dewledge.core.configuration import Configuration
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import Configuration
+from dewledge.core.configuration.store import (
     ProposalFinished,
     ProposedChange,
     StoreCaller,
     StoreResult,
 )
 from dewledge.core.effects import SendToPeer
-from dewledge.core.gateway_report import DatabaseReport
+from dewledge.core.entry.session_token import SessionTokenCodec
+from dewledge.core.gateway.report import DatabaseReport
 from dewledge.core.jobs import JobResult, StatusReading
-from dewledge.core.member import Member
+from dewledge.core.membership.member import Member
+from dewledge.core.membership.placement import GatewayPlacement
 from dewledge.core.messages import Leaving, PeerMessage, StatementNotRun
-from dewledge.core.placement import GatewayPlacement
 from dewledge.core.ports import MachineState
-from dewledge.core.proxy_effects import ProxyEffect
-from dewledge.core.proxy_parts import ProxyCoreSettings, ProxyParts
-from dewledge.core.proxy_router import ProxyRouter
-from dewledge.core.session_token import SessionTokenCodec
+from dewledge.core.proxy.effects import ProxyEffect
+from dewledge.core.proxy.parts import ProxyCoreSettings, ProxyParts
+from dewledge.core.proxy.router import ProxyRouter
 from dewledge.errors import ErrorCode
 
 MAX_PEERS_TOLD_OF_LEAVING = 64
--- a/src/dewledge/core/proxy_effects.py
+++ b/src/dewledge/core/proxy/effects.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from dewledge.core.configuration_spread import ConfigurationChanged
-from dewledge.core.configuration_store import ChangeLookedUp, ProposalFinished, StoreCall
+from dewledge.core.configuration.spread import ConfigurationChanged
+from dewledge.core.configuration.store import ChangeLookedUp, ProposalFinished, StoreCall
 from dewledge.core.effects import Effect
-from dewledge.core.membership_messages import MembersChanged, SendDatagram
+from dewledge.core.membership.messages import MembersChanged, SendDatagram
 
 
 class ReadMachineList(msgspec.Struct, frozen=True):
--- a/src/dewledge/core/proxy_parts.py
+++ b/src/dewledge/core/proxy/parts.py
@@ -5,19 +5,19 @@
 
 import msgspec
 
-from dewledge.core.configuration_acceptance import AcceptanceSettings, ConfigurationAcceptance
-from dewledge.core.configuration_poller import ConfigurationPoller, PollerSettings
-from dewledge.core.configuration_spread import ConfigurationSpread, SpreadSettings
-from dewledge.core.entry import Entry
-from dewledge.core.entry_settings import EntrySettings
-from dewledge.core.gateway import Gateway
-from dewledge.core.gateway_settings import GatewaySettings
-from dewledge.core.isolation import IsolationGuard, IsolationSettings
-from dewledge.core.machine_list_reader import MachineListReader
-from dewledge.core.member import Member
-from dewledge.core.membership import Membership
-from dewledge.core.membership_settings import MembershipSettings
-from dewledge.core.session_token import SessionTokenCodec
+from dewledge.core.configuration.acceptance import AcceptanceSettings, ConfigurationAcceptance
+from dewledge.core.configuration.poller import ConfigurationPoller, PollerSettings
+from dewledge.core.configuration.spread import ConfigurationSpread, SpreadSettings
+from dewledge.core.entry.entry import Entry
+from dewledge.core.entry.session_token import SessionTokenCodec
+from dewledge.core.entry.settings import EntrySettings
+from dewledge.core.gateway.gateway import Gateway
+from dewledge.core.gateway.settings import GatewaySettings
+from dewledge.core.membership.isolation import IsolationGuard, IsolationSettings
+from dewledge.core.membership.machine_list_reader import MachineListReader
+from dewledge.core.membership.member import Member
+from dewledge.core.membership.membership import Membership
+from dewledge.core.membership.settings import MembershipSettings
 
 
 class ProxyCoreSettings(msgspec.Struct, frozen=True):
--- a/src/dewledge/core/proxy_router.py
+++ b/src/dewledge/core/proxy/router.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
-from dewledge.core.configuration_spread import ConfigurationChanged
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION, Configuration
+from dewledge.core.configuration.spread import ConfigurationChanged
+from dewledge.core.configuration.store import (
     HEAD_KEY,
     ConfigurationLearned,
     ProposalFinished,
@@ -23,8 +23,9 @@
     StoreReached,
 )
 from dewledge.core.effects import LogEvent, SendToPeer
-from dewledge.core.member import Member, MemberState
-from dewledge.core.membership_messages import MembersChanged, PeerRevisionSeen, StoreContactSeen
+from dewledge.core.membership.member import Member, MemberState
+from dewledge.core.membership.messages import MembersChanged, PeerRevisionSeen, StoreContactSeen
+from dewledge.core.membership.placement import GatewayPlacement
 from dewledge.core.messages import (
     CancelRequest,
     ConfigurationDelta,
@@ -40,9 +41,8 @@
     StatementRequest,
     StatementUnknown,
 )
-from dewledge.core.placement import GatewayPlacement
-from dewledge.core.proxy_effects import ProxyEffect
-from dewledge.core.proxy_parts import ProxyParts
+from dewledge.core.proxy.effects import ProxyEffect
+from dewledge.core.proxy.parts import ProxyParts
 
 InwardHandler = Callable[[Any, float], Iterable[Any]]
 
--- a/src/dewledge/scale/real_nodes.py
+++ b/src/dewledge/scale/real_nodes.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from dewledge.core.member import Member
-from dewledge.core.membership import Membership
-from dewledge.core.membership_messages import MembershipEffect, SendDatagram
-from dewledge.core.membership_settings import MembershipSettings
+from dewledge.core.membership.member import Member
+from dewledge.core.membership.membership import Membership
+from dewledge.core.membership.messages import MembershipEffect, SendDatagram
+from dewledge.core.membership.settings import MembershipSettings
 from dewledge.scale.topology import place_of
 
 BUFFER_BYTES = 2048
--- a/src/dewledge/scale/unit_costs.py
+++ b/src/dewledge/scale/unit_costs.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from dewledge.core.configuration import Configuration
-from dewledge.core.configuration_codec import decode_snapshot, encode_snapshot
-from dewledge.core.configuration_spread import with_changes
+from dewledge.core.configuration.codec import decode_snapshot, encode_snapshot
+from dewledge.core.configuration.configuration import Configuration
+from dewledge.core.configuration.spread import with_changes
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
+from dewledge.core.membership.placement import GatewayPlacement
 from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest, decode, encode
-from dewledge.core.placement import GatewayPlacement
 from dewledge.core.positions import LogPosition, TermStart
 from dewledge.scale.hollow_network import MESSAGE_OVERHEAD
 from dewledge.scale.memory import founders
--- a/src/dewledge/settings.py
+++ b/src/dewledge/settings.py
@@ -8,7 +8,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from dewledge.core.addresses import check_remote_address, split_address
-from dewledge.core.resource_documents import findings_of_validation
+from dewledge.core.configuration.resource_documents import findings_of_validation
 from dewledge.errors import ErrorCode, Finding, InvalidInput
 
 MIN_SESSION_KEY_CHARACTERS = 32
--- a/src/dewledge/shell/configuration_handlers.py
+++ b/src/dewledge/shell/configuration_handlers.py
@@ -6,16 +6,20 @@
 import msgspec
 
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import ChangeSet, ResourceKey
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.configuration import ChangeSet, ResourceKey
+from dewledge.core.configuration.resource_documents import (
+    read_documents,
+    selector_from_text,
+    to_document,
+)
+from dewledge.core.configuration.resources import Kind, Resource, Selector
+from dewledge.core.configuration.selectors import labels_of, matches
+from dewledge.core.configuration.store import (
     ChangeLookedUp,
     LabelChange,
     ProposalFinished,
     ProposedChange,
 )
-from dewledge.core.resource_documents import read_documents, selector_from_text, to_document
-from dewledge.core.resources import Kind, Resource, Selector
-from dewledge.core.selectors import labels_of, matches
 from dewledge.errors import ErrorCode, Finding, InvalidInput
 from dewledge.shell.http_authentication import authenticate_operator
 from dewledge.shell.http_messages import Exchange, FindingBody, finding_bodies, json_response
--- a/src/dewledge/shell/cost_nodes.py
+++ b/src/dewledge/shell/cost_nodes.py
@@ -15,11 +15,8 @@
 
 from dewledge.cli.http_client import ProxyClient
 from dewledge.core.calls import Access, Outcome, Rows, Statement
-from dewledge.core.database_status import DatabaseRole, DatabaseStatus
-from dewledge.core.ports import DatabaseConnection, DatabaseDriver, ExecutionResult
-from dewledge.core.positions import LogPosition, TermStart
-from dewledge.core.resource_documents import to_document
-from dewledge.core.resources import (
+from dewledge.core.configuration.resource_documents import to_document
+from dewledge.core.configuration.resources import (
     CallerSpec,
     DatabaseSpec,
     GroupSpec,
@@ -29,6 +26,9 @@
     RuleSpec,
     Spec,
 )
+from dewledge.core.database_status import DatabaseRole, DatabaseStatus
+from dewledge.core.ports import DatabaseConnection, DatabaseDriver, ExecutionResult
+from dewledge.core.positions import LogPosition, TermStart
 from dewledge.errors import DewledgeError
 from dewledge.settings import ProxySettings
 from dewledge.shell.cost_callers import GROUP
--- a/src/dewledge/shell/proxy_driver.py
+++ b/src/dewledge/shell/proxy_driver.py
@@ -6,11 +6,11 @@
 
 from loguru import logger
 
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import CallerAnswer, CallerRequest
-from dewledge.core.configuration import Configuration
-from dewledge.core.configuration_spread import ConfigurationChanged
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import Configuration
+from dewledge.core.configuration.spread import ConfigurationChanged
+from dewledge.core.configuration.store import (
     ChangeLookedUp,
     ProposalFinished,
     ProposedChange,
@@ -26,14 +26,14 @@
     RunJob,
     SendToPeer,
 )
-from dewledge.core.gateway_report import DatabaseReport
+from dewledge.core.gateway.report import DatabaseReport
 from dewledge.core.jobs import JobResult, StatusReading
-from dewledge.core.member import Member
-from dewledge.core.membership_messages import MembersChanged, SendDatagram
+from dewledge.core.membership.member import Member
+from dewledge.core.membership.messages import MembersChanged, SendDatagram
 from dewledge.core.messages import PeerMessage
 from dewledge.core.ports import MachineState
-from dewledge.core.proxy_core import ProxyCore
-from dewledge.core.proxy_effects import ProxyEffect, ReadMachineList
+from dewledge.core.proxy.core import ProxyCore
+from dewledge.core.proxy.effects import ProxyEffect, ReadMachineList
 from dewledge.errors import ErrorCode
 from dewledge.shell.database_workers import DatabaseWorkers
 from dewledge.shell.datagrams import DatagramSocket
--- a/src/dewledge/shell/proxy_services.py
+++ b/src/dewledge/shell/proxy_services.py
@@ -5,12 +5,12 @@
 
 import msgspec
 
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import CallerAnswer, CallerRequest
-from dewledge.core.configuration import Configuration
-from dewledge.core.configuration_store import ChangeLookedUp, ProposalFinished, ProposedChange
-from dewledge.core.gateway_report import DatabaseReport
-from dewledge.core.member import Member
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import Configuration
+from dewledge.core.configuration.store import ChangeLookedUp, ProposalFinished, ProposedChange
+from dewledge.core.gateway.report import DatabaseReport
+from dewledge.core.membership.member import Member
 from dewledge.shell.metrics import ProxyMetrics
 
 
--- a/src/dewledge/shell/request_bodies.py
+++ b/src/dewledge/shell/request_bodies.py
@@ -6,8 +6,8 @@
 from pydantic import BaseModel, ConfigDict, Field, PlainValidator, ValidationError
 
 from dewledge.core.calls import Access, Scalar
-from dewledge.core.resource_documents import findings_of_validation
-from dewledge.core.resources import Kind
+from dewledge.core.configuration.resource_documents import findings_of_validation
+from dewledge.core.configuration.resources import Kind
 from dewledge.errors import ErrorCode, Finding, InvalidInput
 
 MAX_NAME_CHARACTERS = 253
--- a/src/dewledge/shell/store_calls.py
+++ b/src/dewledge/shell/store_calls.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.store import (
     GetObject,
     PutObject,
     ReadRow,
--- a/src/dewledge/standin/deployment_resources.py
+++ b/src/dewledge/standin/deployment_resources.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from dewledge.core.calls import Access
-from dewledge.core.resource_documents import to_document
-from dewledge.core.resources import (
+from dewledge.core.configuration.resource_documents import to_document
+from dewledge.core.configuration.resources import (
     CallerSpec,
     DatabaseSpec,
     GroupSpec,
--- a/src/dewledge/standin/group_settings.py
+++ b/src/dewledge/standin/group_settings.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from dewledge.core.resource_documents import findings_of_validation
+from dewledge.core.configuration.resource_documents import findings_of_validation
 from dewledge.errors import ErrorCode, Finding, InvalidInput
 from dewledge.settings import Count, ListenAddress
 from dewledge.standin.group_types import GroupTiming, ModelDatabase
--- a/tests/adapters/platform_pump.py
+++ b/tests/adapters/platform_pump.py
@@ -19,9 +19,9 @@
     HttpTableService,
     PlatformClient,
 )
-from dewledge.core.configuration import ChangeSet
-from dewledge.core.configuration_codec import decode_change, decode_content
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.codec import decode_change, decode_content
+from dewledge.core.configuration.configuration import ChangeSet
+from dewledge.core.configuration.store import (
     HEAD_KEY,
     HeadRow,
     StoreCall,
--- a/tests/adapters/test_acceptance_on_platform.py
+++ b/tests/adapters/test_acceptance_on_platform.py
@@ -9,10 +9,11 @@
 from typing import NamedTuple
 
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import EMPTY_CONFIGURATION
-from dewledge.core.configuration_acceptance import AcceptanceSettings, ConfigurationAcceptance
-from dewledge.core.configuration_poller import ConfigurationPoller, PollerSettings
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.acceptance import AcceptanceSettings, ConfigurationAcceptance
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION
+from dewledge.core.configuration.poller import ConfigurationPoller, PollerSettings
+from dewledge.core.configuration.resources import GroupSpec, Kind, Resource
+from dewledge.core.configuration.store import (
     ChangeLookedUp,
     ConfigurationLearned,
     ProposalFinished,
@@ -20,9 +21,8 @@
     ReadRow,
     Transact,
 )
-from dewledge.core.configuration_store_task import RetrySettings
+from dewledge.core.configuration.store_task import RetrySettings
 from dewledge.core.effects import LogEvent
-from dewledge.core.resources import GroupSpec, Kind, Resource
 from dewledge.standin.platform_server import PlatformFaults
 from dewledge.standin.platform_settings import PlatformSettings
 from tests.adapters.platform_pump import PlatformPump, Switch
--- a/tests/core/store_harness.py
+++ b/tests/core/configuration/store_harness.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from dewledge.core.configuration import ChangeSet, Configuration
-from dewledge.core.configuration_codec import decode_change, decode_content
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.codec import decode_change, decode_content
+from dewledge.core.configuration.configuration import ChangeSet, Configuration
+from dewledge.core.configuration.store import (
     HEAD_KEY,
     GetObject,
     HeadRow,
--- a/tests/core/test_authorization.py
+++ b/tests/core/configuration/test_authorization.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from dewledge.core.authorization import BOOTSTRAP_OPERATOR, AccessPolicy, token_digest
 from dewledge.core.calls import Access
-from dewledge.core.configuration import DRAIN_LABEL, Configuration
-from dewledge.core.resources import (
+from dewledge.core.configuration.authorization import BOOTSTRAP_OPERATOR, AccessPolicy, token_digest
+from dewledge.core.configuration.configuration import DRAIN_LABEL, Configuration
+from dewledge.core.configuration.resources import (
     CallerSpec,
     DatabaseSpec,
     Expression,
--- a/tests/core/test_configuration_acceptance.py
+++ b/tests/core/configuration/test_configuration_acceptance.py
@@ -5,9 +5,14 @@
 from random import Random
 
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration, ResourceKey
-from dewledge.core.configuration_acceptance import AcceptanceSettings, ConfigurationAcceptance
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.acceptance import AcceptanceSettings, ConfigurationAcceptance
+from dewledge.core.configuration.configuration import (
+    EMPTY_CONFIGURATION,
+    Configuration,
+    ResourceKey,
+)
+from dewledge.core.configuration.resources import DatabaseSpec, GroupSpec, Kind, Resource
+from dewledge.core.configuration.store import (
     ChangeLookedUp,
     ConfigurationLearned,
     LabelChange,
@@ -16,9 +21,8 @@
     ReadRow,
     Transact,
 )
-from dewledge.core.resources import DatabaseSpec, GroupSpec, Kind, Resource
 from dewledge.errors import ErrorCode
-from tests.core.store_harness import Cluster, Fault
+from tests.core.configuration.store_harness import Cluster, Fault
 
 DONE, NOT_RUN, UNKNOWN = Outcome.DONE, Outcome.NOT_RUN, Outcome.UNKNOWN
 SEEDS = range(150)
--- a/tests/core/test_configuration_poller.py
+++ b/tests/core/configuration/test_configuration_poller.py
@@ -3,20 +3,21 @@
 import unittest
 
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
-from dewledge.core.configuration_acceptance import AcceptanceSettings, ConfigurationAcceptance
-from dewledge.core.configuration_codec import (
+from dewledge.core.configuration.acceptance import AcceptanceSettings, ConfigurationAcceptance
+from dewledge.core.configuration.codec import (
     decode_change,
     decode_content,
     decode_snapshot,
     encode_snapshot,
 )
-from dewledge.core.configuration_poller import (
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION, Configuration
+from dewledge.core.configuration.poller import (
     ConfigurationPoller,
     PollerSettings,
     rank_pollers,
 )
-from dewledge.core.configuration_store import (
+from dewledge.core.configuration.resources import GroupSpec, Kind, Resource
+from dewledge.core.configuration.store import (
     SNAPSHOT_KEY,
     SNAPSHOT_SLOTS,
     ConfigurationLearned,
@@ -31,8 +32,7 @@
     revision_key,
     snapshot_object,
 )
-from dewledge.core.resources import GroupSpec, Kind, Resource
-from tests.core.store_harness import Cluster, Fault
+from tests.core.configuration.store_harness import Cluster, Fault
 
 SETTINGS = PollerSettings()
 IN_FORCE_WITHIN = 6.0
--- a/tests/core/test_configuration_spread.py
+++ b/tests/core/configuration/test_configuration_spread.py
@@ -3,9 +3,10 @@
 import unittest
 from random import Random
 
-from dewledge.core.configuration import ChangeSet, Configuration, ResourceKey
-from dewledge.core.configuration_codec import encode_change, encode_snapshot
-from dewledge.core.configuration_spread import (
+from dewledge.core.configuration.codec import encode_change, encode_snapshot
+from dewledge.core.configuration.configuration import ChangeSet, Configuration, ResourceKey
+from dewledge.core.configuration.resources import Kind, ProxySpec, Resource
+from dewledge.core.configuration.spread import (
     ConfigurationChanged,
     ConfigurationSpread,
     SpreadEffect,
@@ -14,14 +15,13 @@
     with_changes,
 )
 from dewledge.core.effects import LogEvent, SendToPeer
-from dewledge.core.member import Member
+from dewledge.core.membership.member import Member
 from dewledge.core.messages import (
     ConfigurationDelta,
     ConfigurationDigest,
     ConfigurationRequest,
     ConfigurationSnapshotMessage,
 )
-from dewledge.core.resources import Kind, ProxySpec, Resource
 
 PEERS = tuple(Member(f"peer-{number}", "p", "g", "north-0") for number in range(6))
 
--- a/tests/core/test_resource_documents.py
+++ b/tests/core/configuration/test_resource_documents.py
@@ -9,18 +9,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import Access
-from dewledge.core.configuration import Configuration
-from dewledge.core.resource_documents import (
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import Configuration
+from dewledge.core.configuration.resource_documents import (
     check_configuration,
     load_documents,
     read_documents,
     selector_from_text,
     to_document,
 )
-from dewledge.core.resource_documents_check import SELECTORS_BY_EFFECT
-from dewledge.core.resources import (
+from dewledge.core.configuration.resource_documents_check import SELECTORS_BY_EFFECT
+from dewledge.core.configuration.resources import (
     SELECT_ALL,
     CallerSpec,
     Confirmation,
@@ -39,7 +39,7 @@
 
 INVALID, UNKNOWN_FIELD = ErrorCode.INVALID_RESOURCE, ErrorCode.UNKNOWN_FIELD
 DIGEST = "ab" * 32
-PAGE = Path(__file__).parent.parent.parent / "docs" / "RESOURCES.md"
+PAGE = Path(__file__).parents[3] / "docs" / "RESOURCES.md"
 
 # name, text, findings as (place, code), all of them
 FINDINGS_TABLE: list[tuple[str, str, list[tuple[str, ErrorCode]]]] = [
--- a/tests/core/entry_harness.py
+++ b/tests/core/entry/entry_harness.py
@@ -4,13 +4,24 @@
 from random import Random
 from typing import TypeVar
 
-from dewledge.core.authorization import AccessPolicy
 from dewledge.core.calls import Access, CallerAnswer, CallerRequest, Operation, Rows, Statement
-from dewledge.core.configuration import Configuration
+from dewledge.core.configuration.authorization import AccessPolicy
+from dewledge.core.configuration.configuration import Configuration
+from dewledge.core.configuration.resources import (
+    CallerSpec,
+    DatabaseSpec,
+    GroupSpec,
+    Kind,
+    Resource,
+    RuleEffect,
+    RuleSpec,
+    Selector,
+)
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.effects import AnswerCaller, Effect, LogEvent, SendToPeer
-from dewledge.core.entry import Entry
-from dewledge.core.entry_settings import EntrySettings
+from dewledge.core.entry.entry import Entry
+from dewledge.core.entry.session_token import SessionTokenCodec
+from dewledge.core.entry.settings import EntrySettings
 from dewledge.core.messages import (
     GroupStatusAnswer,
     PeerMessage,
@@ -20,17 +31,6 @@
     StatementUnknown,
 )
 from dewledge.core.positions import LogPosition, TermStart
-from dewledge.core.resources import (
-    CallerSpec,
-    DatabaseSpec,
-    GroupSpec,
-    Kind,
-    Resource,
-    RuleEffect,
-    RuleSpec,
-    Selector,
-)
-from dewledge.core.session_token import SessionTokenCodec
 from dewledge.errors import ErrorCode
 
 GROUP = "g"
--- a/tests/core/test_entry.py
+++ b/tests/core/entry/test_entry.py
@@ -3,12 +3,19 @@
 import unittest
 
 from dewledge.core.calls import Access, Operation, Outcome
-from dewledge.core.configuration import EMPTY_CONFIGURATION
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION
 from dewledge.core.database_status import DatabaseRole
-from dewledge.core.entry_settings import EntrySettings
+from dewledge.core.entry.settings import EntrySettings
 from dewledge.core.messages import CancelRequest, StatementDone, StatementRequest
 from dewledge.errors import ErrorCode
-from tests.core.entry_harness import CODEC, GROUP, OTHER_GROUP, TRANSACTION, EntryHarness, position
+from tests.core.entry.entry_harness import (
+    CODEC,
+    GROUP,
+    OTHER_GROUP,
+    TRANSACTION,
+    EntryHarness,
+    position,
+)
 
 
 class PlainPathTest(unittest.TestCase):
--- a/tests/core/test_entry_failover.py
+++ b/tests/core/entry/test_entry_failover.py
@@ -5,10 +5,10 @@
 
 from dewledge.core.calls import Access, Outcome
 from dewledge.core.database_status import DatabaseRole
-from dewledge.core.entry_settings import EntrySettings
+from dewledge.core.entry.settings import EntrySettings
 from dewledge.core.messages import CancelRequest, GroupStatusRequest, StatementRequest
 from dewledge.errors import ErrorCode
-from tests.core.entry_harness import EntryHarness, position, status
+from tests.core.entry.entry_harness import EntryHarness, position, status
 
 PRIMARY = DatabaseRole.PRIMARY
 
--- a/tests/core/test_entry_faults.py
+++ b/tests/core/entry/test_entry_faults.py
@@ -15,7 +15,7 @@
     StatementUnknown,
 )
 from dewledge.errors import ErrorCode
-from tests.core.entry_harness import ZONES, EntryHarness, position, status
+from tests.core.entry.entry_harness import ZONES, EntryHarness, position, status
 
 SEEDS = 150
 REQUESTS = 60
--- a/tests/core/test_entry_reads.py
+++ b/tests/core/entry/test_entry_reads.py
@@ -4,10 +4,17 @@
 
 from dewledge.core.calls import Outcome
 from dewledge.core.database_status import DatabaseRole
-from dewledge.core.entry_settings import EntrySettings
+from dewledge.core.entry.settings import EntrySettings
 from dewledge.core.messages import GroupStatusAnswer, GroupStatusRequest, StatementRequest
 from dewledge.errors import ErrorCode
-from tests.core.entry_harness import CODEC, GROUP, EntryHarness, configuration, position, status
+from tests.core.entry.entry_harness import (
+    CODEC,
+    GROUP,
+    EntryHarness,
+    configuration,
+    position,
+    status,
+)
 
 REPLICA = DatabaseRole.REPLICA
 
--- a/tests/core/test_entry_retries.py
+++ b/tests/core/entry/test_entry_retries.py
@@ -5,10 +5,10 @@
 
 from dewledge.core.calls import Access, Operation, Outcome
 from dewledge.core.database_status import DatabaseRole
-from dewledge.core.entry_settings import EntrySettings
+from dewledge.core.entry.settings import EntrySettings
 from dewledge.core.messages import StatementRequest
 from dewledge.errors import ErrorCode
-from tests.core.entry_harness import EntryHarness, configuration, position
+from tests.core.entry.entry_harness import EntryHarness, configuration, position
 
 Fault = Callable[[EntryHarness], None]
 NO_RETRIES = EntrySettings(retry_ratio=0.0, retry_reserve=0.0)
--- a/tests/core/test_group_description.py
+++ b/tests/core/entry/test_group_description.py
@@ -3,7 +3,7 @@
 import unittest
 
 from dewledge.core.database_status import DatabaseRole
-from dewledge.core.group_description import (
+from dewledge.core.entry.group_description import (
     GroupDescription,
     describe,
     with_applied,
@@ -14,9 +14,9 @@
     with_status,
     with_unavailable,
 )
-from dewledge.core.head_history import HeadHistory
+from dewledge.core.entry.head_history import HeadHistory
 from dewledge.core.positions import TermStart
-from tests.core.entry_harness import ZONES, position, status
+from tests.core.entry.entry_harness import ZONES, position, status
 
 PRIMARY = DatabaseRole.PRIMARY
 
--- a/tests/core/test_session_token.py
+++ b/tests/core/entry/test_session_token.py
@@ -5,13 +5,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dewledge.core.positions import LogPosition
-from dewledge.core.session_token import (
+from dewledge.core.entry.session_token import (
     MAX_GROUPS,
     MAX_TOKEN_CHARACTERS,
     NO_FLOORS,
     SessionTokenCodec,
 )
+from dewledge.core.positions import LogPosition
 from dewledge.core.transaction_ids import gateway_of_transaction, make_transaction_id
 from dewledge.errors import BadSessionToken
 
--- a/tests/core/gateway_group_model.py
+++ b/tests/core/gateway/gateway_group_model.py
@@ -4,7 +4,7 @@
 
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.positions import LogPosition, TermStart
-from tests.core.gateway_harness import DATABASES
+from tests.core.gateway.gateway_harness import DATABASES
 
 
 class ModelDatabase:
--- a/tests/core/gateway_harness.py
+++ b/tests/core/gateway/gateway_harness.py
@@ -3,7 +3,15 @@
 from random import Random
 
 from dewledge.core.calls import Access, Operation, Rows, Statement
-from dewledge.core.configuration import Configuration
+from dewledge.core.configuration.configuration import Configuration
+from dewledge.core.configuration.resources import (
+    CallerSpec,
+    Confirmation,
+    DatabaseSpec,
+    GroupSpec,
+    Kind,
+    Resource,
+)
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.effects import (
     CloseConnection,
@@ -14,8 +22,8 @@
     RunJob,
     SendToPeer,
 )
-from dewledge.core.gateway import Gateway
-from dewledge.core.gateway_settings import GatewaySettings
+from dewledge.core.gateway.gateway import Gateway
+from dewledge.core.gateway.settings import GatewaySettings
 from dewledge.core.jobs import Job, JobDone, JobNotRun, JobUnknown, StatusReading
 from dewledge.core.messages import (
     GroupStatusAnswer,
@@ -26,14 +34,6 @@
     StatementUnknown,
 )
 from dewledge.core.positions import LogPosition, TermStart
-from dewledge.core.resources import (
-    CallerSpec,
-    Confirmation,
-    DatabaseSpec,
-    GroupSpec,
-    Kind,
-    Resource,
-)
 from dewledge.errors import ErrorCode
 
 GROUP = "cases"
--- a/tests/core/test_admission.py
+++ b/tests/core/gateway/test_admission.py
@@ -5,13 +5,13 @@
 from collections import Counter
 from random import Random
 
-from dewledge.core.admission import ServiceRate, wait_refusal
 from dewledge.core.calls import Access
+from dewledge.core.gateway.admission import ServiceRate, wait_refusal
 from dewledge.core.jobs import Job
 from dewledge.core.messages import StatementNotRun
 from dewledge.core.positions import LogPosition
 from dewledge.errors import ErrorCode
-from tests.core.gateway_harness import PRIMARY, GatewayHarness, make_configuration
+from tests.core.gateway.gateway_harness import PRIMARY, GatewayHarness, make_configuration
 
 SLOTS = 5
 SERVICE_TIME = 0.005
--- a/tests/core/test_confirmation.py
+++ b/tests/core/gateway/test_confirmation.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from dewledge.core.confirmation import Claim, Verdict, holds, judge
+from dewledge.core.configuration.resources import Confirmation
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
+from dewledge.core.gateway.confirmation import Claim, Verdict, holds, judge
 from dewledge.core.positions import LogPosition, TermStart
-from dewledge.core.resources import Confirmation
 from dewledge.errors import ErrorCode
-from tests.core.gateway_harness import (
+from tests.core.gateway.gateway_harness import (
     DATABASES,
     PRIMARY,
     FixedPlacement,
--- a/tests/core/test_connection_pool.py
+++ b/tests/core/gateway/test_connection_pool.py
@@ -3,10 +3,10 @@
 import unittest
 from random import Random
 
-from dewledge.core.connection_pool import ConnectionPool
 from dewledge.core.effects import CloseConnection, OpenConnection
-from dewledge.core.gateway_context import GatewayContext
-from dewledge.core.gateway_settings import GatewaySettings
+from dewledge.core.gateway.connection_pool import ConnectionPool
+from dewledge.core.gateway.context import GatewayContext
+from dewledge.core.gateway.settings import GatewaySettings
 from dewledge.errors import ErrorCode
 
 LIMIT = ErrorCode.CONNECTION_LIMIT
--- a/tests/core/test_gateway.py
+++ b/tests/core/gateway/test_gateway.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from dewledge.core.calls import Access, Operation, Statement
-from dewledge.core.configuration import ChangeSet
+from dewledge.core.configuration.configuration import ChangeSet
+from dewledge.core.configuration.resources import DatabaseSpec, Kind, Resource
 from dewledge.core.database_status import DatabaseRole
 from dewledge.core.jobs import JobDone
 from dewledge.core.messages import (
@@ -14,9 +15,8 @@
     StatementNotRun,
 )
 from dewledge.core.positions import LogPosition
-from dewledge.core.resources import DatabaseSpec, Kind, Resource
 from dewledge.errors import ErrorCode
-from tests.core.gateway_harness import (
+from tests.core.gateway.gateway_harness import (
     PRIMARY,
     FixedPlacement,
     FixedPolicy,
--- a/tests/core/test_gateway_faults.py
+++ b/tests/core/gateway/test_gateway_faults.py
@@ -17,8 +17,8 @@
 from dewledge.core.messages import StatementDone, StatementNotRun
 from dewledge.core.positions import LogPosition
 from dewledge.errors import ErrorCode
-from tests.core.gateway_group_model import ModelDatabase, ModelGroup
-from tests.core.gateway_harness import (
+from tests.core.gateway.gateway_group_model import ModelDatabase, ModelGroup
+from tests.core.gateway.gateway_harness import (
     DATABASES,
     GROUP,
     FixedPlacement,
--- a/tests/core/test_transactions.py
+++ b/tests/core/gateway/test_transactions.py
@@ -7,7 +7,7 @@
 from dewledge.core.calls import Access, Operation
 from dewledge.core.positions import LogPosition
 from dewledge.errors import ErrorCode
-from tests.core.gateway_harness import (
+from tests.core.gateway.gateway_harness import (
     DATABASES,
     PRIMARY,
     FixedPlacement,
--- a/tests/core/test_waiting_room.py
+++ b/tests/core/gateway/test_waiting_room.py
@@ -3,13 +3,13 @@
 import unittest
 from random import Random
 
-from dewledge.core.admission import Refusal, ServiceRate
 from dewledge.core.calls import Access, Operation
-from dewledge.core.gateway_context import GatewayContext
-from dewledge.core.gateway_request import GatewayRequest, RequestKey
-from dewledge.core.gateway_settings import GatewaySettings
+from dewledge.core.gateway.admission import Refusal, ServiceRate
+from dewledge.core.gateway.context import GatewayContext
+from dewledge.core.gateway.request import GatewayRequest, RequestKey
+from dewledge.core.gateway.settings import GatewaySettings
+from dewledge.core.gateway.waiting_room import START_MARGIN, TimeNeeded, WaitingRoom
 from dewledge.core.messages import StatementRequest
-from dewledge.core.waiting_room import START_MARGIN, TimeNeeded, WaitingRoom
 
 SERVICE_TIME = 0.1
 CONFIRMATION_TIME = 0.07
--- a/tests/core/test_member.py
+++ b/tests/core/membership/test_member.py
@@ -6,7 +6,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dewledge.core.member import Claim, Location, Member, MemberState, apply_claim, supersedes
+from dewledge.core.membership.member import (
+    Claim,
+    Location,
+    Member,
+    MemberState,
+    apply_claim,
+    supersedes,
+)
 
 LOCATION = Location("10.0.0.1:7001", "10.0.0.1:7002", "north-0")
 MEMBER = Member("a", "10.0.0.1:7001", "10.0.0.1:7002", "north-0", 5, MemberState.SUSPECT)
--- a/tests/core/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -4,9 +4,9 @@
 from random import Random
 
 from dewledge.core.effects import LogEvent
-from dewledge.core.member import Claim, Location, Member, MemberState
-from dewledge.core.membership import Membership
-from dewledge.core.membership_messages import (
+from dewledge.core.membership.member import Claim, Location, Member, MemberState
+from dewledge.core.membership.membership import Membership
+from dewledge.core.membership.messages import (
     MEMBERSHIP_VERSION,
     Ack,
     Body,
@@ -25,7 +25,7 @@
     decode_datagram,
     encode_datagram,
 )
-from dewledge.core.membership_settings import (
+from dewledge.core.membership.settings import (
     MembershipSettings,
     confirmations_needed,
     direct_probe_time,
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -11,8 +11,8 @@
 from dewledge.adapters.http_platform import HttpTableService, PlatformClient
 from dewledge.cli.http_client import HttpAnswer
 from dewledge.core.calls import Outcome
-from dewledge.core.configuration_codec import decode_change
-from dewledge.core.configuration_store import change_key
+from dewledge.core.configuration.codec import decode_change
+from dewledge.core.configuration.store import change_key
 from dewledge.core.ports import Row
 from dewledge.errors import ErrorCode, StoreRateLimited
 from dewledge.simulation.history import AcceptanceRecord, History
--- a/tests/shell/edge_services.py
+++ b/tests/shell/edge_services.py
@@ -2,13 +2,10 @@
 
 from collections.abc import Callable
 
-from dewledge.core.authorization import AccessPolicy, token_digest
 from dewledge.core.calls import CallerAnswer, CallerRequest, Outcome
-from dewledge.core.configuration import EMPTY_CONFIGURATION, Configuration
-from dewledge.core.configuration_store import ChangeLookedUp, ProposalFinished, ProposedChange
-from dewledge.core.gateway_report import DatabaseReport
-from dewledge.core.member import Member
-from dewledge.core.resources import (
+from dewledge.core.configuration.authorization import AccessPolicy, token_digest
+from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION, Configuration
+from dewledge.core.configuration.resources import (
     CallerSpec,
     GroupSpec,
     Kind,
@@ -17,6 +14,9 @@
     RuleSpec,
     Selector,
 )
+from dewledge.core.configuration.store import ChangeLookedUp, ProposalFinished, ProposedChange
+from dewledge.core.gateway.report import DatabaseReport
+from dewledge.core.membership.member import Member
 from dewledge.shell.http_edge import HttpEdge
 from dewledge.shell.http_messages import Exchange, HttpRequest, HttpResponse
 from dewledge.shell.metrics import ProxyMetrics
--- a/tests/shell/test_http_edge.py
+++ b/tests/shell/test_http_edge.py
@@ -16,9 +16,9 @@
     Rows,
     Statement,
 )
-from dewledge.core.configuration import ChangeSet, ResourceKey
-from dewledge.core.configuration_store import ChangeLookedUp, LabelChange, ProposalFinished
-from dewledge.core.resources import Kind
+from dewledge.core.configuration.configuration import ChangeSet, ResourceKey
+from dewledge.core.configuration.resources import Kind
+from dewledge.core.configuration.store import ChangeLookedUp, LabelChange, ProposalFinished
 from dewledge.errors import ErrorCode
 from tests.shell.edge_services import (
     BOOTSTRAP_TOKEN,
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -68,7 +68,7 @@
     """Returns the names of the events that the code logs."""
     events: set[str] = set()
     for package in LOGGING_PACKAGES:
-        for path in (SOURCES / package).glob("*.py"):
+        for path in (SOURCES / package).rglob("*.py"):
             for node in ast.walk(ast.parse(path.read_text())):
                 if isinstance(node, ast.Call) and node.args and is_logging_call(node):
                     events.update(constants(node.args[0]))
