--- a/tests/contracts/test_failover_gap.py
+++ b/tests/contracts/test_failover_gap.py
@@ -1,6 +1,7 @@
 """How long no write is acknowledged when a primary, a gateway or a site fails."""
 
 import unittest
+from itertools import pairwise
 
 import msgspec
 
@@ -43,14 +44,15 @@
 
 
 def longest_gap(history: History, since: float) -> float:
-    """Returns the longest time between two acknowledged writes after `since`, in seconds."""
+    """Returns the longest time without an acknowledged write from `since` on, in seconds."""
     times = sorted(
         request.answered_at or 0.0
         for request in history.requests
         if is_single_write(request) and request.outcome is Outcome.DONE
     )
     later = [time for time in times if since < time < since + LASTS]
-    return max(after - before for before, after in zip([since, *later], later, strict=False))
+    bounds = [since, *later, since + LASTS]
+    return max(after - before for before, after in pairwise(bounds))
 
 
 def election_time(history: History, since: float) -> float:
