Try a silent primary through the next gateway

Cause: writes that were not acknowledged made an entry doubt the primary, although the silence may be that of its gateway, frozen or cut off from it; the trial that ends the doubt went to that same gateway. Change: the doubt covers the gateway too: for half a second the next one is asked first. Ruled out: a shorter time until membership gives a frozen member up (control traffic on all nodes).

--- a/src/dewledge/core/entry/request_router.py
+++ b/src/dewledge/core/entry/request_router.py
@@ -196,8 +196,15 @@
         suspect_at = group.suspect_at()
         if suspect_at is not None and suspect_at <= now and not doubt.covers(claim, False):
             group.wait.note_doubt(claim, DoubtReason.SILENT, now)
+            self._doubt_gateway(claim, now)
         return doubt.covers(claim, pending.is_read)
 
+    def _doubt_gateway(self, claim: PrimaryClaim, now: float) -> None:
+        """The silence may be the gateway's, frozen or cut off: others ask by the next one."""
+        gateway = self._state.placement.active(claim.database)
+        if gateway is not None and gateway != self._state.me:
+            self._sender.avoid_gateway(gateway, now)
+
     def _send_to_primary(
         self, pending: PendingRequest, group: EntryGroup, claim: PrimaryClaim, now: float
     ) -> None:
--- a/tests/core/entry/test_entry_failover.py
+++ b/tests/core/entry/test_entry_failover.py
@@ -80,6 +80,16 @@
                 for request_id in (refused, later):
                     self.assertEqual(harness.answer(request_id).outcome, Outcome.DONE)
 
+    def test_silent_primary_is_tried_by_the_next_gateway(self) -> None:
+        harness = EntryHarness()
+        harness.call()
+        harness.advance(0.3)
+        harness.call()
+        self.assertEqual(len(harness.sent_of(StatementRequest)), 1, "the primary is doubted")
+        show_twice(harness)
+        peer, message = harness.last_request()
+        self.assertEqual((peer, message.database, message.fallback), ("gx", "a", True))
+
     def test_gateways_are_probed_at_once_and_then_often(self) -> None:
         harness = EntryHarness()
         cut_off(harness)
