--- a/src/dewledge/core/configuration/acceptance.py
+++ b/src/dewledge/core/configuration/acceptance.py
@@ -1,6 +1,6 @@
 """Has operators' changes accepted: one proposal after the other, within a bound of time each.
 
-The order of the store calls is in `configuration_acceptance_steps`.
+The order of the store calls is in `acceptance_steps`.
 """
 
 import itertools
--- a/src/dewledge/core/gateway/gateway.py
+++ b/src/dewledge/core/gateway/gateway.py
@@ -1,8 +1,8 @@
 """The gateway half of the decision core: the databases this proxy holds connections to.
 
-A thin public class over small parts: `gateway_roster` follows configuration and placement,
-`gateway_routing` sends each request its way, `gateway_database` serves one database,
-`group_monitor` watches one group and confirms results, `gateway_request` answers each request
+A thin public class over small parts: `roster` follows configuration and placement,
+`routing` sends each request its way, `database` serves one database,
+`group_monitor` watches one group and confirms results, `request` answers each request
 exactly once. docs/design/gateways.md says why gateways, docs/design/write-confirmation.md what a
 confirmation proves, docs/design/admission.md who may wait.
 """
