--- a/src/dewledge/bench/variants.py
+++ b/src/dewledge/bench/variants.py
@@ -5,14 +5,18 @@
 
 import msgspec
 
-from dewledge.core.calls import CallerRequest, Operation, Outcome
+from dewledge.core.calls import Operation, Outcome
 from dewledge.core.effects import AnswerCaller
 from dewledge.core.entry.settings import EntrySettings
 from dewledge.core.proxy.effects import ProxyEffect
 from dewledge.core.proxy.parts import ProxyCoreSettings
 from dewledge.simulation.interceptor import Interceptor
-from dewledge.simulation.naive import NoFreshnessCheck, PoolsOfItsOwn, ReadsToPrimary
-from dewledge.simulation.simulated_proxy import SimulatedProxy
+from dewledge.simulation.naive import (
+    NoFreshnessCheck,
+    PoolsOfItsOwn,
+    ReadsToPrimary,
+    RemembersRequests,
+)
 from dewledge.simulation.world import MakeInterceptor
 
 RETRY_PAUSE = 0.01
@@ -46,18 +50,9 @@
     settings: ProxyCoreSettings = ProxyCoreSettings()
 
 
-class RetriesWithoutBudget(Interceptor):
+class RetriesWithoutBudget(RemembersRequests):
     """Sends every refused single request again after a short pause, up to its deadline."""
 
-    def __init__(self, proxy: SimulatedProxy) -> None:
-        super().__init__(proxy)
-        self._requests: dict[int, CallerRequest] = {}
-
-    def call(self, request: CallerRequest) -> CallerRequest:
-        """Remembers the request."""
-        self._requests[request.request_id] = request
-        return request
-
     def effect(self, effect: ProxyEffect) -> Iterable[ProxyEffect]:
         """Sends again in place of saying that the request was not run."""
         if not isinstance(effect, AnswerCaller):
--- a/src/dewledge/simulation/naive.py
+++ b/src/dewledge/simulation/naive.py
@@ -56,8 +56,8 @@
         return msgspec.structs.replace(request, session=None)
 
 
-class ResendsUnknown(Interceptor):
-    """Sends a write whose outcome is not known once more, also without a key."""
+class RemembersRequests(Interceptor):
+    """Keeps the requests of callers by id, for those who send them again."""
 
     def __init__(self, proxy: SimulatedProxy) -> None:
         super().__init__(proxy)
@@ -68,6 +68,10 @@
         self._requests[request.request_id] = request
         return request
 
+
+class ResendsUnknown(RemembersRequests):
+    """Sends a write whose outcome is not known once more, also without a key."""
+
     def effect(self, effect: ProxyEffect) -> Iterable[ProxyEffect]:
         """Sends again in place of saying that the outcome is unknown."""
         if not isinstance(effect, AnswerCaller):
