Spread the test modules over four processes

Change: modules run in four worker processes, each in a fresh one; DEWLEDGE_TEST_JOBS sets how many.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,13 +1,36 @@
-"""Runs every test, prints failures and the known-red list, and closes with one count line."""
+"""Runs every test, prints failures and the known-red list, and closes with one count line.
 
+Test modules are spread over a few processes, longest first. DEWLEDGE_TEST_JOBS sets how many; names
+of modules as arguments run just these.
+"""
+
+import io
+import os
 import sys
 import time
 import unittest
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass, field
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 SLOWEST_SHOWN = 10
+DEFAULT_JOBS = 4
+SLOW_PACKAGES = ("processes", "contracts", "scale", "bench", "test_")
+"""Started first, so that no long module is left to run alone at the end."""
+
+
+@dataclass
+class ModuleReport:
+    """What one test module gave; durations in seconds by test id."""
+
+    module: str
+    tests_run: int = 0
+    failed: set[str] = field(default_factory=set)
+    skipped: int = 0
+    durations: dict[str, float] = field(default_factory=dict)
+    output: str = ""
 
 
 class TimedResult(unittest.TextTestResult):
@@ -27,6 +50,23 @@
         self.durations[test.id()] = time.monotonic() - self._started
 
 
+def find_modules() -> list[str]:
+    """Returns the names of all test modules, those of slow packages first."""
+    found = []
+    for path in sorted((ROOT / "tests").rglob("test_*.py")):
+        parts = path.relative_to(ROOT).with_suffix("").parts
+        found.append(".".join(parts))
+    return sorted(found, key=_slowness)
+
+
+def _slowness(module: str) -> int:
+    second = module.split(".")[1]
+    for rank, start in enumerate(SLOW_PACKAGES):
+        if second.startswith(start):
+            return rank
+    return len(SLOW_PACKAGES)
+
+
 def known_red() -> dict[str, str]:
     """Returns test id -> the whole line, for each test listed as a known fault."""
     if not KNOWN_RED_FILE.exists():
@@ -42,26 +82,58 @@
     return {getattr(case, "test_case", case).id() for case in cases}
 
 
-def main() -> int:
-    """Discovers and runs the tests; the exit code is 0 only if nothing but known faults failed."""
-    suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    runner = unittest.TextTestRunner(verbosity=1, buffer=True, resultclass=TimedResult)
-    started = time.monotonic()
+def run_module(module: str) -> ModuleReport:
+    """Runs the tests of one module."""
+    stream = io.StringIO()
+    suite = unittest.defaultTestLoader.loadTestsFromName(module)
+    runner = unittest.TextTestRunner(stream, verbosity=1, buffer=True, resultclass=TimedResult)
     result = runner.run(suite)
-    slowest = sorted(result.durations.items(), key=lambda item: -item[1])[:SLOWEST_SHOWN]
-    for name, seconds in slowest:
-        print(f"slow: {seconds:6.1f} s {name}")
+    failed = failed_tests(result)
+    output = stream.getvalue() if failed else ""
+    return ModuleReport(
+        module, result.testsRun, failed, len(result.skipped), result.durations, output
+    )
+
+
+def run_modules(modules: list[str], jobs: int) -> list[ModuleReport]:
+    """Runs modules in `jobs` processes; tells each one's end, and what a failed one printed."""
+    reports = []
+    with ProcessPoolExecutor(jobs, max_tasks_per_child=1) as pool:
+        for future in as_completed([pool.submit(run_module, module) for module in modules]):
+            report = future.result()
+            reports.append(report)
+            verdict = f"{len(report.failed)} FAILED" if report.failed else "ok"
+            print(f"{report.module}: {report.tests_run} run, {verdict}", flush=True)
+            if report.output:
+                print(report.output, flush=True)
+    return reports
+
+
+def print_summary(reports: list[ModuleReport], seconds: float) -> int:
+    """Prints what is slow, red and new; returns the exit code."""
+    durations = {name: time for report in reports for name, time in report.durations.items()}
+    for name, taken in sorted(durations.items(), key=lambda item: -item[1])[:SLOWEST_SHOWN]:
+        print(f"slow: {taken:6.1f} s {name}")
+    failed = {name for report in reports for name in report.failed}
     listed = known_red()
     for line in listed.values():
         print(f"known red: {line}")
-    failed = failed_tests(result)
     new_failures = sorted(failed - listed.keys())
     for name in new_failures:
         print(f"failed: {name}")
-    passed = result.testsRun - len(failed) - len(result.skipped)
-    print(f"took {time.monotonic() - started:.0f} s")
-    print(f"{passed} passed, {len(failed)} failed, {len(result.skipped)} skipped")
-    return 1 if new_failures or result.testsRun == 0 else 0
+    tests_run = sum(report.tests_run for report in reports)
+    skipped = sum(report.skipped for report in reports)
+    print(f"took {seconds:.0f} s")
+    print(f"{tests_run - len(failed) - skipped} passed, {len(failed)} failed, {skipped} skipped")
+    return 1 if new_failures or tests_run == 0 else 0
+
+
+def main() -> int:
+    """Runs the tests; the exit code is 0 only if nothing but known faults failed."""
+    jobs = int(os.environ.get("DEWLEDGE_TEST_JOBS", DEFAULT_JOBS))
+    started = time.monotonic()
+    reports = run_modules(sys.argv[1:] or find_modules(), jobs)
+    return print_summary(reports, time.monotonic() - started)
 
 
 if __name__ == "__main__":
