Call a proxy that has just started not ready, before calling it cut off

Cause: until its first contact a restarted proxy answered isolated for about 0.24 s (simulator), which sends an operator looking for a network fault. Change: without any configuration the answer is not_ready, whatever the isolation guard says.

--- a/src/dewledge/core/entry/entry.py
+++ b/src/dewledge/core/entry/entry.py
@@ -152,15 +152,15 @@
         """Answers a request that may not enter; tells whether it did."""
         state = self._state
         request_id = request.request_id
-        if not self._serving:
+        if state.configuration.revision == EMPTY_CONFIGURATION.revision:
+            message = "this proxy has no configuration yet"
+            state.refuse(request_id, ErrorCode.NOT_READY, message, state.retry_after())
+        elif not self._serving:
             message = "this proxy is cut off from the others"
             state.refuse(request_id, ErrorCode.ISOLATED, message, state.retry_after())
         elif self._leaving and request.transaction is None:
             message = "this proxy is leaving"
             state.refuse(request_id, ErrorCode.LEAVING, message, state.retry_after())
-        elif state.configuration.revision == EMPTY_CONFIGURATION.revision:
-            message = "this proxy has no configuration yet"
-            state.refuse(request_id, ErrorCode.NOT_READY, message, state.retry_after())
         elif state.configuration.group(request.group) is None:
             state.refuse(request_id, ErrorCode.UNKNOWN_GROUP, "there is no such group")
         elif not self._is_allowed(request):
--- a/tests/core/entry/test_entry.py
+++ b/tests/core/entry/test_entry.py
@@ -107,10 +107,14 @@
                 self.assertEqual(harness.entry.in_flight, 0)
 
     def test_without_a_configuration_nothing_is_known_to_be_wrong(self) -> None:
-        harness = EntryHarness(config=EMPTY_CONFIGURATION, known=False)
-        answer = harness.answer(harness.call())
-        self.assertEqual((answer.outcome, answer.code), (Outcome.NOT_RUN, ErrorCode.NOT_READY))
-        self.assertGreater(answer.retry_after, 0)
+        for serving in (True, False):
+            with self.subTest(serving=serving):
+                harness = EntryHarness(config=EMPTY_CONFIGURATION, known=False)
+                harness.run(harness.entry.set_serving(serving, harness.now))
+                answer = harness.answer(harness.call())
+                expected = (Outcome.NOT_RUN, ErrorCode.NOT_READY)
+                self.assertEqual((answer.outcome, answer.code), expected)
+                self.assertGreater(answer.retry_after, 0)
 
     def test_isolated_refuses_new_work_and_finishes_the_rest(self) -> None:
         harness = EntryHarness()
