Begin no work at a drained database, whatever comes first after a freeze

Cause (tests.processes DrainTest, primary row, failed once in a full run: a BEGIN 6.0 s after the drain). Going through all that can come first after a thaw, three ways were open: 1. A worker thread that looks whether its connection is closed gives up the interpreter lock there. Frozen at that point it counted its time limit from after the thaw, so the check right before the send always passed; sendall waited once more for the socket. A keyed write's own BEGIN had a floor of 1 ms for each step, and a connection being opened likewise. 2. A connection that was opened during the freeze took the waiting BEGIN before any check of contact; only tick, call, request and job result made that check. 3. Contact with peers that are known to have a later configuration let a proxy serve before that configuration had come. Which of them sent that one BEGIN is not recorded; it came within 50 ms of the thaw, which fits 1 and 2.

Change: every event of ProxyCore goes through one method that looks at the age of contact first. A connection gets the time from which on it sends no new work (1 s after the event), looks at the clock last, and sends without waiting. A majority counts only while no present peer is known to have a later configuration. A repeat that cannot look for its record is unknown, no longer not run, since its first run may have taken effect.

Ruled out: a job that waits for a thread and a queued request (both checked already, now tested); work in an open transaction, which may go on.

--- a/src/dewledge/adapters/http_database.py
+++ b/src/dewledge/adapters/http_database.py
@@ -31,7 +31,7 @@
 )
 from dewledge.core.calls import Access, Statement
 from dewledge.core.database_status import DatabaseStatus
-from dewledge.core.ports import DatabaseConnection, DatabaseDriver, ExecutionResult
+from dewledge.core.ports import NO_LIMIT, DatabaseConnection, DatabaseDriver, ExecutionResult
 from dewledge.errors import (
     ConnectionBroken,
     ConnectionClosed,
@@ -49,30 +49,39 @@
 
     def __init__(self, exchange: HttpExchange) -> None:
         self._exchange = exchange
+        self._in_transaction = False
 
     def execute(self, statement: Statement, access: Access, timeout: float) -> ExecutionResult:
         """Runs one statement; see DatabaseConnection."""
-        return self._call(EXECUTE_PATH, encode_body(ExecuteBody(statement, access)), timeout)
+        limit = NO_LIMIT if self._in_transaction else self.new_work_limit
+        body = encode_body(ExecuteBody(statement, access))
+        return self._call(EXECUTE_PATH, body, timeout, limit)
 
     def begin(self, timeout: float) -> ExecutionResult:
         """Begins a transaction; see DatabaseConnection."""
-        return self._call(BEGIN_PATH, NO_BODY, timeout)
+        result = self._call(BEGIN_PATH, NO_BODY, timeout, self.new_work_limit)
+        self._in_transaction = True
+        return result
 
     def commit(self, timeout: float) -> ExecutionResult:
         """Commits; see DatabaseConnection."""
+        self._in_transaction = False
         return self._call(COMMIT_PATH, NO_BODY, timeout)
 
     def rollback(self, timeout: float) -> ExecutionResult:
         """Rolls back; see DatabaseConnection."""
+        self._in_transaction = False
         return self._call(ROLLBACK_PATH, NO_BODY, timeout)
 
     def close(self) -> None:
         """Closes the connection."""
         self._exchange.close()
 
-    def _call(self, path: str, body: bytes, timeout: float) -> ExecutionResult:
+    def _call(
+        self, path: str, body: bytes, timeout: float, send_before: float = NO_LIMIT
+    ) -> ExecutionResult:
         try:
-            answer = self._exchange.request("POST", path, body, timeout)
+            answer = self._exchange.request("POST", path, body, timeout, send_before)
             if answer.status == OK_STATUS:
                 return decode_result(answer.body)
         except ClosedBeforeSending as error:
@@ -109,7 +118,8 @@
             raise ConnectRefused(f"cannot connect to {address}: {error}") from error
         connection = HttpDatabaseConnection(exchange)
         try:
-            answer = exchange.request("POST", self._open_target, NO_BODY, _time_until(deadline))
+            time_left = _time_until(deadline)
+            answer = exchange.request("POST", self._open_target, NO_BODY, time_left, deadline)
             if answer.status == OK_STATUS:
                 return connection
             raise error_of(decode_failure(answer.body))
--- a/src/dewledge/adapters/http_exchange.py
+++ b/src/dewledge/adapters/http_exchange.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from dewledge.core.addresses import split_address
+from dewledge.core.ports import NO_LIMIT
 from dewledge.errors import ProtocolError
 
 RECEIVE_BYTES = 65536
@@ -46,16 +47,21 @@
         self._host = address.encode()
         self.closed = False
 
-    def request(self, method: str, target: str, body: bytes, timeout: float) -> HttpAnswer:
+    def request(
+        self, method: str, target: str, body: bytes, timeout: float, send_before: float = NO_LIMIT
+    ) -> HttpAnswer:
         """Sends one request and waits for its answer, `timeout` seconds in all.
 
+        send_before: the monotonic time from which on it is not sent any more.
         Raises ClosedBeforeSending, AnswerMissing or ProtocolError; the connection is then closed.
         """
+        deadline = time.monotonic() + timeout
         if self.closed or self._readable.poll(0):
             self.close()
             raise ClosedBeforeSending("the connection was closed by the other side")
         try:
-            return self._exchange(self._encode(method, target, body), time.monotonic() + timeout)
+            self._send_first(self._encode(method, target, body), deadline, send_before)
+            return self._receive(deadline)
         except OSError as error:
             self.close()
             raise AnswerMissing(f"no answer: {error}") from error
@@ -78,13 +84,23 @@
             body,
         )
 
-    def _exchange(self, request: bytes, deadline: float) -> HttpAnswer:
-        if time.monotonic() >= deadline:
-            # A process that was frozen until now must not send what it decided before.
+    def _send_first(self, request: bytes, deadline: float, send_before: float) -> None:
+        # A process that was frozen until now must not send what it decided before. So the clock is
+        # looked at last, and the send waits for nothing: a thread can be frozen in any wait.
+        self._socket.setblocking(False)
+        if time.monotonic() >= min(deadline, send_before):
             self.close()
             raise ClosedBeforeSending("its time was over before it was sent")
-        self._set_time_left(deadline)
-        self._socket.sendall(request)
+        try:
+            sent = self._socket.send(request)
+        except BlockingIOError as error:
+            self.close()
+            raise ClosedBeforeSending("the connection takes nothing") from error
+        if sent < len(request):
+            self._set_time_left(deadline)
+            self._socket.sendall(request[sent:])
+
+    def _receive(self, deadline: float) -> HttpAnswer:
         reader = _AnswerReader()
         while not reader.complete:
             self._set_time_left(deadline)
--- a/src/dewledge/adapters/job_runner.py
+++ b/src/dewledge/adapters/job_runner.py
@@ -150,6 +150,9 @@
             return self._recorded() or self._failed(error)
         except StatementFailed:
             return self._create_record_table()
+        except ConnectionClosed as closed:
+            # An earlier run may have been recorded, so "not run" could be untrue of the key.
+            return JobUnknown(self._job.job_id, closed.code, closed.message)
         except DatabaseError as lookup_error:
             return _not_run(self._job, lookup_error)
 
--- a/src/dewledge/core/configuration/spread.py
+++ b/src/dewledge/core/configuration/spread.py
@@ -88,15 +88,25 @@
         self._snapshot: ConfigurationSnapshotMessage | None = None
         self._peers: tuple[str, ...] = ()
         self._ahead: dict[str, int] = {}
+        self._later: dict[str, int] = {}
         self._request: _Request | None = None
         self._correlation = 0
         self._effects: list[SpreadEffect] = []
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether some present peer is known to have a later configuration.
+
+        It stays so when that peer does not answer, until it is gone.
+        """
+        return any(peer in self._peers for peer in self._later)
+
     def set_members(self, members: Iterable[Member], now: float) -> list[SpreadEffect]:
         """Takes the members that are not gone as the peers to push to."""
         self._peers = tuple(item.name for item in members if item.name != self._me)
         present = set(self._peers)
         self._ahead = {peer: value for peer, value in self._ahead.items() if peer in present}
+        self._later = {peer: value for peer, value in self._later.items() if peer in present}
         return self.tick(now)
 
     def handle_peer_message(
@@ -199,9 +209,8 @@
     def _put_in_force(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self._snapshot = None
-        self._ahead = {
-            peer: value for peer, value in self._ahead.items() if value > configuration.revision
-        }
+        self._ahead = _later_than(configuration.revision, self._ahead)
+        self._later = _later_than(configuration.revision, self._later)
         self._request = None
         self._effects.append(ConfigurationChanged(configuration))
         self._log("configuration_in_force", revision=configuration.revision)
@@ -220,6 +229,7 @@
             return
         if peer in self._ahead or len(self._ahead) < MAX_PEERS_AHEAD:
             self._ahead[peer] = revision
+            self._later[peer] = revision
         if self._request is None:
             self._ask(now)
 
@@ -244,6 +254,10 @@
         return effects
 
 
+def _later_than(revision: int, known: dict[str, int]) -> dict[str, int]:
+    return {peer: value for peer, value in known.items() if value > revision}
+
+
 def with_changes(configuration: Configuration, changes: Sequence[ChangeSet]) -> Configuration:
     """Returns the configuration after consecutive changes, building its indexes only once."""
     resources = dict(configuration.resources)
--- a/src/dewledge/core/ports.py
+++ b/src/dewledge/core/ports.py
@@ -11,6 +11,8 @@
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.positions import LogPosition
 
+NO_LIMIT = float("inf")
+
 
 class ExecutionResult(msgspec.Struct, frozen=True):
     """A back end's success: its rows, its role, and the position written or read at."""
@@ -27,6 +29,8 @@
     and ConnectionBroken when that is not known. `timeout` is in seconds.
     """
 
+    new_work_limit: float = NO_LIMIT
+
     @abstractmethod
     def execute(self, statement: Statement, access: Access, timeout: float) -> ExecutionResult:
         """Runs one statement, in the open transaction if there is one, else on its own.
@@ -47,6 +51,15 @@
     def rollback(self, timeout: float) -> ExecutionResult:
         """Rolls back."""
 
+    def send_new_work_before(self, limit: float) -> None:
+        """Sets the monotonic time from which on no new work is sent; ConnectionClosed is raised.
+
+        New work is a BEGIN, and a statement outside of a transaction. A process that was frozen may
+        not know that the database is drained, so an adapter should look at the clock right before
+        it sends.
+        """
+        self.new_work_limit = limit
+
     @abstractmethod
     def close(self) -> None:
         """Closes; never raises. An open transaction is rolled back by the database."""
--- a/src/dewledge/core/proxy/core.py
+++ b/src/dewledge/core/proxy/core.py
@@ -4,7 +4,7 @@
 out the effects it returns.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any
 
@@ -111,14 +111,7 @@
 
     def tick(self, now: float) -> list[ProxyEffect]:
         """Does what is due. Call it at `next_wake`, or earlier without harm."""
-        effects: list[Any] = self._router.check_serving(now)
-        for part in self._timed:
-            wake = part.next_wake()
-            if wake is not None and wake <= now:
-                effects += part.tick(now)
-        self._router.note_members(now)
-        effects += self._router.check_serving(now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._tick)
 
     def next_wake(self) -> float | None:
         """Returns when `tick` is next due, or None."""
@@ -128,11 +121,7 @@
     def leave(self, now: float) -> list[ProxyEffect]:
         """Begins a planned stop: no new work, gateway roles handed over, the rest finished."""
         self.is_leaving = True
-        effects: list[Any] = list(self._parts.membership.leave(now))
-        effects += [SendToPeer(peer, Leaving(self.me)) for peer in self._peers_to_tell()]
-        effects += self._parts.entry.leave(now)
-        effects += self._parts.gateway.leave(now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._leave)
 
     def stop(self, now: float) -> list[ProxyEffect]:
         """Announces the end of the process; the last call."""
@@ -142,14 +131,11 @@
 
     def handle_call(self, request: CallerRequest, now: float) -> list[ProxyEffect]:
         """Takes one caller's request; ends with one AnswerCaller."""
-        effects: list[Any] = self._router.check_serving(now)
-        effects += self._parts.entry.handle_call(request, now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._parts.entry.handle_call, request)
 
     def handle_caller_gone(self, request_id: int, now: float) -> list[ProxyEffect]:
         """Notes that a caller no longer waits for its answer."""
-        effects = self._parts.entry.handle_caller_gone(request_id, now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._parts.entry.handle_caller_gone, request_id)
 
     def propose(self, change: ProposedChange, now: float) -> list[ProxyEffect]:
         """Asks for a change of configuration; ends with one ProposalFinished."""
@@ -157,23 +143,21 @@
             message = "this proxy does not reach a majority of its peers"
             code = ErrorCode.NO_MAJORITY
             return [ProposalFinished(change.change_id, Outcome.NOT_RUN, None, code, message)]
-        effects = self._parts.acceptance.propose(change, self.configuration, now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._parts.acceptance.propose, change, self.configuration)
 
     def look_up_change(self, change_id: str, now: float) -> list[ProxyEffect]:
         """Asks the store whether a change stands; ends with one ChangeLookedUp."""
-        return self._router.finish(self._parts.acceptance.look_up(change_id, now), now)
+        return self._handle(now, self._parts.acceptance.look_up, change_id)
 
     # Events from peers.
 
     def handle_peer_message(self, peer: str, message: PeerMessage, now: float) -> list[ProxyEffect]:
         """Takes a message from a peer's link."""
-        return self._router.finish(self._router.deliver(peer, message, now), now)
+        return self._handle(now, self._router.deliver, peer, message)
 
     def handle_peer_connected(self, peer: str, incarnation: int, now: float) -> list[ProxyEffect]:
         """Notes a link on which `peer` will send requests, and which process of it that is."""
-        effects = self._parts.gateway.handle_peer_connected(peer, incarnation, now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._parts.gateway.handle_peer_connected, peer, incarnation)
 
     def handle_outbound_lost(
         self, peer: str, unsent_requests: Iterable[int], now: float
@@ -182,23 +166,18 @@
 
         unsent_requests: correlations of statement requests of which no byte had left.
         """
-        effects: list[Any] = []
-        for correlation in unsent_requests:
-            refused = StatementNotRun(correlation, ErrorCode.GATEWAY_UNREACHABLE, "never sent")
-            effects += self._parts.entry.handle_peer_message(peer, refused, now)
-        effects += self._parts.entry.handle_peer_lost(peer, now)
-        effects += self._parts.membership.note_peer_lost(peer, now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._outbound_lost, peer, unsent_requests)
 
     def handle_inbound_lost(self, peer: str, now: float) -> list[ProxyEffect]:
         """Notes the end of the link that brought requests from `peer`."""
-        return self._router.finish(self._parts.gateway.handle_peer_lost(peer, now), now)
+        return self._handle(now, self._parts.gateway.handle_peer_lost, peer)
 
     def handle_datagram(self, data: bytes, address: str, now: float) -> list[ProxyEffect]:
         """Takes a datagram of membership."""
-        effects = self._parts.membership.handle_datagram(data, address, now)
+        outward = self._handle(now, self._parts.membership.handle_datagram, data, address)
+        # Only now is it known whether the sender has a later configuration.
         self._router.note_members(now)
-        return self._router.finish(effects, now)
+        return outward
 
     # Events from the platform and the databases.
 
@@ -209,42 +188,74 @@
         self._parts.machine_list.handle_answer(len(self.members), now)
         if machines is None:
             return []
-        effects = self._parts.membership.update_machine_list(machines, now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._parts.membership.update_machine_list, machines)
 
     def handle_store_result(self, result: StoreResult, now: float) -> list[ProxyEffect]:
         """Takes the result of a StoreCall."""
-        if result.caller is StoreCaller.POLLER:
-            effects: list[Any] = list(self._parts.poller.handle_store_result(result, now))
-        else:
-            effects = list(self._parts.acceptance.handle_store_result(result, now))
-        return self._router.finish(effects, now)
+        is_poll = result.caller is StoreCaller.POLLER
+        caller = self._parts.poller if is_poll else self._parts.acceptance
+        return self._handle(now, caller.handle_store_result, result)
 
     def handle_connection_opened(self, connection_id: int, now: float) -> list[ProxyEffect]:
         """Notes that a back-end connection is open."""
-        effects = self._parts.gateway.handle_connection_opened(connection_id, now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._parts.gateway.handle_connection_opened, connection_id)
 
     def handle_connection_failed(
         self, connection_id: int, code: ErrorCode, now: float
     ) -> list[ProxyEffect]:
         """Notes that a back-end connection could not be opened."""
-        effects = self._parts.gateway.handle_connection_failed(connection_id, code, now)
-        return self._router.finish(effects, now)
+        return self._handle(now, self._parts.gateway.handle_connection_failed, connection_id, code)
 
     def handle_job_result(self, result: JobResult, now: float) -> list[ProxyEffect]:
-        """Takes the result of a job; it may be the first event after a freeze."""
-        effects: list[Any] = self._router.check_serving(now)
-        effects += self._parts.gateway.handle_job_result(result, now)
-        return self._router.finish(effects, now)
+        """Takes the result of a job."""
+        return self._handle(now, self._parts.gateway.handle_job_result, result)
 
     def handle_status_reading(
         self, round_id: int, reading: StatusReading, now: float
     ) -> list[ProxyEffect]:
         """Takes one reading of a status round."""
-        effects = self._parts.gateway.handle_status_reading(round_id, reading, now)
+        return self._handle(now, self._parts.gateway.handle_status_reading, round_id, reading)
+
+    # Parts of the above.
+
+    def _handle(
+        self, now: float, handler: Callable[..., Iterable[Any]], *arguments: Any
+    ) -> list[ProxyEffect]:
+        """The way of every event but `start` and `stop`.
+
+        Any of them may be the first after a freeze, so what it leads to must find out beforehand
+        that the contacts are stale: the database that it would begin work on may be drained by now.
+        """
+        effects: list[Any] = self._router.check_serving(now)
+        effects += handler(*arguments, now)
         return self._router.finish(effects, now)
 
+    def _tick(self, now: float) -> list[Any]:
+        effects: list[Any] = []
+        for part in self._timed:
+            wake = part.next_wake()
+            if wake is not None and wake <= now:
+                effects += part.tick(now)
+        self._router.note_members(now)
+        effects += self._router.check_serving(now)
+        return effects
+
+    def _leave(self, now: float) -> list[Any]:
+        effects: list[Any] = list(self._parts.membership.leave(now))
+        effects += [SendToPeer(peer, Leaving(self.me)) for peer in self._peers_to_tell()]
+        effects += self._parts.entry.leave(now)
+        effects += self._parts.gateway.leave(now)
+        return effects
+
+    def _outbound_lost(self, peer: str, unsent_requests: Iterable[int], now: float) -> list[Any]:
+        effects: list[Any] = []
+        for correlation in unsent_requests:
+            refused = StatementNotRun(correlation, ErrorCode.GATEWAY_UNREACHABLE, "never sent")
+            effects += self._parts.entry.handle_peer_message(peer, refused, now)
+        effects += self._parts.entry.handle_peer_lost(peer, now)
+        effects += self._parts.membership.note_peer_lost(peer, now)
+        return effects
+
     def _peers_to_tell(self) -> list[str]:
         peers = [member.name for member in self.members if member.name != self.me]
         if len(peers) <= MAX_PEERS_TOLD_OF_LEAVING:
--- a/src/dewledge/core/proxy/router.py
+++ b/src/dewledge/core/proxy/router.py
@@ -138,9 +138,13 @@
         return effects
 
     def note_members(self, now: float) -> None:
-        """Tells the isolation guard how much of the membership is within reach."""
+        """Tells the isolation guard how much of the membership is within reach.
+
+        Contact with peers that are known to have a later configuration proves nothing.
+        """
         membership = self._parts.membership
-        self._parts.isolation.note_members(membership.reachable_count, membership.known_count, now)
+        reachable = 0 if self._parts.spread.is_behind else membership.reachable_count
+        self._parts.isolation.note_members(reachable, membership.known_count, now)
 
     # Effects that concern other parts.
 
@@ -203,9 +207,7 @@
     # Messages that are not for one part alone.
 
     def _statement_request(self, peer: str, request: StatementRequest, now: float) -> Iterable[Any]:
-        # A process that was frozen finds its contacts stale before it takes anything new.
-        effects = self.check_serving(now)
-        return [*effects, *self._parts.gateway.handle_request(peer, request, now)]
+        return self._parts.gateway.handle_request(peer, request, now)
 
     def _peer_leaves(self, peer: str, _message: Leaving, now: float) -> Iterable[Any]:
         for member in self._parts.membership.members:
--- a/src/dewledge/shell/database_workers.py
+++ b/src/dewledge/shell/database_workers.py
@@ -175,7 +175,9 @@
     def _run(self, wrapped: DatabaseConnection, job: Job, ordered_at: float) -> None:
         result: JobResult
         try:
-            if job.operation in NEW_WORK and self._loop.now() - ordered_at > LATEST_START_SECONDS:
+            latest_start = ordered_at + LATEST_START_SECONDS
+            wrapped.send_new_work_before(latest_start)
+            if job.operation in NEW_WORK and self._loop.now() > latest_start:
                 result = JobNotRun(job.job_id, ErrorCode.DEADLINE_EXCEEDED, STOOD_STILL, True)
             else:
                 result = run_job(wrapped, job)
--- a/tests/adapters/test_http_database.py
+++ b/tests/adapters/test_http_database.py
@@ -1,15 +1,19 @@
 """The driver for the stand-in databases, against the stand-in; and against a broken server."""
 
+import time
 import unittest
+from collections.abc import Callable
 from unittest.mock import patch
 
 from dewledge.adapters.http_database import HttpDatabaseDriver
 from dewledge.adapters.http_exchange import ClosedBeforeSending, HttpExchange
 from dewledge.core.calls import Access
-from dewledge.errors import ConnectionBroken, ConnectRefused, DatabaseError
+from dewledge.core.ports import DatabaseConnection
+from dewledge.errors import ConnectionBroken, ConnectionClosed, ConnectRefused, DatabaseError
 from dewledge.standin.group_client import GroupClient
 from dewledge.standin.group_server import GroupServer
 from dewledge.standin.group_settings import DatabaseSettings, GroupSettings
+from dewledge.standin.group_types import ActivityKind
 from dewledge.standin.http_server import ConnectionHandler, HttpReply, HttpRequest, HttpServer
 from tests.adapters import database_contract
 from tests.adapters.database_contract import MAX_CONNECTIONS, SELECT, SLOTS, TIMEOUT
@@ -52,6 +56,24 @@
     def lose_next_answer(self) -> None:
         self.faults.lose_answers("a")
 
+    def test_no_new_work_after_its_limit(self) -> None:
+        """The database hears nothing of it; an open transaction goes on."""
+        calls: tuple[Callable[[DatabaseConnection], object], ...] = (
+            lambda it: it.begin(TIMEOUT),
+            lambda it: it.execute(SELECT, Access.READ, TIMEOUT),
+        )
+        for call in calls:
+            connection = self.driver.connect(self.primary, TIMEOUT)
+            connection.begin(TIMEOUT)
+            connection.send_new_work_before(time.monotonic())
+            connection.execute(SELECT, Access.READ, TIMEOUT)
+            connection.commit(TIMEOUT)
+            before = len(self.faults.activity())
+            with self.assertRaises(ConnectionClosed):
+                call(connection)
+            kinds = {it.kind for it in self.faults.activity()[before:]}
+            self.assertLessEqual(kinds, {ActivityKind.CLOSE})
+
 
 class _FixedAnswer(ConnectionHandler):
     def __init__(self, open_reply: HttpReply, reply: HttpReply | None) -> None:
--- a/tests/adapters/test_job_runner.py
+++ b/tests/adapters/test_job_runner.py
@@ -23,6 +23,9 @@
 BEGIN, STATEMENT, RECORD, COMMIT = range(4)
 """The calls of a keyed write, in their order."""
 
+ROLLBACK_AFTER_STATEMENT, LOOKUP_AFTER_STATEMENT = range(STATEMENT + 1, STATEMENT + 3)
+"""The calls that follow a statement that failed."""
+
 
 def keyed(statement: Statement, key: str = "key", fingerprint: str = "print") -> Job:
     record = IdempotencyRecord("kitchen", key, fingerprint)
@@ -118,6 +121,15 @@
         self.assertEqual(repeat.position, later.position)
         self.assertEqual((first.repeated, repeat.repeated), (False, True))
 
+    def test_repeat_that_cannot_look_for_its_record_is_unknown(self) -> None:
+        """Its first run has taken effect: "not run" would not be true of the key."""
+        run_job(self.connect(), keyed(ORDER_FISH))
+        for call in (ROLLBACK_AFTER_STATEMENT, LOOKUP_AFTER_STATEMENT):
+            with self.subTest(call=call):
+                connection = self.connect({call: CallFault.CLOSED_BEFORE_SENDING})
+                self.assertIsInstance(run_job(connection, keyed(ORDER_FISH)), JobUnknown)
+                self.assertEqual(self.orders(), 1)
+
     def test_key_used_for_another_statement_is_refused(self) -> None:
         run_job(self.connect(), keyed(ORDER_FISH))
         result = run_job(self.connect(), keyed(ORDER_RICE, fingerprint="other"))
--- a/tests/core/gateway/test_connection_pool.py
+++ b/tests/core/gateway/test_connection_pool.py
@@ -1,6 +1,7 @@
 """The pool: warmed ahead, never above its target, no connection of unknown state lent again."""
 
 import unittest
+from collections.abc import Callable
 from random import Random
 
 from dewledge.core.effects import CloseConnection, OpenConnection
@@ -20,6 +21,7 @@
         self.context = GatewayContext("here", GatewaySettings(jitter=0.0), Random(1))
         self.failures: list[ErrorCode] = []
         self.opened = 0
+        self.ordered = 0
         self.pool = ConnectionPool(
             self.context, "cases-1", self._note_opened, lambda code, _: self.failures.append(code)
         )
@@ -36,6 +38,7 @@
         for effect in self.context.take_effects():
             if isinstance(effect, OpenConnection):
                 self.opening.append(effect.connection_id)
+                self.ordered += 1
             elif isinstance(effect, CloseConnection):
                 self.held.discard(effect.connection_id)
 
@@ -49,6 +52,15 @@
         self.pool.failed(self.opening.pop(0), code, self.now)
         self.carry_out()
 
+    def fail_and_wait(self, code: ErrorCode) -> None:
+        self.fail(code)
+        self.wait(self.pool.retry_pause)
+
+    def fail_and_retry_soon(self, code: ErrorCode) -> None:
+        self.fail(code)
+        self.pool.retry_soon(self.now)
+        self.carry_out()
+
     def wait(self, seconds: float) -> None:
         self.now += seconds
         self.context.run_timers(self.now)
@@ -143,6 +155,28 @@
             harness.open()
         self.assertEqual((harness.pool.open_count, len(harness.held)), (2, 2))
 
+    def test_opens_nothing_while_held(self) -> None:
+        steps: dict[str, Callable[[PoolHarness], None]] = {
+            "a higher target": lambda it: it.pool.configure("one:1", 5, it.now),
+            "another address": lambda it: it.pool.configure("two:1", 3, it.now),
+            "a connection discarded": lambda it: it.pool.discard(it.pool.lend(), it.now),
+            "a connection opened": PoolHarness.open,
+            "an open refused, tried again": lambda it: it.fail_and_wait(LIMIT),
+            "a database that answers again": lambda it: it.fail_and_retry_soon(UNREACHABLE),
+        }
+        for name, step in steps.items():
+            with self.subTest(name):
+                harness = PoolHarness(3)
+                harness.open()
+                harness.pool.hold()
+                before = harness.ordered
+                step(harness)
+                harness.carry_out()
+                self.assertEqual(harness.ordered, before)
+                harness.pool.resume(harness.now)
+                harness.wait(2 * harness.context.settings.open_retry_max)
+                self.assertGreaterEqual(len(harness.held) + len(harness.opening), 3)
+
     def test_any_order_keeps_target_and_leaks_nothing(self) -> None:
         for seed in range(100):
             with self.subTest(seed=seed):
--- a/tests/shell/test_database_workers.py
+++ b/tests/shell/test_database_workers.py
@@ -1,8 +1,10 @@
 """Threads of databases: results, faults, closing, and that a slow database holds up no other."""
 
 import threading
+import time
 import unittest
 from collections.abc import Callable
+from unittest.mock import patch
 
 from dewledge.core.calls import Access, Operation, Rows, Statement
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
@@ -11,10 +13,11 @@
 from dewledge.core.ports import DatabaseConnection, DatabaseDriver, ExecutionResult
 from dewledge.core.positions import LOG_START, LogPosition
 from dewledge.errors import ConnectionLimitReached, DatabaseError, ErrorCode
-from dewledge.shell.database_workers import DatabaseWorkers
+from dewledge.shell.database_workers import LATEST_START_SECONDS, DatabaseWorkers
 from dewledge.shell.event_loop import EventLoop
 
 PATIENCE_SECONDS = 10.0
+FREEZE_SECONDS = 60.0
 POLL_SECONDS = 0.005
 POSITION = LogPosition(1, 4)
 SLOW, GOOD, FULL, DEAD = "slow", "good", "full", "dead"
@@ -33,10 +36,14 @@
         return ExecutionResult(Rows(), DatabaseRole.PRIMARY, POSITION)
 
     def begin(self, timeout: float) -> ExecutionResult:
-        raise NotImplementedError
+        return ExecutionResult(Rows(), DatabaseRole.PRIMARY, POSITION)
 
     commit = rollback = begin
 
+    def send_new_work_before(self, limit: float) -> None:
+        super().send_new_work_before(limit)
+        self._driver.limits.append(limit)
+
     def close(self) -> None:
         self._driver.closed.append(self._address)
 
@@ -45,8 +52,11 @@
     def __init__(self) -> None:
         self.go_on = threading.Event()
         self.closed: list[str] = []
+        self.connected: list[str] = []
+        self.limits: list[float] = []
 
     def connect(self, address: str, timeout: float) -> Connection:
+        self.connected.append(address)
         if address == FULL:
             raise ConnectionLimitReached("full")
         if address == DEAD:
@@ -61,9 +71,22 @@
         return DatabaseStatus(address, DatabaseRole.PRIMARY, 1, LOG_START, LOG_START)
 
 
+class ThreadsFrozen:
+    """A clock. While `frozen`, threads other than the loop's see the time after a freeze."""
+
+    def __init__(self) -> None:
+        self.frozen = False
+        self._loop_thread = threading.current_thread()
+
+    def __call__(self) -> float:
+        is_late = self.frozen and threading.current_thread() is not self._loop_thread
+        return time.monotonic() + (FREEZE_SECONDS if is_late else 0.0)
+
+
 class WorkersTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.loop = EventLoop()
+        self.clock = ThreadsFrozen()
+        self.loop = EventLoop(self.clock)
         self.driver = Driver()
         self.workers = DatabaseWorkers(self.loop, self.driver, self)
         self.opened: list[int] = []
@@ -94,9 +117,9 @@
     # Steps.
 
     def run_until(self, what: str, is_reached: Callable[[], bool]) -> None:
-        give_up_at = self.loop.now() + PATIENCE_SECONDS
+        give_up_at = time.monotonic() + PATIENCE_SECONDS
         while not is_reached():
-            self.assertLess(self.loop.now(), give_up_at, what)
+            self.assertLess(time.monotonic(), give_up_at, what)
             self.loop.call_later(POLL_SECONDS, lambda: None)
             self.loop.run_once()
 
@@ -104,8 +127,14 @@
         self.workers.open(OpenConnection(connection_id, address, address))
         self.run_until("open", lambda: connection_id in self.opened)
 
-    def submit(self, job_id: int, connection_id: int, sql: str = "x") -> None:
-        job = Job(job_id, connection_id, Operation.EXECUTE, Access.WRITE, 5.0, Statement(sql))
+    def submit(
+        self,
+        job_id: int,
+        connection_id: int,
+        sql: str = "x",
+        operation: Operation = Operation.EXECUTE,
+    ) -> None:
+        job = Job(job_id, connection_id, operation, Access.WRITE, 5.0, Statement(sql))
         self.workers.run(RunJob(job))
 
     def test_job_runs_on_its_connection(self) -> None:
@@ -159,6 +188,52 @@
         self.run_until("the end", lambda: self.driver.closed == [GOOD])
         self.assertEqual(self.opened, [])
 
+    def test_thread_frozen_before_its_job_begins_no_new_work(self) -> None:
+        begun = {
+            Operation.EXECUTE: JobNotRun,
+            Operation.BEGIN: JobNotRun,
+            Operation.COMMIT: JobDone,
+            Operation.ROLLBACK: JobDone,
+        }
+        self.open(1, GOOD)
+        self.clock.frozen = True
+        for operation, expected in begun.items():
+            with self.subTest(operation):
+                self.results.clear()
+                self.submit(7, 1, operation=operation)
+                self.run_until("the result", lambda: bool(self.results))
+                self.assertIsInstance(self.results[0], expected)
+                self.assertTrue(getattr(self.results[0], "connection_usable", True))
+
+    def test_connection_sends_no_new_work_later_than_the_latest_start(self) -> None:
+        self.open(1, GOOD)
+        earliest = self.loop.now()
+        self.submit(7, 1)
+        latest = self.loop.now()
+        self.run_until("the result", lambda: bool(self.results))
+        self.assertLessEqual(earliest + LATEST_START_SECONDS, self.driver.limits[0])
+        self.assertLessEqual(self.driver.limits[0], latest + LATEST_START_SECONDS)
+
+    def test_thread_frozen_before_it_connects_opens_nothing(self) -> None:
+        self.clock.frozen = True
+        self.workers.open(OpenConnection(1, GOOD, GOOD))
+        self.run_until("the failure", lambda: bool(self.failed))
+        self.assertEqual(self.failed, [(1, ErrorCode.DATABASE_UNREACHABLE)])
+        self.assertEqual(self.driver.connected, [])
+
+    def test_event_that_began_before_a_freeze_begins_no_new_work(self) -> None:
+        """What counts is when the event came, not when its effects were carried out."""
+        self.open(1, GOOD)
+        self.loop.call_later(0.0, self._submit_after_freeze)
+        self.run_until("the result", lambda: bool(self.results))
+        self.assertIsInstance(self.results[0], JobNotRun)
+
+    def _submit_after_freeze(self) -> None:
+        frozen = patch.object(self.loop, "now", lambda: time.monotonic() + FREEZE_SECONDS)
+        frozen.start()
+        self.addCleanup(frozen.stop)
+        self.submit(7, 1)
+
     def test_job_without_a_connection(self) -> None:
         self.submit(7, 99)
         self.run_until("the result", lambda: bool(self.results))
