Slow the probes for a new primary down as proxies grow in number

Cause: while a group has no primary every entry probes each of its gateways every 50 to 100 ms: at 850 entries some 11,000 probes a second at one gateway (reckoned), more than a Python process can answer. Change: pauses grow with the number of proxies, so that a gateway gets at most 1,000 a second from all together. Up to 50 proxies nothing changes; at 850 a pause is 0.85 to 1.7 s, against 10 s for a change of primary. Ruled out for now: a long poll at the gateway, which would be quicker at that size; it needs the gateway to hold probes for doubts that end by replication as well as for elections.

--- a/src/dewledge/core/entry/settings.py
+++ b/src/dewledge/core/entry/settings.py
@@ -23,6 +23,8 @@
         they are refused at once until there is one.
     failover_wait_requests: requests of one group that may wait for its primary.
     failover_margin: time that must remain before the deadline when a waiting request is sent.
+    probe_rate: status probes a second that a gateway may get from all proxies together, should
+        all of them look for the primary of one group; it lengthens the pauses of large deployments.
     probe_interval_least, probe_interval_most: bounds of the random pause between status probes
         while requests wait for a primary.
     suspect_after: a primary that owes an answer and is silent for so long is doubted: the group is
@@ -57,6 +59,7 @@
     drained_wait_limit: float = 1.0
     failover_wait_requests: int = 1000
     failover_margin: float = 0.05
+    probe_rate: float = 1000.0
     probe_interval_least: float = 0.05
     probe_interval_most: float = 0.1
     suspect_after: float = 0.1
--- a/src/dewledge/core/entry/state.py
+++ b/src/dewledge/core/entry/state.py
@@ -59,6 +59,13 @@
                 pairs.append((name, spec.zone))
         return pairs
 
+    @property
+    def probe_stretch(self) -> float:
+        """By what the pauses between probes are multiplied, for the number of proxies; 1 or more."""
+        settings = self.settings
+        needed = self.placement.proxy_count / settings.probe_rate
+        return max(1.0, needed / settings.probe_interval_least)
+
     def retry_after(self, least: float = 0.0) -> float:
         """Returns what to tell a refused caller, jittered so that callers do not return at once."""
         base = max(least, self.settings.retry_after)
--- a/src/dewledge/core/entry/status_watch.py
+++ b/src/dewledge/core/entry/status_watch.py
@@ -42,7 +42,8 @@
 
     def suspect(self, group: EntryGroup, now: float) -> None:
         """Asks every gateway because an answer casts doubt on the view of the group."""
-        if now - group.last_probed >= self._state.settings.probe_interval_least:
+        least = self._state.settings.probe_interval_least * self._state.probe_stretch
+        if now - group.last_probed >= least:
             self._ask_all(group, now)
 
     def refresh(self, group: EntryGroup, now: float) -> None:
@@ -96,7 +97,8 @@
         suspect_at = group.suspect_at()
         if suspect_at is None:
             return None
-        return max(suspect_at, group.last_probed + self._state.settings.probe_interval_most)
+        pause = self._state.settings.probe_interval_most * self._state.probe_stretch
+        return max(suspect_at, group.last_probed + pause)
 
     def _is_suspect(self, group: EntryGroup, now: float) -> bool:
         suspect_at = self._suspect_at(group)
@@ -116,7 +118,8 @@
     def _probe_pause(self) -> float:
         settings = self._state.settings
         spread = settings.probe_interval_most - settings.probe_interval_least
-        return settings.probe_interval_least + spread * self._state.random.random()
+        pause = settings.probe_interval_least + spread * self._state.random.random()
+        return pause * self._state.probe_stretch
 
     def near_gateway(self, group: EntryGroup) -> str | None:
         """Returns a gateway of the group in the entry's own zone, else one in its turn."""
--- a/src/dewledge/core/membership/placement.py
+++ b/src/dewledge/core/membership/placement.py
@@ -53,6 +53,11 @@
         self._by_active: dict[str, tuple[str, ...]] | None = None
         self._by_standby: dict[str, tuple[str, ...]] = {}
 
+    @property
+    def proxy_count(self) -> int:
+        """How many proxies are there to be placed."""
+        return len(self._zones.get(NO_ZONE, ()))
+
     def ranked(self, database: str) -> tuple[str, ...]:
         """Returns proxy names, active gateway first, those of the database's zone before others.
 
--- a/tests/core/entry/entry_harness.py
+++ b/tests/core/entry/entry_harness.py
@@ -103,6 +103,7 @@
 
     def __init__(self, ranking: dict[str, tuple[str, ...]] | None = None) -> None:
         self.ranking = dict(GATEWAYS if ranking is None else ranking)
+        self.proxy_count = 4
 
     def ranked(self, database: str) -> tuple[str, ...]:
         return self.ranking.get(database, ())
--- a/tests/core/entry/test_entry_failover.py
+++ b/tests/core/entry/test_entry_failover.py
@@ -100,6 +100,17 @@
         rounds = len(harness.sent_of(GroupStatusRequest)) / 3
         self.assertTrue(10 <= rounds <= 21, rounds)
 
+    def test_many_proxies_together_probe_no_gateway_too_often(self) -> None:
+        for proxies in (4, 200, 850):
+            with self.subTest(proxies=proxies):
+                harness = EntryHarness()
+                harness.placement.proxy_count = proxies
+                cut_off(harness, deadline=30.0)
+                harness.advance(9.0)
+                probes = len(harness.sent_of(GroupStatusRequest)) / 3
+                self.assertLessEqual(probes * proxies / 9.0, EntrySettings().probe_rate)
+                self.assertGreaterEqual(probes, 5)
+
     def test_claims_that_are_not_believed(self) -> None:
         """Rows: name, statuses shown."""
         replica = DatabaseRole.REPLICA
