--- a/src/dewledge/core/entry/state.py
+++ b/src/dewledge/core/entry/state.py
@@ -61,7 +61,7 @@
 
     @property
     def probe_stretch(self) -> float:
-        """By what the pauses between probes are multiplied, for the number of proxies; 1 or more."""
+        """By what the pauses between probes are multiplied for many proxies; 1 or more."""
         settings = self.settings
         needed = self.placement.proxy_count / settings.probe_rate
         return max(1.0, needed / settings.probe_interval_least)
