Switch both guards off in the naive way of a drain, and prove the second one alone

Cause: since a proxy whose peers know a later configuration takes no new work, so the naive proxy that drops every change no longer breaks the promise, and the test that it is found was red. Change: that test switches the new guard off as well; a new one shows that with it on, a proxy that never learns the drain takes no new work at the drained database.

--- a/tests/contracts/test_retired_databases.py
+++ b/tests/contracts/test_retired_databases.py
@@ -1,9 +1,13 @@
 """A database being retired receives no new work a few seconds after it starts leaving."""
 
+from unittest import mock
+
+from dewledge.core.configuration.spread import ConfigurationSpread
 from dewledge.simulation.faults import Fault, FaultKind
 from dewledge.simulation.naive import DeafToChanges
+from dewledge.simulation.scenario import run_scenario
 from dewledge.simulation.violations import Promise
-from tests.contracts.fault_table import ContractTestCase, Expected, Row
+from tests.contracts.fault_table import FIRST_SEED, SEEDS, ContractTestCase, Expected, Row
 
 DRAIN = Fault(FaultKind.DATABASE_DRAINED, 1.0)
 DRAIN_PRIMARY = Fault(FaultKind.PRIMARY_DRAINED, 1.0)
@@ -36,4 +40,15 @@
         self.check_rows(ROWS)
 
     def test_a_proxy_that_does_not_hear_of_the_drain_is_found(self) -> None:
-        self.check_naive((DRAIN,), Promise.RETIRED_DATABASES, DeafToChanges)
+        """Without the changes, and without the guard against peers that know later ones."""
+        with mock.patch.object(ConfigurationSpread, "is_behind", False):
+            self.check_naive((DRAIN,), Promise.RETIRED_DATABASES, DeafToChanges)
+
+    def test_a_proxy_that_never_learns_the_drain_takes_no_new_work(self) -> None:
+        for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
+            with self.subTest(seed=seed):
+                verdict = run_scenario(self.scenario((DRAIN,)), seed, DeafToChanges)
+                broken = [
+                    item for item in verdict.violations if item.promise is Promise.RETIRED_DATABASES
+                ]
+                self.assertEqual(broken, [], verdict.describe())
