Interrupt the proxy that holds the transactions, not the active gateway

Change: the proxy to kill or freeze is the one that the transaction ids name; transactions held by more than one are rolled back and opened anew. An attempt whose write fails is rolled back, so that it does not count as open. Ruled out: a gateway that moves (one proxy per zone, so the placement did not change there). Conclusion: a fault of the test; the product is as it should be.

--- a/tests/processes/test_transactions.py
+++ b/tests/processes/test_transactions.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from dewledge.core.calls import Operation, Outcome
+from dewledge.core.transaction_ids import gateway_of_transaction
 from dewledge.simulation.history import RequestRecord
 from dewledge.standin.group_types import ActivityEntry, ActivityKind
 from tests.process_cluster import ProxyProcess, await_state
@@ -18,7 +19,7 @@
 
 
 class TransactionRow(msgspec.Struct, frozen=True):
-    """A fault of the gateway that holds open transactions. lost: they cannot go on."""
+    """A fault of the proxy that holds open transactions. lost: they cannot go on."""
 
     name: str
     fault: Fault
@@ -48,7 +49,15 @@
         self.caller.roam()
         if self.caller.begin(self.tag).outcome is not Outcome.DONE:
             return False
-        return self.caller.append_in_transaction(self.tag).outcome is Outcome.DONE
+        if self.caller.append_in_transaction(self.tag).outcome is Outcome.DONE:
+            return True
+        self.roll_back()
+        return False
+
+    @property
+    def holder(self) -> str | None:
+        """The proxy that holds it, which need not be the active gateway by now."""
+        return gateway_of_transaction(self.caller.transaction or "")
 
     def write_through(self, proxy: ProxyProcess) -> RequestRecord:
         """Writes once more, through a proxy of choice."""
@@ -96,14 +105,23 @@
 
     def _open(self, observation: Observation) -> tuple[list[ActivityEntry], list[OpenTransaction]]:
         """Returns what the database saw until all transactions were open, and those."""
-        transactions = self._fill_slots(observation, "interrupted", finish=False)
-        return self.cluster.group_client.activity(), transactions
+        opened: list[OpenTransaction] = []
+
+        def is_held_by_one() -> bool:
+            self._roll_back(opened)
+            opened[:] = self._fill_slots(observation, new_marker(), finish=False)
+            return len({it.holder for it in opened}) == 1
+
+        await_state("one proxy holds all transactions", is_held_by_one)
+        return self.cluster.group_client.activity(), opened
 
     def _interrupt(
         self, row: TransactionRow, transactions: list[OpenTransaction]
     ) -> list[RequestRecord]:
         """Returns what callers were told after the fault."""
-        row.fault(self.cluster, self.cluster.gateway_of(self.cluster.current_primary()))
+        (holder,) = {it.holder for it in transactions}
+        assert holder is not None
+        row.fault(self.cluster, self.cluster.proxies[holder])
         proxies = self.cluster.answering_proxies()
         told = [it.write_through(proxy) for it in transactions for proxy in proxies]
         return told + [it.commit_through(proxies[0]) for it in transactions]
