Fail at once when a process of a test has ended, and show what it logged

Cause (test_transactions and test_answers, once: 'no log for 20 s'): the message quoted the log as of the start of the wait, which is always empty, and the wait did not notice that the process had ended. So a proxy that died while it imported modules looked like one that hung without a word. Both clusters failed at the same moment, while modules were being changed in the tree. Change: await_log ends with exit code and log as soon as the process has ended; the log in a message is read when the wait has failed. Ruled out: reused ports (each process binds port 0 and tells what it got); the readiness wait (it comes after the line that was missing); the loop's start (the first callback is posted before it runs). Conclusion: that the processes of that moment had died is likely, not proved; the next one will say so.

--- a/tests/process_cluster.py
+++ b/tests/process_cluster.py
@@ -26,12 +26,16 @@
 UNUSED_ADDRESS = "127.0.0.1:9"
 
 
-def await_state(what: str, is_reached: Callable[[], bool]) -> None:
-    """Polls until a state is reached; fails the test after a generous bound."""
+def await_state(what: str | Callable[[], str], is_reached: Callable[[], bool]) -> None:
+    """Polls until a state is reached; fails the test after a generous bound.
+
+    what: the state, or how to describe it and what stands in its way once the wait has failed.
+    """
     give_up_at = time.monotonic() + PATIENCE_SECONDS
     while not is_reached():
         if time.monotonic() > give_up_at:
-            raise AssertionError(f"not within {PATIENCE_SECONDS:g} s: {what}")
+            description = what if isinstance(what, str) else what()
+            raise AssertionError(f"not within {PATIENCE_SECONDS:g} s: {description}")
         time.sleep(POLL_SECONDS)
 
 
@@ -56,14 +60,18 @@
         return self._log.read_text(errors="replace")
 
     def await_log(self, pattern: str) -> re.Match[str]:
-        """Waits for a line that matches."""
-        await_state(
-            f"{self.name} logs {pattern}; it logged {self.log[-500:]}",
-            lambda: re.search(pattern, self.log) is not None,
-        )
-        found = re.search(pattern, self.log)
-        assert found is not None
-        return found
+        """Waits for a line that matches; fails at once when the process has ended without it."""
+        found: list[re.Match[str]] = []
+
+        def is_logged() -> bool:
+            exit_code = self._process.poll()
+            found.extend(re.finditer(pattern, self.log))
+            if not found and exit_code is not None:
+                raise AssertionError(f"{self.name} ended with {exit_code}; it logged {self.log}")
+            return bool(found)
+
+        await_state(lambda: f"{self.name} logs {pattern}; it logged {self.log}", is_logged)
+        return found[0]
 
     @property
     def pid(self) -> int:
