Keep the entry of the cost measurement from databases of its own

Cause: each process had its own stand-in databases. Before the gateway had the configuration, the entry stood in for it, and the first write raised the session's floor to a position that the gateway's databases never reached: reads of that session then waited and ended as not_fresh, and the measurement did not end. Change: the entry's driver refuses, so the first write goes on until the gateway serves it.

--- a/src/dewledge/shell/cost_nodes.py
+++ b/src/dewledge/shell/cost_nodes.py
@@ -29,7 +29,7 @@
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.ports import DatabaseConnection, DatabaseDriver, ExecutionResult
 from dewledge.core.positions import LogPosition, TermStart
-from dewledge.errors import DewledgeError
+from dewledge.errors import ConnectRefused, DewledgeError
 from dewledge.settings import ProxySettings
 from dewledge.shell.cost_callers import GROUP
 from dewledge.shell.cost_echo import EchoServer
@@ -49,6 +49,7 @@
 SLOTS = 32
 START_SECONDS = 20.0
 POLL_SECONDS = 0.05
+NOT_FROM_HERE = "only the gateway reaches the databases"
 ROWS = Rows(("number", "state"), ((7, "submitted"),), 0)
 
 
@@ -76,6 +77,22 @@
         return self.position
 
 
+class UnreachableDatabases(DatabaseDriver):
+    """The databases as the entry sees them.
+
+    Were it to stand in for the gateway, it would do so with databases of its own process: a session
+    begun there waits for positions that the gateway's databases never reach.
+    """
+
+    def connect(self, address: str, timeout: float) -> DatabaseConnection:
+        """Refuses; see DatabaseDriver."""
+        raise ConnectRefused(NOT_FROM_HERE)
+
+    def read_status(self, address: str, timeout: float) -> DatabaseStatus:
+        """Refuses; see DatabaseDriver."""
+        raise ConnectRefused(NOT_FROM_HERE)
+
+
 class InstantConnection(DatabaseConnection):
     """One connection; see DatabaseConnection."""
 
@@ -161,10 +178,12 @@
 def _serve_gateway() -> None:
     platform = PlatformServer(PlatformSettings())
     platform.start()
-    _serve_proxy("gateway", platform.address, ())
+    _serve_proxy("gateway", platform.address, (), InstantDatabases())
 
 
-def _serve_proxy(name: str, platform: str, seeds: tuple[str, ...]) -> None:
+def _serve_proxy(
+    name: str, platform: str, seeds: tuple[str, ...], databases: DatabaseDriver
+) -> None:
     settings = ProxySettings(
         name=name,
         zone=name,
@@ -177,7 +196,7 @@
         bootstrap_operator_token_sha256=_digest(OPERATOR_TOKEN),
     )
     configure_log("WARNING")
-    server = ProxyServer(settings, InstantDatabases())
+    server = ProxyServer(settings, databases)
     ready = NodeReady(
         threading.get_native_id(), server.caller_address, server.gossip_address, platform
     )
@@ -216,7 +235,7 @@
         case ["gateway"]:
             _serve_gateway()
         case ["entry", platform, gossip]:
-            _serve_proxy("entry", platform, (gossip,))
+            _serve_proxy("entry", platform, (gossip,), UnreachableDatabases())
 
 
 if __name__ == "__main__":
