Sort a status round's readings once for all writes it may confirm

Cause: of a gateway's loop under writes, 16% went to judging claims (cProfile): the readings were filtered and sorted by term anew for each waiting write, at each reading. Change: RoundEvidence holds what a round's claims have in common; judge's rules are as before. Its signature changed, so test_confirmation builds the evidence; each expectation stands. Ruled out: skipping claims before a majority has answered; the test that switches judge off would then have seen less.

--- a/src/dewledge/core/gateway/confirmation.py
+++ b/src/dewledge/core/gateway/confirmation.py
@@ -88,18 +88,39 @@
     return not is_cut_off(position, status.term_starts)
 
 
-def judge(
-    claim: Claim, statuses: Iterable[DatabaseStatus], group_size: int, policy: Confirmation
-) -> Verdict:
+class RoundEvidence:
+    """The readings of one round as they are now, to judge any number of claims by.
+
+    What the claims have in common is worked out once: under load a round has dozens of them.
+    """
+
+    __slots__ = ("_in_term", "_statuses", "highest_term", "majority", "policy")
+
+    def __init__(
+        self, statuses: Iterable[DatabaseStatus], group_size: int, policy: Confirmation
+    ) -> None:
+        self._statuses = list(statuses)
+        self._in_term: dict[int, list[DatabaseStatus]] = {}
+        self.highest_term = highest_term(self._statuses)
+        self.majority = majority_of(group_size)
+        self.policy = policy
+
+    def statuses_in(self, term: int) -> list[DatabaseStatus]:
+        """Returns the readings of databases that are in `term`."""
+        found = self._in_term.get(term)
+        if found is None:
+            found = [status for status in self._statuses if status.term == term]
+            self._in_term[term] = found
+        return found
+
+
+def judge(claim: Claim, evidence: RoundEvidence) -> Verdict:
     """Tells what the readings of one round prove about a claim."""
-    known = list(statuses)
     term = claim.term
-    seen = highest_term(known)
-    if seen > term:
+    if evidence.highest_term > term:
         return Verdict.SUPERSEDED
-    in_term = [status for status in known if status.term == term]
-    majority = majority_of(group_size)
-    if len(in_term) < majority:
+    in_term = evidence.statuses_in(term)
+    if len(in_term) < evidence.majority:
         return Verdict.UNDECIDED
     if claim.needs_primary_reading:
         own = [status for status in in_term if status.database == claim.database]
@@ -107,7 +128,7 @@
             return Verdict.UNDECIDED
         if own[0].role is not DatabaseRole.PRIMARY:
             return Verdict.SUPERSEDED
-    if not claim.write or policy is Confirmation.MAJORITY_TERM:
+    if not claim.write or evidence.policy is Confirmation.MAJORITY_TERM:
         return Verdict.CONFIRMED
     holders = sum(1 for status in in_term if holds(status, claim.position, term))
-    return Verdict.CONFIRMED if holders >= majority else Verdict.UNDECIDED
+    return Verdict.CONFIRMED if holders >= evidence.majority else Verdict.UNDECIDED
--- a/src/dewledge/core/gateway/group_monitor.py
+++ b/src/dewledge/core/gateway/group_monitor.py
@@ -5,7 +5,7 @@
 from dewledge.core.configuration.resources import Confirmation
 from dewledge.core.effects import SendToPeer
 from dewledge.core.gateway.admission import UsualTime
-from dewledge.core.gateway.confirmation import Claim, Verdict, judge
+from dewledge.core.gateway.confirmation import Claim, RoundEvidence, Verdict, judge
 from dewledge.core.gateway.context import GatewayContext, Timer
 from dewledge.core.gateway.status_cache import StatusCache
 from dewledge.core.gateway.status_rounds import StatusRound, StatusRounds
@@ -146,7 +146,7 @@
         """
         waiter = _Waiter(claim, after_round, on_verdict, now)
         if self._latest is not None and self._counts(waiter, self._latest, now):
-            verdict = self._judge(waiter, self._latest)
+            verdict = judge(claim, self._evidence(self._latest))
             if verdict is not Verdict.UNDECIDED:
                 on_verdict(verdict, now)
                 return
@@ -224,10 +224,13 @@
             self._rounds.want(now)
 
     def _judge_waiters(self, status_round: StatusRound, now: float) -> None:
+        if not self._waiters or self._is_too_old(status_round, now):
+            return
+        evidence = self._evidence(status_round)
         for number, waiter in list(self._waiters.items()):
-            if number not in self._waiters or not self._counts(waiter, status_round, now):
+            if number not in self._waiters or status_round.round_id <= waiter.after_round:
                 continue
-            verdict = self._judge(waiter, status_round)
+            verdict = judge(waiter.claim, evidence)
             if verdict is not Verdict.UNDECIDED:
                 self._settle(number, verdict, now)
 
@@ -243,15 +246,18 @@
         """Tells whether a round began late enough, and lately enough, to prove anything."""
         if status_round.round_id <= waiter.after_round:
             return False
-        return now - status_round.started_at <= self._settings.round_age_bound
+        return not self._is_too_old(status_round, now)
+
+    def _is_too_old(self, status_round: StatusRound, now: float) -> bool:
+        return now - status_round.started_at > self._settings.round_age_bound
 
-    def _judge(self, waiter: _Waiter, status_round: StatusRound) -> Verdict:
+    def _evidence(self, status_round: StatusRound) -> RoundEvidence:
         statuses = [
             status
             for name, status in status_round.statuses.items()
             if self._rounds.is_configured(name)
         ]
-        return judge(waiter.claim, statuses, self._rounds.group_size, self._policy)
+        return RoundEvidence(statuses, self._rounds.group_size, self._policy)
 
     def _expire(self, number: int, now: float) -> None:
         waiter = self._waiters.pop(number, None)
--- a/tests/core/gateway/test_confirmation.py
+++ b/tests/core/gateway/test_confirmation.py
@@ -6,7 +6,7 @@
 
 from dewledge.core.configuration.resources import Confirmation
 from dewledge.core.database_status import DatabaseRole, DatabaseStatus
-from dewledge.core.gateway.confirmation import Claim, Verdict, holds, judge
+from dewledge.core.gateway.confirmation import Claim, RoundEvidence, Verdict, holds, judge
 from dewledge.core.positions import LogPosition, TermStart
 from dewledge.errors import ErrorCode
 from tests.core.gateway.gateway_harness import (
@@ -83,13 +83,15 @@
     def test_judge(self) -> None:
         for row in JUDGEMENTS:
             with self.subTest(row.name):
-                verdict = judge(row.claim, row.readings, len(DATABASES), row.policy)
+                evidence = RoundEvidence(row.readings, len(DATABASES), row.policy)
+                verdict = judge(row.claim, evidence)
                 self.assertIs(verdict, row.expected)
 
     def test_majority_of_the_configured_group(self) -> None:
         readings = (status(ONE, 2, 11), status(TWO, 2, 11))
         claim = Claim(ONE, LogPosition(2, 11), 2, True)
-        self.assertIs(judge(claim, readings, 4, POSITION), Verdict.UNDECIDED)
+        evidence = RoundEvidence(readings, 4, POSITION)
+        self.assertIs(judge(claim, evidence), Verdict.UNDECIDED)
 
     def test_entry_that_the_log_is_about_to_cut_off_is_not_held(self) -> None:
         cut = status(TWO, 3, 12, log_term=2, term_starts=(TermStart(2, 5), TermStart(3, 11)))
