Start no database thread for effects that come after the end

Cause: while a proxy stops, answers that still arrive lead to effects; after the workers had shut down such an effect made new executors that nobody ended (test_embedded, once in two whole runs: the worker threads do not end). Change: once shut down, the workers open nothing and read no status.

--- a/src/dewledge/shell/database_workers.py
+++ b/src/dewledge/shell/database_workers.py
@@ -90,6 +90,7 @@
         self._threads: dict[str, _DatabaseThreads] = {}
         self._connections: dict[int, _Connection] = {}
         self._last_prune = loop.now()
+        self._is_shut_down = False
 
     @property
     def connection_count(self) -> int:
@@ -97,7 +98,9 @@
         return len(self._connections)
 
     def open(self, effect: OpenConnection) -> None:
-        """Opens a connection."""
+        """Opens a connection; once shut down, nothing is opened and nothing reported."""
+        if self._is_shut_down:
+            return
         threads = self._threads_of(effect.database)
         threads.connections += 1
         self._connections[effect.connection_id] = _Connection(threads)
@@ -124,14 +127,17 @@
             self._close(effect.connection_id, connection)
 
     def read_statuses(self, effect: ReadStatuses) -> None:
-        """Asks each database of a round for its status."""
+        """Asks each database of a round for its status; once shut down, none."""
+        if self._is_shut_down:
+            return
         for database, address in zip(effect.databases, effect.addresses, strict=True):
             threads = self._threads_of(database)
             threads.statuses.submit(self._read_status, effect, database, address)
         self._prune()
 
     def shut_down(self) -> None:
-        """Closes all connections and lets the threads end."""
+        """Closes all connections and lets the threads end; effects that still come start none."""
+        self._is_shut_down = True
         for connection_id in list(self._connections):
             self.close(CloseConnection(connection_id))
         for threads in self._threads.values():
--- a/tests/shell/test_database_workers.py
+++ b/tests/shell/test_database_workers.py
@@ -21,6 +21,7 @@
 POLL_SECONDS = 0.005
 POSITION = LogPosition(1, 4)
 SLOW, GOOD, FULL, DEAD = "slow", "good", "full", "dead"
+THREAD_NAMES = (f"jobs-{GOOD}", f"status-{GOOD}")
 
 
 class Connection(DatabaseConnection):
@@ -188,6 +189,18 @@
         self.run_until("the end", lambda: self.driver.closed == [GOOD])
         self.assertEqual(self.opened, [])
 
+    def test_effects_after_the_end_start_no_thread(self) -> None:
+        self.workers.shut_down()
+        self.run_until("threads of other tests end", lambda: not self.threads())
+        self.workers.open(OpenConnection(1, GOOD, GOOD))
+        self.workers.read_statuses(ReadStatuses(1, "g", (GOOD,), (GOOD,), 0.5))
+        self.assertEqual(self.workers.connection_count, 0)
+        self.assertEqual(self.threads(), [])
+
+    def threads(self) -> list[str]:
+        names = [thread.name for thread in threading.enumerate()]
+        return [name for name in names if name.startswith(THREAD_NAMES)]
+
     def test_thread_frozen_before_its_job_begins_no_new_work(self) -> None:
         begun = {
             Operation.EXECUTE: JobNotRun,
