--- a/src/dewledge/shell/proxy_driver.py
+++ b/src/dewledge/shell/proxy_driver.py
@@ -30,7 +30,7 @@
 from dewledge.core.jobs import JobResult, StatusReading
 from dewledge.core.membership.member import Member
 from dewledge.core.membership.messages import MembersChanged, SendDatagram
-from dewledge.core.messages import PeerMessage
+from dewledge.core.messages import PeerMessage, StatementRequest
 from dewledge.core.ports import MachineState
 from dewledge.core.proxy.core import ProxyCore
 from dewledge.core.proxy.effects import ProxyEffect, ReadMachineList
@@ -49,6 +49,7 @@
     """The running core as the rest of the shell sees it. Belongs to the loop's thread.
 
     `connect` gives it the means to carry out effects, before `start`.
+    last_peer_request_at: when a peer last asked for a statement, on the loop's clock.
     """
 
     def __init__(self, loop: EventLoop, name: str, zone: str, deadlines: DeadlineBounds) -> None:
@@ -57,6 +58,7 @@
         self.deadlines = deadlines
         self.metrics = ProxyMetrics()
         self.now = loop.now
+        self.last_peer_request_at = float("-inf")
         self._loop = loop
         self._core: ProxyCore
         self._links: PeerLinks
@@ -191,6 +193,8 @@
 
     def peer_message(self, peer: str, message: PeerMessage) -> None:
         """Brings a peer's message to the core."""
+        if isinstance(message, StatementRequest):
+            self.last_peer_request_at = self.now()
         self._carry_out(self._core.handle_peer_message(peer, message, self.now()))
 
     def inbound_opened(self, peer: str, incarnation: int) -> None:
--- a/src/dewledge/shell/proxy_server.py
+++ b/src/dewledge/shell/proxy_server.py
@@ -28,15 +28,10 @@
 from dewledge.shell.http_server import HttpServer
 from dewledge.shell.peer_links import PeerLinks
 from dewledge.shell.proxy_driver import ProxyDriver
+from dewledge.shell.stop_rule import StopProgress, may_finish
 from dewledge.shell.store_calls import StoreCalls
 
 STOP_CHECK_SECONDS = 0.02
-LEAVE_GRACE_SECONDS = 1.0
-"""A leaving proxy answers on for so long at least, until peers and callers know."""
-
-IDLE_GRACE_SECONDS = 2.0
-"""Callers' connections that stay idle for so long after leaving began are closed."""
-
 FAREWELL_SECONDS = 0.5
 """How long callers get to read their last answers and hang up."""
 
@@ -197,12 +192,15 @@
 
     def _may_finish(self) -> bool:
         assert self._leaving_since is not None
-        elapsed = self.loop.now() - self._leaving_since
-        if elapsed >= self.settings.timings.leave_bound:
-            return True
-        if elapsed < LEAVE_GRACE_SECONDS or self._http.in_flight or not self._driver.is_idle:
-            return False
-        return self._http.connection_count == 0 or elapsed >= IDLE_GRACE_SECONDS
+        now = self.loop.now()
+        progress = StopProgress(
+            elapsed=now - self._leaving_since,
+            since_request=now - self._driver.last_peer_request_at,
+            in_flight=self._http.in_flight,
+            core_idle=self._driver.is_idle,
+            connections=self._http.connection_count,
+        )
+        return may_finish(progress, self.settings.timings.leave_bound)
 
     def _await_farewell(self, until: float) -> None:
         if self._http.connection_count and self.loop.now() < until:
