--- a/tests/standin/test_group_model.py
+++ b/tests/standin/test_group_model.py
@@ -1,13 +1,11 @@
 """The group model: what it promises to those who test against it."""
 
-import unittest
 from collections.abc import Callable
-from random import Random
 from typing import NamedTuple
 
 from dewledge.core.calls import Access, Statement
 from dewledge.core.database_status import DatabaseRole
-from dewledge.core.positions import LogPosition, TermStart, is_cut_off, satisfies
+from dewledge.core.positions import TermStart, is_cut_off, satisfies
 from dewledge.errors import (
     ConnectionBroken,
     ConnectionLimitReached,
@@ -19,62 +17,11 @@
     TransactionConflict,
 )
 from dewledge.standin.checkpoints import CHECKPOINT_INTERVAL
-from dewledge.standin.group_model import GroupModel
 from dewledge.standin.group_types import (
     DatabaseNotAnswering,
-    GroupTiming,
     LagStage,
-    ModelDatabase,
 )
-
-NAMES = ("a", "b", "c")
-TIMING = GroupTiming()
-SETTLE = 3.0
-"""Seconds of the model's time after which an election is over."""
-
-CREATE = Statement("CREATE TABLE notes (id INTEGER PRIMARY KEY, body TEXT)")
-SELECT = Statement("SELECT body FROM notes ORDER BY id")
-
-
-def insert(body: str) -> Statement:
-    return Statement("INSERT INTO notes (body) VALUES (?)", (body,))
-
-
-class GroupModelCase(unittest.TestCase):
-    def setUp(self) -> None:
-        self.now = 0.0
-        self.start(seed=1)
-
-    def start(self, seed: int) -> None:
-        databases = tuple(ModelDatabase(name, name, name, max_connections=4) for name in NAMES)
-        self.model = GroupModel("group", databases, TIMING, Random(seed), self.now)
-        self.session = self.open("a")
-        self.write(CREATE)
-
-    def open(self, database: str) -> int:
-        return self.model.open_session(database, self.now)
-
-    def write(self, statement: Statement, session: int | None = None) -> LogPosition:
-        chosen = self.session if session is None else session
-        return self.model.execute(chosen, statement, Access.WRITE, self.now).position
-
-    def bodies(self, session: int) -> list[object]:
-        found = self.model.execute(session, SELECT, Access.READ, self.now)
-        return [row[0] for row in found.rows.rows]
-
-    def wait(self, seconds: float = SETTLE) -> None:
-        self.now += seconds
-        self.model.advance(self.now)
-
-    def begin(self, database: str = "a") -> int:
-        session = self.open(database)
-        self.model.begin(session, self.now)
-        return session
-
-    def status(self, database: str):
-        found = self.model.status(database, self.now)
-        assert found is not None
-        return found
+from tests.standin.group_model_case import NAMES, SETTLE, GroupModelCase, insert
 
 
 class ReplacedPrimary(NamedTuple):
@@ -331,75 +278,3 @@
                     self.bodies(self.session)
                 with self.assertRaises(ConnectRefused):
                     self.open("a")
-
-
-class SafetyUnderRandomFaultsTest(GroupModelCase):
-    """Random faults and writes, seeded: what a majority held in its term is never lost."""
-
-    SEEDS = range(40)
-    STEPS = 40
-
-    def test_safety(self) -> None:
-        for seed in self.SEEDS:
-            with self.subTest(seed=seed):
-                self.setUp()
-                self.start(seed)
-                self.run_steps(Random(seed))
-
-    def run_steps(self, random: Random) -> None:
-        confirmed: set[LogPosition] = set()
-        for _ in range(self.STEPS):
-            self.step(random)
-            self.wait(random.choice((0.001, 0.05, 0.4, 1.5)))
-            statuses = [status for name in NAMES if (status := self.model.status(name, self.now))]
-            primaries = [item.term for item in statuses if item.role is DatabaseRole.PRIMARY]
-            self.assertEqual(len(primaries), len(set(primaries)), "two primaries in one term")
-            for entry in self.model.history:
-                holders = [
-                    item
-                    for item in statuses
-                    if item.term == entry.position.term and item.received >= entry.position
-                ]
-                if len(holders) > len(NAMES) // 2:
-                    confirmed.add(entry.position)
-        self.mend_all()
-        surviving = self.model.surviving_log()
-        self.assertLessEqual(confirmed, {entry.position for entry in surviving})
-        for name in NAMES:
-            self.assertEqual(self.status(name).applied, self.status("a").applied)
-            self.assertEqual(self.status(name).applied.offset, len(surviving))
-            self.assertEqual(len(self.bodies(self.open(name))), len(surviving) - 1)
-
-    def step(self, random: Random) -> None:
-        name = random.choice(NAMES)
-        faults: tuple[Callable[[], object], ...] = (
-            lambda: self.model.cut_off(name, random.random() < 0.5, self.now),
-            lambda: self.model.heal(name, self.now),
-            lambda: self.model.freeze(name, self.now),
-            lambda: self.model.thaw(name, self.now),
-            lambda: self.model.kill(name, self.now),
-            lambda: self.model.restart(name, self.now),
-            lambda: self.model.set_lag(name, random.choice((0.0, 0.2, 2.0)), self.now),
-        )
-        if random.random() < 0.4:
-            random.choice(faults)()
-        for database in self.model.primaries():
-            try:
-                session = self.open(database)
-                self.write(insert("x"), session)
-                self.model.close_session(session, self.now)
-            except (DatabaseError, ConnectRefused):
-                continue
-
-    def mend_all(self) -> None:
-        for name in NAMES:
-            self.model.restart(name, self.now)
-            self.model.thaw(name, self.now)
-            self.model.heal(name, self.now)
-            self.model.set_lag(name, 0.0, self.now)
-            self.model.reset_connections(name, self.now)
-        self.wait(10 * SETTLE)
-
-
-if __name__ == "__main__":
-    unittest.main()
