--- a/src/dewledge/core/entry/group_description.py
+++ b/src/dewledge/core/entry/group_description.py
@@ -40,11 +40,6 @@
     lag_deviation: float = 0.0
     gamble_success: float = 1.0
 
-    @property
-    def is_known(self) -> bool:
-        """Whether any status was seen."""
-        return self.seen_at > _NEVER
-
 
 class GroupDescription(msgspec.Struct, frozen=True):
     """The group as last seen.
--- a/src/dewledge/shell/outbound_peer.py
+++ b/src/dewledge/shell/outbound_peer.py
@@ -89,11 +89,6 @@
         """Whether messages leave at once."""
         return self._is_greeted
 
-    @property
-    def is_unused(self) -> bool:
-        """Whether there is neither a link nor anything that waits for one."""
-        return self._link is None and self._dialling is None and not self._waiting
-
     @property
     def awaits_answers(self) -> bool:
         """Whether an answer is due on this link, so that its silence means something."""
