Begin the pooler: sessions over shared database connections on the users' platform

First cut of the thin path: sessions bound to a connection, routes with consistency, proven positions, pools, and an adapter for the platform's wire and store.

--- a/src/dewledge/cli/main.py
+++ b/src/dewledge/cli/main.py
@@ -46,6 +46,7 @@
 
 COMMANDS: dict[str, CommandSource] = {
     "proxy": CommandSource("dewledge.cli.proxy_command", "proxy"),
+    "pooler": CommandSource("dewledge.cli.pooler_command", "pooler"),
     "check": CommandSource("dewledge.cli.check", "check"),
     "apply": CommandSource("dewledge.cli.operator_commands", "apply"),
     "get": CommandSource("dewledge.cli.operator_commands", "get"),
--- /dev/null
+++ b/src/dewledge/core/coordination_store.py
@@ -0,0 +1,66 @@
+"""The table store as a contract: rows with versions, a feed of changes, conditional writes."""
+
+from typing import Protocol
+
+import msgspec
+
+from dewledge.errors import ErrorCode, StoreError
+
+
+class HistoryLost(StoreError):
+    """The feed cannot go on from the version asked for; the table must be read anew."""
+
+    code = ErrorCode.NOT_FOUND
+
+
+class StoreRow(msgspec.Struct, frozen=True):
+    """One row; `gone` marks one that was removed."""
+
+    key: str
+    value: bytes
+    version: int
+    gone: bool = False
+
+
+class TableRows(msgspec.Struct, frozen=True):
+    """A whole table at one version. `store_time`: the store's steady clock, seconds."""
+
+    rows: tuple[StoreRow, ...]
+    version: int
+    store_time: float
+
+
+class FeedAnswer(msgspec.Struct, frozen=True):
+    """The rows that changed, in order, and the version to go on from."""
+
+    rows: tuple[StoreRow, ...]
+    version: int
+
+
+class StoreWrite(msgspec.Struct, frozen=True):
+    """One row to put if it still has the version `expected`; 0: if it is not there."""
+
+    table: str
+    key: str
+    value: bytes
+    expected: int
+
+
+class CoordinationStore(Protocol):
+    """What the product needs of a table store. Calls block; all raise StoreError."""
+
+    def read_table(self, table: str) -> TableRows:
+        """Returns all rows of a table."""
+
+    def watch_table(self, table: str, after: int, wait: float) -> FeedAnswer:
+        """Returns changes after a version, waiting `wait` seconds. Raises HistoryLost."""
+
+    def write(self, write: StoreWrite) -> int:
+        """Returns the new version. Raises StoreConditionFailed, StoreOutcomeUnknown."""
+
+
+class DutyCalls(Protocol):
+    """Calls that the platform takes from the holder of a lease, guarded by a fencing token."""
+
+    def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> int:
+        """Returns the status of the answer, 200 if accepted. Raises StoreError."""
--- /dev/null
+++ b/src/dewledge/core/pooling/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions bound to a connection, before database connections that many sessions share."""
--- /dev/null
+++ b/src/dewledge/core/pooling/client_session.py
@@ -0,0 +1,289 @@
+"""One client connection: what the proxy answers by itself, and what goes to a database."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from dewledge.core.pooling.events import TransactionEnded
+from dewledge.core.pooling.services import PoolServices
+from dewledge.core.pooling.session_state import (
+    MAX_PREPARED,
+    MAX_VALUES,
+    OpenTransaction,
+    PreparedShape,
+    SessionState,
+)
+from dewledge.core.pooling.statement_run import StatementRun
+from dewledge.core.pooling.statements import (
+    ClientMessage,
+    Failure,
+    MalformedInput,
+    Reply,
+    Startup,
+    Statement,
+    StatementKind,
+    Terminate,
+    TransactionState,
+)
+from dewledge.errors import ErrorCode
+
+MAX_PIPELINED = 64
+
+_ENDS = frozenset({StatementKind.COMMIT, StatementKind.ROLLBACK})
+_BEGINS = frozenset({StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY})
+_RUNS = frozenset(
+    {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT}
+)
+
+
+class ClientTransport(Protocol):
+    """The client's side of a session; the shell meets it."""
+
+    def send_ready(self) -> None:
+        """Tells the client that its session stands."""
+
+    def send_reply(self, statement_id: str, reply: Reply) -> None:
+        """Answers a statement."""
+
+    def send_refusal(self, failure: Failure) -> None:
+        """Refuses the session and closes the connection."""
+
+    def close(self) -> None:
+        """Closes the connection once everything sent has left."""
+
+
+class ClientSession:
+    """The state machine of one client connection. Statements run one after the other."""
+
+    def __init__(self, name: str, services: PoolServices, transport: ClientTransport) -> None:
+        self._name = name
+        self._services = services
+        self._transport = transport
+        self._state: SessionState | None = None
+        self._run: StatementRun | None = None
+        self._queue: deque[Statement | MalformedInput] = deque()
+        self._ended = False
+        self._leaving = False
+
+    @property
+    def at_rest(self) -> bool:
+        """Whether no statement is being answered and no transaction is open."""
+        busy = self._run is not None or bool(self._queue)
+        return not busy and (self._state is None or self._state.transaction is None)
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the session was accepted."""
+        return self._state is not None
+
+    def handle(self, message: ClientMessage) -> None:
+        """Takes the next message of the client."""
+        if self._ended:
+            return
+        if isinstance(message, Startup):
+            self._start(message)
+        elif isinstance(message, Terminate):
+            self.end()
+            self._transport.close()
+        elif self._state is None or (isinstance(message, MalformedInput) and message.fatal):
+            self._refuse(ErrorCode.MALFORMED_REQUEST, "not a message of this session")
+        elif len(self._queue) >= MAX_PIPELINED:
+            self._refuse(ErrorCode.MALFORMED_REQUEST, "too many statements without an answer")
+        else:
+            self._queue.append(message)
+            self._serve_queue()
+
+    def leave(self) -> None:
+        """Planned stop: closes at the next rest."""
+        self._leaving = True
+        self._close_if_leaving()
+
+    def end_transaction(self, reason: str) -> None:
+        """Rolls back an open transaction that rests; the next statement is told."""
+        state = self._state
+        if state is None or self._run is not None or state.transaction is None:
+            return
+        transaction = state.transaction
+        if not transaction.failed:
+            self._roll_back(state, transaction, reason)
+            transaction.failed = True
+            transaction.lost = True
+
+    def resting_since(self) -> float | None:
+        """Returns since when an open transaction with a connection rests, or None."""
+        state = self._state
+        if state is None or self._run is not None or state.transaction is None:
+            return None
+        transaction = state.transaction
+        return transaction.last_used if transaction.connection is not None else None
+
+    def end(self) -> None:
+        """The client's connection is gone."""
+        if self._ended:
+            return
+        self._ended = True
+        self._queue.clear()
+        if self._run is not None:
+            self._run.abandon()
+            if self._state is not None and self._state.transaction is not None:
+                self._state.transaction.connection = None
+            self._run = None
+        state = self._state
+        if state is not None and state.transaction is not None:
+            self._roll_back(state, state.transaction, "client_left")
+            state.transaction = None
+
+    def _start(self, startup: Startup) -> None:
+        if self._state is not None:
+            self._refuse(ErrorCode.MALFORMED_REQUEST, "the session stands already")
+        elif self._services.routes.find(startup.database) is None:
+            self._refuse(ErrorCode.UNKNOWN_GROUP, "no route of this name")
+        else:
+            self._state = SessionState(self._name, startup.database, startup.user)
+            self._transport.send_ready()
+
+    def _refuse(self, code: ErrorCode, message: str) -> None:
+        self.end()
+        self._transport.send_refusal(Failure(code, message))
+
+    def _serve_queue(self) -> None:
+        while self._queue and self._run is None and not self._ended:
+            self._serve(self._queue.popleft())
+
+    def _serve(self, message: Statement | MalformedInput) -> None:
+        state = self._state
+        assert state is not None
+        if isinstance(message, MalformedInput):
+            self._fail(message.statement_id, ErrorCode.MALFORMED_REQUEST, message.message)
+        elif state.transaction is not None and state.transaction.failed:
+            self._serve_failed_transaction(state, state.transaction, message)
+        elif message.kind in _BEGINS:
+            self._begin(state, message)
+        elif message.kind is StatementKind.ROLLBACK:
+            self._rollback(state, message)
+        elif message.kind in _RUNS:
+            self._run_statement(state, message)
+        else:
+            self._change_session(state, message)
+
+    def _serve_failed_transaction(
+        self, state: SessionState, transaction: OpenTransaction, statement: Statement
+    ) -> None:
+        if statement.kind is StatementKind.ROLLBACK:
+            state.transaction = None
+            self._complete(statement)
+        elif statement.kind is StatementKind.COMMIT:
+            state.transaction = None
+            self._fail(statement.id, ErrorCode.TRANSACTION_LOST, "rolled back")
+        elif transaction.lost:
+            transaction.lost = False
+            self._fail(statement.id, ErrorCode.TRANSACTION_LOST, "rolled back")
+        else:
+            self._fail(statement.id, ErrorCode.MALFORMED_REQUEST, "the transaction has failed")
+
+    def _begin(self, state: SessionState, statement: Statement) -> None:
+        if state.transaction is not None:
+            self._fail(statement.id, ErrorCode.MALFORMED_REQUEST, "a transaction is open")
+            return
+        route = self._services.routes.find(state.database)
+        if route is None:
+            self._fail(statement.id, ErrorCode.UNKNOWN_GROUP, "no route of this name")
+            return
+        read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
+        now = self._services.scheduler.now()
+        state.transaction = OpenTransaction(route, read_only, now)
+        self._complete(statement)
+
+    def _rollback(self, state: SessionState, statement: Statement) -> None:
+        transaction = state.transaction
+        if transaction is None:
+            self._fail(statement.id, ErrorCode.MALFORMED_REQUEST, "no transaction is open")
+            return
+        self._roll_back(state, transaction, "")
+        state.transaction = None
+        self._complete(statement)
+
+    def _roll_back(self, state: SessionState, transaction: OpenTransaction, reason: str) -> None:
+        connection = transaction.connection
+        if connection is None:
+            return
+        transaction.connection = None
+        group = self._services.groups.get(transaction.route.group)
+        if group is not None:
+            group.roll_back(connection, self._services.scheduler)
+        else:
+            connection.close()
+        if reason:
+            event = TransactionEnded(state.name, connection.database_id, reason)
+            self._services.record(event)
+
+    def _run_statement(self, state: SessionState, statement: Statement) -> None:
+        transaction = state.transaction
+        if statement.kind is StatementKind.COMMIT and transaction is None:
+            self._fail(statement.id, ErrorCode.MALFORMED_REQUEST, "no transaction is open")
+            return
+        if statement.kind is StatementKind.EXECUTE and statement.name not in state.prepared:
+            if transaction is not None:
+                self.end_transaction("unknown_statement")
+                transaction.lost = False
+            self._fail(statement.id, ErrorCode.UNKNOWN_STATEMENT, "no such name")
+            return
+        route = transaction.route if transaction is not None else None
+        route = route or self._services.routes.find(state.database)
+        group = self._services.groups.get(route.group) if route is not None else None
+        if route is None or group is None:
+            self._fail(statement.id, ErrorCode.UNKNOWN_GROUP, "no route of this name")
+            return
+        run = StatementRun(
+            self._services, group, route, state, statement, self._answerer(statement.id)
+        )
+        self._run = run
+        run.start()
+
+    def _answerer(self, statement_id: str) -> Callable[[Reply], None]:
+        def answer(reply: Reply) -> None:
+            self._run = None
+            if self._ended:
+                return
+            self._transport.send_reply(statement_id, reply)
+            self._close_if_leaving()
+            self._serve_queue()
+
+        return answer
+
+    def _change_session(self, state: SessionState, statement: Statement) -> None:
+        if statement.kind is StatementKind.SET_VALUE:
+            known = statement.name in state.values
+            if not known and len(state.values) >= MAX_VALUES:
+                self._fail(statement.id, ErrorCode.TOO_LARGE, "too many values")
+                return
+            state.values[statement.name] = statement.argument
+        elif statement.kind is StatementKind.PREPARE:
+            if statement.name not in state.prepared and len(state.prepared) >= MAX_PREPARED:
+                self._fail(statement.id, ErrorCode.TOO_LARGE, "too many prepared statements")
+                return
+            shape = PreparedShape(statement.writes, statement.argument)
+            state.prepared[statement.name] = shape
+        else:
+            state.prepared.pop(statement.name, None)
+        self._complete(statement)
+
+    def _complete(self, statement: Statement) -> None:
+        self._transport.send_reply(statement.id, Reply(self._transaction_state()))
+        self._close_if_leaving()
+
+    def _fail(self, statement_id: str, code: ErrorCode, message: str) -> None:
+        reply = Reply(self._transaction_state(), failure=Failure(code, message))
+        self._transport.send_reply(statement_id, reply)
+        self._close_if_leaving()
+
+    def _transaction_state(self) -> TransactionState:
+        state = self._state
+        if state is None or state.transaction is None:
+            return TransactionState.IDLE
+        return TransactionState.FAILED if state.transaction.failed else TransactionState.OPEN
+
+    def _close_if_leaving(self) -> None:
+        if self._leaving and self.at_rest and not self._ended:
+            self.end()
+            self._transport.close()
--- /dev/null
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -0,0 +1,205 @@
+"""The connections of this proxy to one database: a share of its limit, and a queue before them."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Protocol
+
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.errors import ErrorCode
+
+OPEN_BACKOFF_SECONDS = 0.25
+LIMIT_BACKOFF_SECONDS = 1.0
+
+
+class Denial(StrEnum):
+    """Why a pool gave no connection."""
+
+    FULL = "full"
+    UNREACHABLE = "unreachable"
+    CLOSED = "closed"
+
+
+class Opener(Protocol):
+    """Opens connections; the shell meets it."""
+
+    def open(
+        self,
+        database_id: str,
+        opened: Callable[[DatabaseConnection], None],
+        failed: Callable[[ErrorCode], None],
+        closed: Callable[[DatabaseConnection], None],
+    ) -> None:
+        """Calls `opened` or `failed` once; after `opened`, `closed` at the connection's end."""
+
+
+class Waiter:
+    """A statement that waits for a connection."""
+
+    __slots__ = ("denied", "given", "order", "priority", "withdrawn")
+
+    def __init__(
+        self,
+        priority: int,
+        given: Callable[[DatabaseConnection], None],
+        denied: Callable[[Denial], None],
+    ) -> None:
+        self.priority = priority
+        self.given = given
+        self.denied = denied
+        self.withdrawn = False
+        self.order = 0
+
+    def __lt__(self, other: "Waiter") -> bool:
+        return (self.priority, self.order) < (other.priority, other.order)
+
+
+class ConnectionPool:
+    """Idle connections are given out last in, first out, the one of the same values first."""
+
+    def __init__(
+        self, database_id: str, limit: int, opener: Opener, clock: Callable[[], float]
+    ) -> None:
+        self.database_id = database_id
+        self.limit = limit
+        self.in_use = 0
+        self.last_failure: float | None = None
+        self.retired = False
+        self._opener = opener
+        self._clock = clock
+        self._opening = 0
+        self._idle: list[DatabaseConnection] = []
+        self._waiters: list[Waiter] = []
+        self._orders = itertools.count()
+        self._not_before = 0.0
+
+    @property
+    def size(self) -> int:
+        """All connections, those being opened included."""
+        return self.in_use + self._opening + len(self._idle)
+
+    @property
+    def waiting(self) -> int:
+        """The statements that wait for a connection."""
+        return sum(not waiter.withdrawn for waiter in self._waiters)
+
+    @property
+    def load(self) -> int:
+        """Statements in use or waiting: what a further one stands behind."""
+        return self.in_use + len(self._waiters)
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the last attempt to open a connection failed a moment ago."""
+        return self._clock() < self._not_before
+
+    def acquire(self, waiter: Waiter, values: dict[str, str]) -> None:
+        """Gives a connection now or later, or denies one."""
+        if self.retired:
+            waiter.denied(Denial.CLOSED)
+            return
+        connection = self._take_idle(values)
+        if connection is not None:
+            self.in_use += 1
+            waiter.given(connection)
+            return
+        if self.size == 0 and self.is_unreachable:
+            waiter.denied(Denial.UNREACHABLE)
+            return
+        waiter.order = next(self._orders)
+        heapq.heappush(self._waiters, waiter)
+        self._open_if_useful()
+
+    def release(self, connection: DatabaseConnection) -> None:
+        """Takes a connection back; one of unknown state is closed, never given out again."""
+        self.in_use -= 1
+        if connection.closed or self.retired or connection.unanswered or self.size >= self.limit:
+            connection.close()
+        else:
+            self._idle.append(connection)
+        self._serve_waiters()
+
+    def warm(self, count: int) -> None:
+        """Opens connections until there are `count`."""
+        while self.size < min(count, self.limit) and not self.is_unreachable and not self.retired:
+            self._open()
+
+    def retire(self) -> None:
+        """Gives out no more connections; those in use end when they come back."""
+        self.retired = True
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+        self._deny_all(Denial.CLOSED)
+
+    def close_idle(self) -> None:
+        """Closes the connections that are not in use: their state is in doubt."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    def _take_idle(self, values: dict[str, str]) -> DatabaseConnection | None:
+        while self._idle:
+            position = len(self._idle) - 1
+            for index, connection in enumerate(self._idle):
+                if connection.values == values:
+                    position = index
+            connection = self._idle.pop(position)
+            if not connection.closed:
+                return connection
+        return None
+
+    def _serve_waiters(self) -> None:
+        while self._waiters and self._idle:
+            waiter = heapq.heappop(self._waiters)
+            if waiter.withdrawn:
+                continue
+            connection = self._take_idle({})
+            if connection is None:
+                heapq.heappush(self._waiters, waiter)
+                break
+            self.in_use += 1
+            waiter.given(connection)
+        self._open_if_useful()
+
+    def _open_if_useful(self) -> None:
+        wanted = self.waiting
+        while self._opening < wanted and self.size < self.limit and not self.is_unreachable:
+            self._open()
+
+    def _open(self) -> None:
+        self._opening += 1
+        self._opener.open(self.database_id, self._opened, self._failed, self._closed)
+
+    def _opened(self, connection: DatabaseConnection) -> None:
+        self._opening -= 1
+        if self.retired:
+            connection.close()
+            return
+        self._not_before = 0.0
+        self.last_failure = None
+        self._idle.append(connection)
+        self._serve_waiters()
+
+    def _failed(self, code: ErrorCode) -> None:
+        self._opening -= 1
+        now = self._clock()
+        if code is ErrorCode.CONNECTION_LIMIT:
+            self._not_before = now + LIMIT_BACKOFF_SECONDS
+        else:
+            self._not_before = now + OPEN_BACKOFF_SECONDS
+            self.last_failure = now
+        if self.size == 0:
+            self._deny_all(Denial.UNREACHABLE)
+
+    def _closed(self, connection: DatabaseConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._open_if_useful()
+
+    def _deny_all(self, denial: Denial) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.withdrawn:
+                waiter.denied(denial)
--- /dev/null
+++ b/src/dewledge/core/pooling/connection_setup.py
@@ -0,0 +1,57 @@
+"""What a shared database connection must be told before a session's statement may run there."""
+
+from collections.abc import Sequence
+
+import msgspec
+import xxhash
+
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.session_state import PreparedShape, SessionState
+from dewledge.core.pooling.statements import Statement, StatementKind
+
+MAX_PREPARED_PER_CONNECTION = 200
+
+
+class SetupStep(msgspec.Struct, frozen=True):
+    """One statement of the proxy's own that prepares a connection."""
+
+    kind: StatementKind
+    name: str = ""
+    argument: str = ""
+    writes: bool = False
+
+
+def prepared_name(shape: PreparedShape) -> str:
+    """Returns the name of a shape at databases: the same for every session that prepares it."""
+    digest = xxhash.xxh3_128_hexdigest(f"{int(shape.writes)} {shape.shape}".encode())
+    return f"p{digest}"
+
+
+def plan_setup(
+    session: SessionState, connection: DatabaseConnection, statement: Statement
+) -> Sequence[SetupStep]:
+    """Returns the steps that give `connection` the session's state, and notes them as taken.
+
+    A connection on which a step fails must be closed.
+    """
+    steps: list[SetupStep] = []
+    shape = None
+    if statement.kind is StatementKind.EXECUTE:
+        shape = session.prepared[statement.name]
+    foreign = connection.values.keys() - session.values.keys()
+    is_new_to_session = session.transaction is None or session.transaction.connection is None
+    crowded = len(connection.prepared) > MAX_PREPARED_PER_CONNECTION
+    if is_new_to_session and (foreign or crowded):
+        steps.append(SetupStep(StatementKind.DISCARD))
+        connection.values.clear()
+        connection.prepared.clear()
+    for name, value in session.values.items():
+        if connection.values.get(name) != value:
+            steps.append(SetupStep(StatementKind.SET_VALUE, name, value))
+            connection.values[name] = value
+    if shape is not None:
+        name = prepared_name(shape)
+        if name not in connection.prepared:
+            steps.append(SetupStep(StatementKind.PREPARE, name, shape.shape, shape.writes))
+            connection.prepared.add(name)
+    return steps
--- /dev/null
+++ b/src/dewledge/core/pooling/database_connection.py
@@ -0,0 +1,74 @@
+"""One connection to a database: statements in order, and the session state that it holds."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from dewledge.core.pooling.statements import OWN_STATEMENT_ID, Reply, Statement, StatementKind
+from dewledge.core.positions import LogPosition
+
+ReplyCallback = Callable[[Reply | None], None]
+"""Called with the answer, or with None if the connection ended without one."""
+
+
+class DatabaseTransport(Protocol):
+    """Carries statements to a database; the shell meets it."""
+
+    def send(self, statement: Statement, floor: LogPosition | None) -> None:
+        """Sends one statement; its answer comes later, in order."""
+
+    def close(self) -> None:
+        """Ends the connection at once; the database rolls back what is open."""
+
+
+class DatabaseConnection:
+    """A connection whose STARTUP succeeded. It is used by one client statement at a time."""
+
+    def __init__(self, database_id: str, transport: DatabaseTransport) -> None:
+        self.database_id = database_id
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.closed = False
+        self.discarded = False
+        self._transport = transport
+        self._waiting: deque[ReplyCallback] = deque()
+
+    @property
+    def unanswered(self) -> int:
+        """The statements sent whose answers have not come."""
+        return len(self._waiting)
+
+    def send(
+        self, statement: Statement, callback: ReplyCallback, floor: LogPosition | None = None
+    ) -> None:
+        """Sends a statement; `callback` is called once."""
+        if self.closed:
+            callback(None)
+            return
+        self._waiting.append(callback)
+        self._transport.send(statement, floor)
+
+    def send_own(
+        self, kind: StatementKind, callback: ReplyCallback, name: str = "", argument: str = ""
+    ) -> None:
+        """Sends a statement of the proxy's own."""
+        self.send(Statement(OWN_STATEMENT_ID, kind, name=name, argument=argument), callback)
+
+    def on_reply(self, reply: Reply) -> None:
+        """Takes the next answer."""
+        if self._waiting:
+            self._waiting.popleft()(reply)
+
+    def on_closed(self) -> None:
+        """Notes the end of the connection; whoever waits is told."""
+        self.closed = True
+        waiting, self._waiting = self._waiting, deque()
+        for callback in waiting:
+            callback(None)
+
+    def close(self) -> None:
+        """Ends the connection without telling those who wait."""
+        self._waiting.clear()
+        if not self.closed:
+            self.closed = True
+            self._transport.close()
--- /dev/null
+++ b/src/dewledge/core/pooling/events.py
@@ -0,0 +1,41 @@
+"""What the pooling part logs: one event for each decision that touches a statement."""
+
+import msgspec
+
+
+class PoolingEvent(msgspec.Struct, frozen=True):
+    """The root of the events; field names are those of the log line."""
+
+
+class StatementAnswered(PoolingEvent, frozen=True):
+    """A statement got its final answer.
+
+    way: each attempt as database:proof:outcome, in order.
+    floor: the position the read had to show. waited_ms: from arrival to the answer.
+    """
+
+    statement: str
+    session: str
+    route: str
+    kind: str
+    way: str
+    outcome: str
+    floor: str
+    waited_ms: int
+    configuration: int
+
+
+class TransactionEnded(PoolingEvent, frozen=True):
+    """The proxy ended a client's transaction."""
+
+    session: str
+    database: str
+    reason: str
+
+
+class PrimaryRefuted(PoolingEvent, frozen=True):
+    """A database refused work because it is not the primary."""
+
+    group: str
+    database: str
+    statement: str
--- /dev/null
+++ b/src/dewledge/core/pooling/session_state.py
@@ -0,0 +1,62 @@
+"""What a client's connection keeps: values, prepared statements, the open transaction, a floor."""
+
+import msgspec
+
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.routes import Route
+from dewledge.core.positions import LogPosition
+
+MAX_VALUES = 256
+MAX_PREPARED = 256
+
+
+class PreparedShape(msgspec.Struct, frozen=True):
+    """What a prepared name stands for."""
+
+    writes: bool
+    shape: str
+
+
+class OpenTransaction:
+    """A client's transaction; it has a database connection from its first statement on."""
+
+    __slots__ = (
+        "connection",
+        "failed",
+        "last_used",
+        "leads",
+        "lost",
+        "read_only",
+        "route",
+        "wrote",
+    )
+
+    def __init__(self, route: Route, read_only: bool, now: float) -> None:
+        self.route = route
+        self.read_only = read_only
+        self.connection: DatabaseConnection | None = None
+        self.failed = False
+        self.lost = False
+        self.leads = False
+        self.wrote = False
+        self.last_used = now
+
+
+class SessionState:
+    """The state of one client connection."""
+
+    __slots__ = ("database", "floor", "name", "prepared", "transaction", "user", "values")
+
+    def __init__(self, name: str, database: str, user: str) -> None:
+        self.name = name
+        self.database = database
+        self.user = user
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, PreparedShape] = {}
+        self.transaction: OpenTransaction | None = None
+        self.floor: LogPosition | None = None
+
+    def raise_floor(self, position: LogPosition | None) -> None:
+        """Notes the position of an own commit; later reads must show it."""
+        if position is not None and (self.floor is None or position > self.floor):
+            self.floor = position
--- /dev/null
+++ b/src/dewledge/core/pooling/statements.py
@@ -0,0 +1,104 @@
+"""What a client may ask for in a session, and what a database answers."""
+
+from enum import StrEnum
+
+import msgspec
+
+from dewledge.core.positions import LogPosition
+from dewledge.errors import ErrorCode
+
+OWN_STATEMENT_ID = "-"
+"""The id of statements that the proxy sends of its own."""
+
+
+class StatementKind(StrEnum):
+    """What a statement does. The last five are sent by the proxy alone."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    BEGIN_READ_ONLY = "begin_read_only"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SET_VALUE = "set_value"
+    PREPARE = "prepare"
+    EXECUTE = "execute"
+    DEALLOCATE = "deallocate"
+    DISCARD = "discard"
+    STATUS = "status"
+
+
+class Statement(msgspec.Struct, frozen=True):
+    """One statement.
+
+    text: as the client wrote it; it reaches the database unchanged.
+    name: of a session value or of a prepared statement.
+    argument: the value, the shape to prepare, or what follows the name of a prepared statement.
+    writes: whether a prepared shape writes.
+    """
+
+    id: str
+    kind: StatementKind
+    text: str = ""
+    name: str = ""
+    argument: str = ""
+    writes: bool = False
+
+
+class TransactionState(StrEnum):
+    """Where a session or a database connection stands after an answer."""
+
+    IDLE = "idle"
+    OPEN = "open"
+    FAILED = "failed"
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """Why a statement was not done; the code says what is known of its effect."""
+
+    code: ErrorCode
+    message: str = ""
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A whole answer: rows with a signature, or a failure."""
+
+    state: TransactionState
+    rows: tuple[str, ...] = ()
+    signature: str = "-"
+    failure: Failure | None = None
+    position: LogPosition | None = None
+
+
+class Startup(msgspec.Struct, frozen=True):
+    """The first message of a client's connection."""
+
+    database: str
+    user: str
+
+
+class Terminate(msgspec.Struct, frozen=True):
+    """A client's planned end of its connection."""
+
+
+class MalformedInput(msgspec.Struct, frozen=True):
+    """Bytes that are no message; `fatal` where the connection cannot go on."""
+
+    statement_id: str
+    message: str
+    fatal: bool = False
+
+
+ClientMessage = Startup | Statement | Terminate | MalformedInput
+
+NOT_RUN_CODES = frozenset(
+    {
+        ErrorCode.OVERLOADED,
+        ErrorCode.NOT_FRESH,
+        ErrorCode.NOT_PRIMARY,
+        ErrorCode.WRONG_DATABASE,
+        ErrorCode.CONNECTION_LIMIT,
+        ErrorCode.UNKNOWN_STATEMENT,
+    }
+)
+"""Failures of a database that promise that the statement did not run."""
--- /dev/null
+++ b/src/dewledge/core/pooling/targets.py
@@ -0,0 +1,74 @@
+"""Which databases may serve a statement, in the order in which they are tried. Pure functions."""
+
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+
+import msgspec
+
+from dewledge.core.pooling.freshness import FreshnessHistory
+from dewledge.core.pooling.group_view import DatabaseRecord, GroupView
+from dewledge.core.pooling.routes import Consistency, Route
+from dewledge.core.positions import LogPosition
+
+LOAD_PER_ZONE_STEP = 2
+"""A database of another zone is preferred when it has so many statements less before it."""
+
+
+class Proof(StrEnum):
+    """What shows that the database may answer.
+
+    FLOOR: it compares its log with a position; any database may do so.
+    LEAD: the statement runs in a transaction that only a primary opens and keeps.
+    NONE: the statement itself is refused by any other database than the primary.
+    """
+
+    FLOOR = "floor"
+    LEAD = "lead"
+    NONE = "none"
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A database that may serve the statement, and under which proof."""
+
+    database: DatabaseRecord
+    proof: Proof
+    floor: LogPosition | None = None
+
+
+class ReadNeed(msgspec.Struct, frozen=True):
+    """What a read must show."""
+
+    arrived: float
+    session_floor: LogPosition | None
+
+
+def read_floor(route: Route, history: FreshnessHistory, need: ReadNeed) -> LogPosition | None:
+    """Returns the position that a replica must show for this read; None if none is known."""
+    if route.consistency is Consistency.PRIMARY:
+        return None
+    proof = history.floor(need.arrived, route.max_staleness)
+    if proof is None:
+        return None
+    if route.consistency is Consistency.READ_OWN_WRITES and need.session_floor is not None:
+        return max(proof.position, need.session_floor)
+    return proof.position
+
+
+def read_targets(
+    view: GroupView,
+    floor: LogPosition | None,
+    primary: DatabaseRecord | None,
+    distance: Callable[[DatabaseRecord], int],
+    load: Callable[[DatabaseRecord], int],
+) -> Sequence[Target]:
+    """Returns the targets of a read: replicas, near and unloaded first, then the primary."""
+    leading = [] if primary is None else [Target(primary, Proof.LEAD)]
+    if floor is None:
+        return leading
+    replicas = [
+        record
+        for record in view.databases.values()
+        if not record.draining and (primary is None or record.id != primary.id)
+    ]
+    replicas.sort(key=lambda record: load(record) + LOAD_PER_ZONE_STEP * distance(record))
+    return [Target(record, Proof.FLOOR, floor) for record in replicas] + leading
--- a/src/dewledge/errors.py
+++ b/src/dewledge/errors.py
@@ -27,6 +27,7 @@
     UNKNOWN_TRANSACTION = "unknown_transaction"
     TRANSACTION_LOST = "transaction_lost"
     TRANSACTION_BUSY = "transaction_busy"
+    UNKNOWN_STATEMENT = "unknown_statement"
 
     # The system cannot take the request now; Retry-After says when to come back.
     OVERLOADED = "overloaded"
@@ -40,6 +41,7 @@
     DATABASE_DRAINED = "database_drained"
     CONNECTION_LIMIT = "connection_limit"
     WRONG_GATEWAY = "wrong_gateway"
+    WRONG_DATABASE = "wrong_database"
     GATEWAY_UNREACHABLE = "gateway_unreachable"
     LEAVING = "leaving"
     ISOLATED = "isolated"
@@ -48,6 +50,7 @@
     # The outcome is not known.
     CONNECTION_LOST = "connection_lost"
     NOT_CONFIRMED = "not_confirmed"
+    STATEMENT_TIMEOUT = "statement_timeout"
 
     # Configuration.
     INVALID_RESOURCE = "invalid_resource"
--- /dev/null
+++ b/src/dewledge/platform/adapter.py
@@ -0,0 +1,21 @@
+"""Everything that the product is given of the platform, in one value."""
+
+from dewledge.platform.operator_records import parse_configuration, parse_database
+from dewledge.platform.store_client import PlatformStore
+from dewledge.platform.wire_codec import WireClientCodec, WireDatabaseCodec
+from dewledge.pooler_settings import PoolerSettings
+from dewledge.shell.pooling.pooler_process import PlatformAdapter
+
+
+def build_adapter(settings: PoolerSettings) -> PlatformAdapter:
+    """Returns the adapter for the addresses of the settings."""
+    return PlatformAdapter(
+        store=PlatformStore(settings.store_address),
+        new_client_codec=WireClientCodec,
+        new_database_codec=WireDatabaseCodec,
+        configuration_table="op",
+        configuration_key="config",
+        database_table="servers",
+        parse_configuration=parse_configuration,
+        parse_database=parse_database,
+    )
--- /dev/null
+++ b/src/dewledge/platform/operator_records.py
@@ -0,0 +1,108 @@
+"""What operators and databases write into the store, as the product's typed resources.
+
+Raises ProtocolError for what cannot be read; fields that are not known are passed over.
+"""
+
+from typing import TypeVar
+
+import msgspec
+
+from dewledge.core.pooling.group_view import DatabaseRecord, DatabaseRole
+from dewledge.core.pooling.routes import Consistency, GroupPolicy, Route, RouteTable
+from dewledge.errors import ProtocolError
+
+MILLISECONDS = 1000.0
+DRAINING = "draining"
+
+Row = TypeVar("Row")
+
+
+class _RouteRow(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    service: str
+    type: str = "primary"
+    timeout_ms: float = 1000
+    target_latency_ms: float = 1000
+    priority: int = 1
+    max_staleness_ms: float = 0
+
+
+class _ServiceRow(msgspec.Struct, rename="camel"):
+    name: str
+    max_connections: int = 1
+    sync_replicas: int = 0
+
+
+class _LimitsRow(msgspec.Struct, rename="camel"):
+    tx_idle_ms: float = 3000
+
+
+class _ConfigurationRow(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_RouteRow] = []
+    services: list[_ServiceRow] = []
+    limits: _LimitsRow = msgspec.field(default_factory=_LimitsRow)
+
+
+class _DatabaseRow(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str = ""
+    state: str = "ready"
+    slots: int = 1
+    db_role: str = "replica"
+
+
+def parse_configuration(value: bytes) -> RouteTable:
+    """Returns the operator's configuration."""
+    row = _decode(value, _ConfigurationRow)
+    return RouteTable(
+        row.version,
+        {route.host: _route(route) for route in row.routes},
+        {
+            service.name: GroupPolicy(service.name, service.max_connections, service.sync_replicas)
+            for service in row.services
+        },
+        row.limits.tx_idle_ms / MILLISECONDS,
+    )
+
+
+def parse_database(database_id: str, value: bytes, revision: int) -> DatabaseRecord:
+    """Returns a database's own entry."""
+    row = _decode(value, _DatabaseRow)
+    role = DatabaseRole.PRIMARY if row.db_role == "primary" else DatabaseRole.REPLICA
+    return DatabaseRecord(
+        database_id,
+        row.service,
+        row.address,
+        row.zone,
+        role,
+        row.state == DRAINING,
+        row.slots,
+        revision,
+    )
+
+
+def _route(row: _RouteRow) -> Route:
+    try:
+        consistency = Consistency(row.type)
+    except ValueError:
+        consistency = Consistency.PRIMARY
+    return Route(
+        row.name,
+        row.host,
+        row.service,
+        consistency,
+        row.timeout_ms / MILLISECONDS,
+        row.target_latency_ms / MILLISECONDS,
+        row.priority,
+        row.max_staleness_ms / MILLISECONDS,
+    )
+
+
+def _decode(value: bytes, kind: type[Row]) -> Row:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(f"unreadable entry: {error}") from error
--- /dev/null
+++ b/src/dewledge/platform/wire_codec.py
@@ -0,0 +1,168 @@
+"""The line codec: one message a line, words and fields separated by blanks."""
+
+from collections.abc import Sequence
+
+from dewledge.core.pooling.statements import (
+    ClientMessage,
+    Failure,
+    MalformedInput,
+    Reply,
+    Startup,
+    Statement,
+    Terminate,
+)
+from dewledge.core.positions import LogPosition
+from dewledge.errors import ErrorCode, ProtocolError
+from dewledge.platform.statement_texts import format_text, parse_text
+from dewledge.platform.wire_words import (
+    CODE_WORDS,
+    CODES,
+    LINE_END,
+    MAX_LINE_BYTES,
+    NOTHING,
+    STATE_LETTERS,
+    STATES,
+)
+
+ENCODING = "latin-1"
+
+
+class LineBuffer:
+    """Cuts a stream into lines; `overflow` once a line is longer than a message may be."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self.overflow = False
+
+    def feed(self, data: bytes) -> list[str]:
+        """Returns the lines that are whole now, without their ends."""
+        self._data += data
+        *lines, rest = bytes(self._data).split(LINE_END)
+        self._data = bytearray(rest)
+        if len(rest) > MAX_LINE_BYTES or any(len(line) > MAX_LINE_BYTES for line in lines):
+            self.overflow = True
+        return [line.decode(ENCODING) for line in lines]
+
+
+class WireClientCodec:
+    """A client's stream."""
+
+    def __init__(self) -> None:
+        self._lines = LineBuffer()
+
+    def feed(self, data: bytes) -> Sequence[ClientMessage]:
+        """Returns the messages that are whole now; bytes that are none as MalformedInput."""
+        messages: list[ClientMessage] = [
+            _parse_client_line(line) for line in self._lines.feed(data)
+        ]
+        if self._lines.overflow:
+            messages.append(MalformedInput(NOTHING, "a message is too long", fatal=True))
+        return messages
+
+    def ready(self) -> bytes:
+        """Returns the answer to an accepted startup."""
+        return _line("READY", STATE_LETTERS[STATES["I"]], NOTHING)
+
+    def refusal(self, failure: Failure) -> bytes:
+        """Returns the answer to a refused startup."""
+        return _error_line(failure)
+
+    def reply(self, statement_id: str, reply: Reply) -> bytes:
+        """Returns the answer to a statement."""
+        parts = [_line("DATAROW", row) for row in reply.rows]
+        if reply.failure is not None:
+            parts.append(_error_line(reply.failure))
+        else:
+            parts.append(_line("COMPLETE", reply.signature))
+        parts.append(_line("READY", STATE_LETTERS[reply.state], NOTHING))
+        return b"".join(parts)
+
+
+class WireDatabaseCodec:
+    """A database connection's stream."""
+
+    def __init__(self) -> None:
+        self._lines = LineBuffer()
+        self._rows: list[str] = []
+        self._signature = NOTHING
+        self._failure: Failure | None = None
+
+    def startup(self, group: str, user: str, database_id: str) -> bytes:
+        """Returns the first message of a connection."""
+        return _line("STARTUP", group, user, database_id)
+
+    def statement(self, statement: Statement, floor: LogPosition | None) -> bytes:
+        """Returns a statement that runs only where the log holds `floor`."""
+        text = format_text(statement)
+        if floor is not None:
+            text = f"AFTER {floor.term}.{floor.offset} {text}"
+        return _line("QUERY", statement.id, text)
+
+    def feed(self, data: bytes) -> Sequence[Reply]:
+        """Returns the answers that are whole now. Raises ProtocolError."""
+        replies = []
+        for line in self._lines.feed(data):
+            reply = self._take(line)
+            if reply is not None:
+                replies.append(reply)
+        if self._lines.overflow:
+            raise ProtocolError("a message of the database is too long")
+        return replies
+
+    def _take(self, line: str) -> Reply | None:
+        word, _, rest = line.partition(" ")
+        if word == "DATAROW":
+            self._rows.append(rest)
+        elif word == "COMPLETE":
+            self._signature = rest
+        elif word == "ERROR":
+            code, _, message = rest.partition(" ")
+            self._failure = Failure(CODES.get(code, ErrorCode.STATEMENT_FAILED), message)
+        elif word == "READY":
+            return self._ready(rest)
+        else:
+            raise ProtocolError(f"unknown word {word[:20]!r} of a database")
+        return None
+
+    def _ready(self, rest: str) -> Reply:
+        letter, _, position = rest.partition(" ")
+        state = STATES.get(letter)
+        if state is None:
+            raise ProtocolError(f"unknown state {letter[:20]!r} of a database")
+        reply = Reply(
+            state, tuple(self._rows), self._signature, self._failure, parse_position(position)
+        )
+        self._rows, self._signature, self._failure = [], NOTHING, None
+        return reply
+
+
+def parse_position(text: str) -> LogPosition | None:
+    """Returns the position in TERM.NUMBER, None for "-". Raises ProtocolError."""
+    if text == NOTHING:
+        return None
+    term, _, offset = text.partition(".")
+    if not (term.isascii() and term.isdigit() and offset.isascii() and offset.isdigit()):
+        raise ProtocolError(f"{text[:40]!r} is no log position")
+    return LogPosition(int(term), int(offset))
+
+
+def _parse_client_line(line: str) -> ClientMessage:
+    word, _, rest = line.partition(" ")
+    if word == "QUERY":
+        statement_id, _, text = rest.partition(" ")
+        return parse_text(statement_id, text)
+    if word == "STARTUP":
+        database, _, user = rest.partition(" ")
+        return Startup(database, user)
+    if word == "TERMINATE":
+        return Terminate()
+    return MalformedInput(NOTHING, "unknown word", fatal=True)
+
+
+def _error_line(failure: Failure) -> bytes:
+    code = CODE_WORDS.get(failure.code, CODE_WORDS[ErrorCode.STATEMENT_FAILED])
+    return _line("ERROR", code, failure.message or NOTHING)
+
+
+def _line(*fields: str) -> bytes:
+    return " ".join(fields).encode(ENCODING) + LINE_END
--- /dev/null
+++ b/src/dewledge/pooler_settings.py
@@ -0,0 +1,73 @@
+"""The settings of one pooler process: a TOML file, checked as a whole."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from dewledge.core.configuration.resource_documents import findings_of_validation
+from dewledge.errors import ErrorCode, Finding, InvalidInput
+from dewledge.settings import NAME_PATTERN, ListenAddress, RemoteAddress, Seconds
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(frozen=True, extra="forbid", validate_default=True)
+
+
+class PoolerTimings(_Section):
+    """Bounds in seconds."""
+
+    drain_bound: Seconds = Field(
+        default=7.0, description="A database that leaves gets no new work later than this."
+    )
+    stop_bound: Seconds = Field(
+        default=6.0, description="From the stop signal to the end of the process."
+    )
+    configuration_bound: Seconds = Field(
+        default=4.0, description="A configuration is in force within this."
+    )
+
+
+class PoolerSettings(_Section):
+    """All settings of `dewledge pooler`."""
+
+    name: Annotated[str, Field(pattern=NAME_PATTERN)] = Field(
+        description="Unique name of this process."
+    )
+    zone: str = Field(description="Zone of this machine, as databases name theirs.")
+    client_address: ListenAddress = Field(description="ip:port for clients' sessions.")
+    ready_address: ListenAddress = Field(description="ip:port for readiness probes (HTTP).")
+    peer_address: ListenAddress = Field(description="ip:port for other poolers (UDP).")
+    metrics_address: ListenAddress = Field(description="ip:port for metrics (HTTP).")
+    store_address: RemoteAddress = Field(description="ip:port of the platform's store.")
+    duty_address: RemoteAddress | None = Field(
+        default=None, description="ip:port that takes promotions."
+    )
+    max_client_connections: int = Field(
+        default=3500, ge=1, description="Clients' connections open at once."
+    )
+    log_level: Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"] = Field(
+        default="INFO", description="Least severe events that are logged."
+    )
+    zones: dict[str, str] = Field(default={}, description="The region of each zone.")
+    timings: PoolerTimings = Field(default=PoolerTimings(), description="See below.")
+
+
+def load_pooler_settings(path: Path) -> PoolerSettings:
+    """Reads and checks a settings file. Raises InvalidInput with every finding."""
+    try:
+        values: dict[str, Any] = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise _finding(path, f"cannot be read: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, ValueError) as error:
+        raise _finding(path, f"is not TOML: {error}") from error
+    try:
+        return PoolerSettings.model_validate(values)
+    except ValidationError as error:
+        findings = findings_of_validation(error, path.name, ErrorCode.INVALID_SETTING)
+        raise InvalidInput(findings) from error
+
+
+def _finding(path: Path, message: str) -> InvalidInput:
+    return InvalidInput([Finding(path.name, ErrorCode.INVALID_SETTING, message)])
--- /dev/null
+++ b/src/dewledge/shell/pooling/database_opener.py
@@ -0,0 +1,135 @@
+"""Opens connections to databases and carries statements and answers on them."""
+
+import socket
+from collections.abc import Callable
+
+from dewledge.core.pooling.codec import DatabaseCodec
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.group_view import DatabaseRecord
+from dewledge.core.pooling.statements import Reply, Statement
+from dewledge.core.positions import LogPosition
+from dewledge.errors import ErrorCode, ProtocolError
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.pooling.byte_stream import ByteStream, Connecting
+
+CONNECT_LIMIT_SECONDS = 0.6
+STARTUP_LIMIT_SECONDS = 1.5
+
+
+class DatabaseOpener:
+    """Opens connections to the databases that `find` knows."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        user: str,
+        new_codec: Callable[[], DatabaseCodec],
+        find: Callable[[str], DatabaseRecord | None],
+    ) -> None:
+        self._loop = loop
+        self._user = user
+        self._new_codec = new_codec
+        self._find = find
+
+    def open(
+        self,
+        database_id: str,
+        opened: Callable[[DatabaseConnection], None],
+        failed: Callable[[ErrorCode], None],
+        closed: Callable[[DatabaseConnection], None],
+    ) -> None:
+        """Calls `opened` or `failed` once; after `opened`, `closed` at the connection's end."""
+        record = self._find(database_id)
+        if record is None:
+            self._loop.call_later(0.0, lambda: failed(ErrorCode.DATABASE_UNREACHABLE))
+            return
+        known = record
+
+        def connected(sock: socket.socket) -> None:
+            _DatabaseLink(
+                self._loop, sock, known, self._user, self._new_codec(), opened, failed, closed
+            )
+
+        def refused() -> None:
+            failed(ErrorCode.DATABASE_UNREACHABLE)
+
+        Connecting(self._loop, record.address, CONNECT_LIMIT_SECONDS, connected, refused)
+
+
+class _DatabaseLink:
+    """One connection to a database, from its startup on."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        sock: socket.socket,
+        record: DatabaseRecord,
+        user: str,
+        codec: DatabaseCodec,
+        opened: Callable[[DatabaseConnection], None],
+        failed: Callable[[ErrorCode], None],
+        closed: Callable[[DatabaseConnection], None],
+    ) -> None:
+        self._codec = codec
+        self._opened = opened
+        self._failed = failed
+        self._closed = closed
+        self._connection: DatabaseConnection | None = None
+        self._record = record
+        self._over = False
+        self._stream = ByteStream(loop, sock, self._received, self._ended)
+        self._timer = loop.call_later(STARTUP_LIMIT_SECONDS, self._startup_silent)
+        self._stream.send(codec.startup(record.group, user, record.id))
+
+    def send(self, statement: Statement, floor: LogPosition | None) -> None:
+        """Sends one statement; its answer comes later, in order."""
+        self._stream.send(self._codec.statement(statement, floor))
+
+    def close(self) -> None:
+        """Ends the connection at once."""
+        self._stream.close()
+        if self._connection is not None:
+            self._closed(self._connection)
+
+    def _received(self, data: bytes) -> None:
+        try:
+            replies = self._codec.feed(data)
+        except ProtocolError:
+            self._stream.close()
+            self._ended()
+            return
+        for reply in replies:
+            self._take(reply)
+
+    def _take(self, reply: Reply) -> None:
+        if self._over:
+            return
+        if self._connection is not None:
+            if not self._connection.closed:
+                self._connection.on_reply(reply)
+            return
+        self._timer.cancel()
+        if reply.failure is not None:
+            self._refuse(reply.failure.code)
+            return
+        self._connection = DatabaseConnection(self._record.id, self)
+        self._opened(self._connection)
+
+    def _startup_silent(self) -> None:
+        self._refuse(ErrorCode.DATABASE_UNREACHABLE)
+
+    def _refuse(self, code: ErrorCode) -> None:
+        if self._over or self._connection is not None:
+            return
+        self._over = True
+        self._timer.cancel()
+        self._stream.close()
+        self._failed(code)
+
+    def _ended(self) -> None:
+        if self._connection is None:
+            self._refuse(ErrorCode.DATABASE_UNREACHABLE)
+            return
+        self._over = True
+        self._connection.on_closed()
+        self._closed(self._connection)
