Replace a lost or leaving primary: doubt, witnesses, a claim with a token, promotion

Change: core/succession (pure), its driver, claim and member rows, witnesses over UDP; feed calls of 2 s, and none waiting while calls fail; a database first seen leaving gets no new work.

--- a/src/dewledge/core/coordination_store.py
+++ b/src/dewledge/core/coordination_store.py
@@ -62,5 +62,8 @@
 class DutyCalls(Protocol):
     """Calls that the platform takes from the holder of a lease, guarded by a fencing token."""
 
-    def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> int:
-        """Returns the status of the answer, 200 if accepted. Raises StoreError."""
+    def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
+        """Returns whether it was taken; False for an old token or a database that is not running.
+
+        Raises StoreError.
+        """
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -57,6 +57,8 @@
         self._drain_bound = drain_bound
         self._connection_limit = 1
         self._primary_waiters: list[Callable[[], None]] = []
+        self._doubted: str | None = None
+        self.reached_by_others = False
 
     def set_connection_limit(self, limit: int) -> None:
         """Sets how many connections this process may hold to each database of the group."""
@@ -90,11 +92,20 @@
     def usable_primary(self) -> DatabaseRecord | None:
         """The primary, unless it has been leaving for too long to be given new work."""
         primary = self.view.primary
-        if primary is None:
+        if primary is None or primary.id == self._doubted:
             return None
         usable = self.view.takes_work(primary.id, self._clock(), self._drain_bound)
         return primary if usable else None
 
+    def set_doubt(self, database_id: str | None, reached_by_others: bool) -> None:
+        """Notes which database cannot be reached; while it is the primary, none is used."""
+        self.reached_by_others = reached_by_others
+        if database_id == self._doubted:
+            return
+        self._doubted = database_id
+        if self.usable_primary is not None:
+            self._wake_waiters()
+
     def wait_for_primary(self, callback: Callable[[], None]) -> None:
         """Calls `callback` once when a primary is known."""
         self._primary_waiters.append(callback)
--- a/src/dewledge/core/pooling/group_view.py
+++ b/src/dewledge/core/pooling/group_view.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+LONG_AGO = -1e9
+
 
 class DatabaseRole(StrEnum):
     """How a database sees itself."""
@@ -34,6 +36,7 @@
     claims: for each database that calls itself primary, the revision at which it began to.
     refuted: databases that refused work as not being primary, with the revision of that record.
     draining_since: when this process learned that a database leaves (steady clock, seconds).
+    departed: databases whose entries went away.
     """
 
     name: str
@@ -41,6 +44,7 @@
     claims: dict[str, int] = {}
     refuted: dict[str, int] = {}
     draining_since: dict[str, float] = {}
+    departed: frozenset[str] = frozenset()
 
     @property
     def primary(self) -> DatabaseRecord | None:
@@ -53,7 +57,10 @@
         return self.databases[max(candidates)[1]] if candidates else None
 
     def with_record(self, record: DatabaseRecord, now: float) -> "GroupView":
-        """Returns the view after a database registered or changed its entry."""
+        """Returns the view after a database registered or changed its entry.
+
+        One that is first seen leaving may have begun to long ago: it gets no new work.
+        """
         known = self.databases.get(record.id)
         if known is not None and known.revision >= record.revision:
             return self
@@ -64,12 +71,16 @@
             claims.pop(record.id, None)
         since = dict(self.draining_since)
         if record.draining:
-            since.setdefault(record.id, now)
+            since.setdefault(record.id, now if known is not None else LONG_AGO)
         else:
             since.pop(record.id, None)
         databases = {**self.databases, record.id: record}
         return msgspec.structs.replace(
-            self, databases=databases, claims=claims, draining_since=since
+            self,
+            databases=databases,
+            claims=claims,
+            draining_since=since,
+            departed=self.departed - {record.id},
         )
 
     def with_departure(self, database_id: str, revision: int, now: float) -> "GroupView":
@@ -78,7 +89,8 @@
         if record is None or record.revision >= revision:
             return self
         leaving = msgspec.structs.replace(record, draining=True, revision=revision)
-        return self.with_record(leaving, now)
+        view = self.with_record(leaving, now)
+        return msgspec.structs.replace(view, departed=view.departed | {database_id})
 
     def without(self, database_id: str) -> "GroupView":
         """Returns the view without a database that has left for good."""
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -29,6 +29,8 @@
 
 SETUP_LIMIT_SECONDS = 0.4
 RETRY_PAUSE_SECONDS = 0.03
+SUSPECT_AFTER_SECONDS = 0.25
+"""A statement without an answer for so long makes its database suspect; nothing else changes."""
 READ_ATTEMPT_SHARE = 0.5
 """A read that has no answer after this share of its time is tried once more elsewhere."""
 QUEUE_SHARE_OF_TARGET = 0.25
@@ -69,6 +71,7 @@
         self._connection: DatabaseConnection | None = None
         self._timer: ScheduledCall | None = None
         self._pause: ScheduledCall | None = None
+        self._suspicion: ScheduledCall | None = None
         self._sent_at = 0.0
         self._generation = 0
         self._reruns = 0
@@ -130,7 +133,7 @@
 
     def _wait_and_plan(self) -> None:
         if self._group.usable_primary is None:
-            if not self._waits_for_primary:
+            if not self._waits_for_primary and not self._group.reached_by_others:
                 self._waits_for_primary = True
                 limit = self._route.statement_timeout * FAILOVER_SHARE_OF_TIMEOUT
                 self._give_up_at = self._arrived + limit
@@ -276,12 +279,22 @@
         if self._transaction is None and self._target is not None:
             floor = self._target.floor
         self._arm(self._attempt_limit(), self._silent)
+        self._watch_answer(generation)
         connection.send(
             self._for_database(statement),
             lambda reply: self._answered(generation, reply),
             floor,
         )
 
+    def _watch_answer(self, generation: int) -> None:
+        def look() -> None:
+            if not self._finished and generation == self._generation:
+                self._suspect()
+
+        if self._suspicion is not None:
+            self._suspicion.cancel()
+        self._suspicion = self._services.scheduler.call_later(SUSPECT_AFTER_SECONDS, look)
+
     def _for_database(self, statement: Statement) -> Statement:
         if statement.kind is not StatementKind.EXECUTE:
             return statement
@@ -512,6 +525,8 @@
             self._waiter = None
         if self._pause is not None:
             self._pause.cancel()
+        if self._suspicion is not None:
+            self._suspicion.cancel()
         self._cancel_timer()
 
     def _fail(self, code: ErrorCode, message: str) -> None:
--- /dev/null
+++ b/src/dewledge/core/succession/candidates.py
@@ -0,0 +1,34 @@
+"""Which replica takes the lead. Pure functions."""
+
+from collections.abc import Mapping, Sequence
+
+from dewledge.core.pooling.group_view import GroupView
+from dewledge.core.positions import LogPosition
+from dewledge.core.succession.messages import DatabaseStatus
+
+
+def eligible(view: GroupView, replaced: str, refused: frozenset[str]) -> Sequence[str]:
+    """Returns the databases that may take the lead: in service, and not the replaced one."""
+    return sorted(
+        record.id
+        for record in view.databases.values()
+        if not record.draining and record.id != replaced and record.id not in refused
+    )
+
+
+def choose(
+    names: Sequence[str], statuses: Mapping[str, DatabaseStatus], rank: Mapping[str, int]
+) -> str | None:
+    """Returns the database that received most; among equals the first by rank, then by name.
+
+    One whose state is not known is chosen only if none is known: what it has received may be less.
+    """
+    if not names:
+        return None
+
+    def preference(name: str) -> tuple[LogPosition, int, str]:
+        status = statuses.get(name)
+        received = LogPosition(-1, -1) if status is None else status.received
+        return (received, -rank.get(name, 0), name)
+
+    return max(names, key=preference)
--- /dev/null
+++ b/src/dewledge/core/succession/succession.py
@@ -0,0 +1,334 @@
+"""The succession of one group's primary, as one process takes part in it.
+
+A primary is replaced in these cases, each with its reason in the log:
+
+- it says that it leaves (planned), or its entry has been gone for a while;
+- it cannot be reached, and the processes asked cannot reach it either;
+- no primary is known for a while.
+
+A primary that any process reaches is never replaced for silence: a cut between it and this process
+is not its death. Two processes may both believe that they should act; the conditional write of the
+claim lets one through, and the platform refuses a token lower than one it has seen.
+"""
+
+from collections.abc import Callable, Sequence
+
+from dewledge.core.pooling.group_view import GroupView
+from dewledge.core.succession.candidates import choose, eligible
+from dewledge.core.succession.messages import (
+    AskWitnesses,
+    Claim,
+    ClaimRefused,
+    ClaimSeen,
+    DatabaseStatus,
+    LossCause,
+    Phase,
+    PhaseChanged,
+    PrimaryDoubted,
+    Promote,
+    PromotionAnswered,
+    ReachTested,
+    ReadStatus,
+    StatusRead,
+    SuccessionEffect,
+    SuccessionEvent,
+    TestReach,
+    WitnessReported,
+    WriteClaim,
+)
+
+CHECK_LIMIT_SECONDS = 0.45
+"""Witnesses answer within this; then the majority of all processes must have said no."""
+LONE_CHECK_LIMIT_SECONDS = 2.5
+"""Without a majority, as after many processes died, it takes this long."""
+CHECK_AGAIN_SECONDS = 0.4
+ASK_AFTER_SECONDS = 0.1
+"""A database that takes connections has done so by then; else the others are asked too."""
+CLAIM_AGAIN_SECONDS = 0.3
+ENTRY_GONE_SECONDS = 1.5
+NONE_KNOWN_SECONDS = 2.5
+STATUS_LIMIT_SECONDS = 0.3
+CLAIM_LIMIT_SECONDS = 1.5
+PROMOTE_AGAIN_SECONDS = 0.7
+PROMOTION_LIMIT_SECONDS = 6.0
+FOLLOW_LIMIT_SECONDS = 3.0
+CLAIM_STEP_SECONDS = 0.08
+OTHER_HOLDER_SECONDS = 0.5
+"""The last holder acts first: turns between holders stay rare."""
+
+
+class GroupSuccession:
+    """The state machine of one group. `handle` takes an event and returns effects."""
+
+    def __init__(self, group: str, own_name: str, record: Callable[[PhaseChanged], None]) -> None:
+        self._group = group
+        self._own_name = own_name
+        self._record = record
+        self.phase = Phase.STEADY
+        self.doubted: str | None = None
+        self.reached_by_others = False
+        self._cause = LossCause.UNREACHABLE
+        self._replaced = ""
+        self._since = 0.0
+        self._phase_since = 0.0
+        self._claim_at = 0.0
+        self._claim: Claim | None = None
+        self._own_token = 0
+        self._reach: ReachTested | None = None
+        self._witnesses: dict[str, bool] = {}
+        self._statuses: dict[str, DatabaseStatus] = {}
+        self._asked: set[str] = set()
+        self._refused: frozenset[str] = frozenset()
+        self._candidate = ""
+        self._promoted_at = 0.0
+        self._none_since: float | None = None
+        self._last_check = -1e9
+        self._asks_witnesses = False
+
+    def handle(
+        self, event: SuccessionEvent, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
+        """Takes an event. `members`: the names of all processes, the own one included."""
+        self._take(event, now)
+        effects: list[SuccessionEffect] = []
+        if isinstance(event, PrimaryDoubted):
+            effects += self._doubt(event.database, view, now)
+        effects += self._advance(view, members, now)
+        return effects
+
+    def _take(self, event: SuccessionEvent, now: float) -> None:
+        if isinstance(event, ReachTested) and event.database == self._replaced:
+            self._reach = event
+        elif isinstance(event, WitnessReported) and event.database == self._replaced:
+            self._witnesses[event.witness] = event.reachable
+        elif isinstance(event, StatusRead) and event.status is not None:
+            self._statuses[event.database] = event.status
+        elif isinstance(event, StatusRead):
+            self._asked.discard(event.database)
+        elif isinstance(event, ClaimSeen):
+            self._see_claim(event.claim, now)
+        elif isinstance(event, ClaimRefused) and self.phase is Phase.CLAIMING:
+            self._take_refusal(now)
+        elif isinstance(event, PromotionAnswered):
+            self._take_promotion(event, now)
+
+    def _take_refusal(self, now: float) -> None:
+        """The store did not take the claim. The last holder may still act on its own token."""
+        self._claim_at = now + CLAIM_AGAIN_SECONDS
+        if self._claim is not None and self._claim.holder == self._own_name:
+            self._own_token = self._claim.token
+
+    def _see_claim(self, claim: Claim, now: float) -> None:
+        if self._claim is not None and claim.token <= self._claim.token:
+            return
+        self._claim = claim
+        if claim.holder == self._own_name:
+            if self.phase is Phase.CLAIMING:
+                self._own_token = claim.token
+            return
+        if self.phase in (Phase.CHECKING, Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING):
+            self._replaced = claim.replaced
+            self._move(Phase.FOLLOWING, f"claimed_by_{claim.holder}", now)
+
+    def _take_promotion(self, event: PromotionAnswered, now: float) -> None:
+        if self.phase is not Phase.PROMOTING or event.database != self._candidate:
+            return
+        if event.fenced:
+            self._refused = self._refused | {event.database}
+            self._statuses.pop(event.database, None)
+            self._move(Phase.CHOOSING, "candidate_refused", now)
+
+    def _doubt(self, database: str, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
+        primary = view.primary
+        if self.phase is not Phase.STEADY or primary is None or primary.id != database:
+            return []
+        if now < self._last_check + CHECK_AGAIN_SECONDS:
+            return []
+        return self._start_check(database, now)
+
+    def _start_check(self, database: str, now: float) -> Sequence[SuccessionEffect]:
+        self._last_check = now
+        self._asks_witnesses = False
+        self._begin(LossCause.UNREACHABLE, database, now)
+        self._move(Phase.CHECKING, "no_answer", now)
+        return [TestReach(database)]
+
+    def _begin(self, cause: LossCause, replaced: str, now: float) -> None:
+        self._cause = cause
+        self._replaced = replaced
+        self._since = now
+        self._reach = None
+        self._witnesses = {}
+        self._statuses = {}
+        self._asked = set()
+        self._refused = frozenset()
+        self._own_token = 0
+        self._candidate = ""
+
+    def _advance(
+        self, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
+        if self._is_over(view):
+            self.doubted = None
+            self._move(Phase.STEADY, "new_primary", now)
+        if self.phase is Phase.STEADY:
+            return self._watch(view, members, now)
+        if self.phase is Phase.CHECKING:
+            return self._check(view, members, now)
+        if self.phase is Phase.CLAIMING:
+            return self._claim_duty(view, now)
+        if self.phase is Phase.CHOOSING:
+            return self._choose(view, now)
+        if self.phase is Phase.PROMOTING:
+            return self._promote_again(view, now)
+        return self._follow(view, now)
+
+    def _is_over(self, view: GroupView) -> bool:
+        if self.phase is Phase.STEADY:
+            return False
+        primary = view.primary
+        if primary is None:
+            return False
+        if primary.id != self._replaced and not primary.draining:
+            return True
+        still_leaving = primary.draining
+        planned = self._cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
+        return planned and not still_leaving
+
+    def _watch(
+        self, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
+        primary = view.primary
+        if primary is None:
+            if not view.databases:
+                return []
+            if self._none_since is None:
+                self._none_since = now
+            if now < self._none_since + NONE_KNOWN_SECONDS:
+                return []
+            self._begin(LossCause.NONE_KNOWN, "", now)
+            self._start_claim(members, now)
+            return []
+        self._none_since = None
+        if self.doubted == primary.id and now >= self._last_check + CHECK_AGAIN_SECONDS:
+            return self._start_check(primary.id, now)
+        if not primary.draining:
+            return []
+        gone = primary.id in view.departed
+        since = view.draining_since.get(primary.id, now)
+        if gone and now < since + ENTRY_GONE_SECONDS:
+            return []
+        if not eligible(view, primary.id, frozenset()):
+            return []
+        cause = LossCause.ENTRY_GONE if gone else LossCause.DRAINING
+        self._begin(cause, primary.id, now)
+        self._start_claim(members, now)
+        return []
+
+    def _check(
+        self, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
+        if self._reach is not None and self._reach.reachable:
+            self.doubted = None
+            self.reached_by_others = False
+            self._move(Phase.STEADY, "reachable", now)
+            return []
+        if self._reach is not None:
+            self.doubted = self._replaced
+        if any(self._witnesses.values()):
+            self.reached_by_others = True
+            self._move(Phase.STEADY, "reached_by_others", now)
+            return []
+        effects: list[SuccessionEffect] = []
+        failed = self._reach is not None
+        if not self._asks_witnesses and (failed or now >= self._phase_since + ASK_AFTER_SECONDS):
+            self._asks_witnesses = True
+            effects.append(AskWitnesses(self._replaced))
+        if not failed or not self._is_confirmed(members, now):
+            return effects
+        self.reached_by_others = False
+        self._start_claim(members, now)
+        return self._claim_duty(view, now)
+
+    def _is_confirmed(self, members: Sequence[str], now: float) -> bool:
+        against = 1 + sum(not reachable for reachable in self._witnesses.values())
+        if against >= len(members):
+            return True
+        waited = now - self._phase_since
+        if waited >= CHECK_LIMIT_SECONDS and against * 2 > len(members):
+            return True
+        return waited >= LONE_CHECK_LIMIT_SECONDS
+
+    def _start_claim(self, members: Sequence[str], now: float) -> None:
+        rank = list(members).index(self._own_name) if self._own_name in members else 0
+        delay = CLAIM_STEP_SECONDS * rank
+        if self._claim is not None and self._claim.holder != self._own_name:
+            delay += OTHER_HOLDER_SECONDS if self._claim.holder in members else 0.0
+        elif self._claim is not None:
+            delay = 0.0
+        self._claim_at = now + delay
+        self._move(Phase.CLAIMING, self._cause, now)
+
+    def _claim_duty(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
+        if self._own_token:
+            self._move(Phase.CHOOSING, "claimed", now)
+            return self._choose(view, now)
+        if now < self._claim_at:
+            return []
+        self._claim_at = now + CLAIM_LIMIT_SECONDS
+        expected = 0 if self._claim is None else self._claim.token
+        return [WriteClaim(self._replaced, expected)]
+
+    def _choose(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
+        names = eligible(view, self._replaced, self._refused)
+        missing = [name for name in names if name not in self._statuses]
+        effects: list[SuccessionEffect] = []
+        for name in missing:
+            if name not in self._asked:
+                self._asked.add(name)
+                effects.append(ReadStatus(name))
+        if missing and now < self._phase_since + STATUS_LIMIT_SECONDS:
+            return effects
+        chosen = choose(names, self._statuses, {})
+        if chosen is None or (chosen not in self._statuses and not self._waited_for_status(now)):
+            if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
+                self._move(Phase.STEADY, "no_candidate", now)
+            return effects
+        self._candidate = chosen
+        self._promoted_at = now
+        self._move(Phase.PROMOTING, "chosen", now)
+        return [*effects, Promote(chosen, self._own_token)]
+
+    def _waited_for_status(self, now: float) -> bool:
+        return now > self._phase_since + 2 * STATUS_LIMIT_SECONDS
+
+    def _promote_again(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
+        if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
+            self._move(Phase.STEADY, "promotion_without_effect", now)
+            return []
+        if now < self._promoted_at + PROMOTE_AGAIN_SECONDS:
+            return []
+        self._promoted_at = now
+        return [Promote(self._candidate, self._own_token)]
+
+    def _follow(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
+        if now < self._phase_since + FOLLOW_LIMIT_SECONDS:
+            return []
+        self._move(Phase.STEADY, "holder_without_effect", now)
+        return []
+
+    def _move(self, phase: Phase, reason: str, now: float) -> None:
+        if phase is self.phase:
+            return
+        self.phase = phase
+        self._phase_since = now
+        self._record(
+            PhaseChanged(
+                group=self._group,
+                database=self._candidate or self._replaced,
+                phase=phase,
+                reason=str(reason),
+                token=self._own_token,
+                after_ms=int((now - self._since) * 1000),
+            )
+        )
--- a/src/dewledge/platform/adapter.py
+++ b/src/dewledge/platform/adapter.py
@@ -1,7 +1,8 @@
 """Everything that the product is given of the platform, in one value."""
 
 from dewledge.platform.operator_records import parse_configuration, parse_database
-from dewledge.platform.store_client import PlatformStore
+from dewledge.platform.status_row import parse_status
+from dewledge.platform.store_client import PlatformDuties, PlatformStore
 from dewledge.platform.wire_codec import WireClientCodec, WireDatabaseCodec
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.pooling.pooler_process import PlatformAdapter
@@ -11,6 +12,8 @@
     """Returns the adapter for the addresses of the settings."""
     return PlatformAdapter(
         store=PlatformStore(settings.store_address),
+        duties=PlatformDuties(settings.duty_address) if settings.duty_address else None,
+        parse_status=parse_status,
         new_client_codec=WireClientCodec,
         new_database_codec=WireDatabaseCodec,
         configuration_table="op",
--- /dev/null
+++ b/src/dewledge/platform/status_row.py
@@ -0,0 +1,24 @@
+"""The row by which a database tells its state."""
+
+from dewledge.core.pooling.statements import Reply
+from dewledge.core.succession.messages import DatabaseStatus
+from dewledge.errors import ProtocolError
+from dewledge.platform.wire_codec import parse_position
+
+MIN_FIELDS = 3
+
+
+def parse_status(reply: Reply) -> DatabaseStatus | None:
+    """Returns the state in an answer to a status statement, None if it holds none."""
+    if reply.failure is not None or not reply.rows:
+        return None
+    fields = reply.rows[0].split(" ")
+    if len(fields) < MIN_FIELDS or not fields[1].isdigit():
+        return None
+    try:
+        received = parse_position(fields[2])
+    except ProtocolError:
+        return None
+    if received is None:
+        return None
+    return DatabaseStatus(fields[0] == "primary", int(fields[1]), received)
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -24,10 +24,12 @@
     StoreRateLimited,
 )
 
-CONNECT_SECONDS = 1.0
-CALL_SECONDS = 2.5
+CONNECT_SECONDS = 0.7
+CALL_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 0.5
 PAGE_ROWS = 500
+ACCEPTED = 200
+FENCED = 409
 _KEEPALIVE = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -123,8 +125,8 @@
         self._base = f"http://{address}"
         self._http = urllib3.PoolManager(maxsize=2, retries=False, socket_options=_KEEPALIVE)
 
-    def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> int:
-        """Asks for a new primary; returns the status of the answer. Raises StoreError."""
+    def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
+        """Asks for a new primary; returns whether the platform took it. Raises StoreError."""
         headers = {
             "Content-Type": "application/json",
             "Dewledge-Lease-Holder": holder,
@@ -138,7 +140,9 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise StoreOutcomeUnknown(f"no answer: {error.__class__.__name__}") from error
-        return int(response.status)
+        if response.status not in (ACCEPTED, FENCED):
+            raise StoreError(f"the platform answered {response.status}")
+        return response.status == ACCEPTED
 
 
 def _store_row(row: _Row) -> StoreRow:
--- /dev/null
+++ b/src/dewledge/shell/pooling/coordination_rows.py
@@ -0,0 +1,51 @@
+"""The product's own rows in the store: members, and claims of succession. Values in cbor2."""
+
+from typing import TypeVar
+
+import cbor2
+import msgspec
+
+from dewledge.core.coordination_store import StoreRow
+from dewledge.core.succession.messages import Claim
+
+TABLE = "dewledge"
+MEMBER_PREFIX = "member/"
+CLAIM_PREFIX = "claim/"
+
+Value = TypeVar("Value")
+
+
+class MemberValue(msgspec.Struct, frozen=True):
+    """Where a process takes peers' datagrams."""
+
+    peer_address: str
+
+
+class ClaimValue(msgspec.Struct, frozen=True):
+    """Who replaces a group's primary, and which."""
+
+    holder: str
+    replaced: str
+
+
+def encode_value(value: msgspec.Struct) -> bytes:
+    """Returns the value of a row."""
+    return cbor2.dumps(msgspec.to_builtins(value))
+
+
+def read_member(row: StoreRow) -> MemberValue | None:
+    """Returns a member's row, None if it cannot be read."""
+    return _decode(row, MemberValue)
+
+
+def read_claim(row: StoreRow) -> Claim | None:
+    """Returns a claim with the version of its row as its token, None if it cannot be read."""
+    value = _decode(row, ClaimValue)
+    return None if value is None else Claim(value.holder, value.replaced, row.version)
+
+
+def _decode(row: StoreRow, kind: type[Value]) -> Value | None:
+    try:
+        return msgspec.convert(cbor2.loads(row.value), type=kind)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError):
+        return None
--- /dev/null
+++ b/src/dewledge/shell/pooling/peer_messages.py
@@ -0,0 +1,42 @@
+"""What poolers say to each other, in cbor2 over UDP: whether a database can be reached."""
+
+import cbor2
+import msgspec
+
+from dewledge.errors import ProtocolError
+
+MAX_BYTES = 1200
+
+
+class WitnessQuestion(msgspec.Struct, frozen=True, tag="ask"):
+    """Asks whether the receiver can open a connection to a database."""
+
+    asker: str
+    database: str
+
+
+class WitnessAnswer(msgspec.Struct, frozen=True, tag="say"):
+    """The answer. A process that does not know the database gives none."""
+
+    witness: str
+    database: str
+    reachable: bool
+
+
+PeerMessage = WitnessQuestion | WitnessAnswer
+
+
+def encode(message: PeerMessage) -> bytes:
+    """Returns a message as one datagram."""
+    return cbor2.dumps(msgspec.to_builtins(message))
+
+
+def decode(data: bytes) -> PeerMessage:
+    """Returns the message of a datagram. Raises ProtocolError."""
+    if len(data) > MAX_BYTES:
+        raise ProtocolError("a datagram is too long")
+    try:
+        message: PeerMessage = msgspec.convert(cbor2.loads(data), type=PeerMessage)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError) as error:
+        raise ProtocolError(f"unreadable datagram: {error}") from error
+    return message
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -6,24 +6,32 @@
 import msgspec
 from loguru import logger
 
-from dewledge.core.coordination_store import CoordinationStore, StoreRow
+from dewledge.core.coordination_store import CoordinationStore, DutyCalls, StoreRow
 from dewledge.core.pooling.codec import ClientCodec, DatabaseCodec
+from dewledge.core.pooling.connection_share import share_of_connections
 from dewledge.core.pooling.group import Group, Place
 from dewledge.core.pooling.group_view import DatabaseRecord
 from dewledge.core.pooling.routes import RouteTable
 from dewledge.core.pooling.services import PoolServices
+from dewledge.core.pooling.statements import Reply
+from dewledge.core.succession.messages import DatabaseStatus
 from dewledge.errors import ProtocolError
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.http_messages import Exchange, HttpLimits, HttpResponse
 from dewledge.shell.http_server import HttpServer
 from dewledge.shell.pooling.client_listener import ClientListener
+from dewledge.shell.pooling.coordination_rows import TABLE
 from dewledge.shell.pooling.database_opener import DatabaseOpener
 from dewledge.shell.pooling.event_log import EventLog
+from dewledge.shell.pooling.member_table import MemberTable
+from dewledge.shell.pooling.succession_driver import SuccessionDriver
 from dewledge.shell.pooling.table_watcher import TableWatcher
+from dewledge.shell.pooling.witnesses import Witnesses
 
 SWEEP_SECONDS = 0.25
 DRAIN_MARGIN_SECONDS = 2.0
+EXECUTOR_THREADS = 8
 PLAIN = "text/plain"
 
 
@@ -31,6 +39,8 @@
     """What the adapter of a platform brings: codecs, tables, and readers of their rows."""
 
     store: CoordinationStore
+    duties: DutyCalls | None
+    parse_status: Callable[[Reply], DatabaseStatus | None]
     new_client_codec: Callable[[], ClientCodec]
     new_database_codec: Callable[[], DatabaseCodec]
     configuration_table: str
@@ -48,7 +58,8 @@
         self._settings = settings
         self._platform = platform
         self._loop = EventLoop()
-        self._services = PoolServices(_LoopScheduler(self._loop), EventLog().record)
+        self._log = EventLog()
+        self._services = PoolServices(_LoopScheduler(self._loop), self._log.record)
         self._opener = DatabaseOpener(
             self._loop, settings.name, platform.new_database_codec, self._find_database
         )
@@ -63,10 +74,31 @@
         self._ready = HttpServer(
             self._loop, settings.ready_address, HttpLimits(), self._answer_ready
         )
-        self._executor = ThreadPoolExecutor(max_workers=4)
+        self._executor = ThreadPoolExecutor(max_workers=EXECUTOR_THREADS)
+        self._members = MemberTable(settings.name, settings.peer_address, platform.store)
+        self._succession = SuccessionDriver(
+            self._loop,
+            settings.name,
+            self._services.groups,
+            platform.store,
+            platform.duties,
+            platform.parse_status,
+            self._executor,
+            lambda: self._members.addresses,
+            self._log.record,
+        )
+        self._witnesses = Witnesses(
+            self._loop,
+            settings.peer_address,
+            settings.name,
+            self._find_database,
+            self._succession.take_answer,
+        )
+        self._services.suspect = self._succession.doubt
         self._watchers = [
             self._watch(platform.configuration_table, self._configuration_rows),
             self._watch(platform.database_table, self._database_rows, self._database_snapshot),
+            self._watch(TABLE, self._coordination_rows),
         ]
         self._leaving_since: float | None = None
 
@@ -75,6 +107,9 @@
         logger.bind(name=self._settings.name, zone=self._settings.zone).info("pooler_started")
         for watcher in self._watchers:
             self._executor.submit(watcher.run)
+        self._executor.submit(self._members.register, lambda: self._leaving_since is not None)
+        self._witnesses.start()
+        self._succession.start(self._witnesses)
         self._clients.start()
         self._ready.start()
         self._sweep()
@@ -134,6 +169,11 @@
             "configuration_taken"
         )
 
+    def _coordination_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
+        self._members.take_rows(rows)
+        self._succession.take_rows(rows)
+        self._share_connections()
+
     def _database_snapshot(self, rows: tuple[StoreRow, ...], version: int) -> None:
         present = {row.key for row in rows}
         for group in self._services.groups.values():
@@ -190,7 +230,8 @@
 
     def _share_connections(self) -> None:
         for name, policy in self._services.routes.groups.items():
-            self._group(name).set_connection_limit(max(policy.max_connections // 8, 1))
+            limit = share_of_connections(policy.max_connections, len(self._members.addresses))
+            self._group(name).set_connection_limit(limit)
 
     # Time.
 
@@ -218,6 +259,7 @@
             self._finish()
 
     def _finish(self) -> None:
+        self._succession.stop()
         logger.bind(unfinished=len(self._clients.connections)).info("pooler_stopped")
         for watcher in self._watchers:
             watcher.stop()
--- /dev/null
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -0,0 +1,235 @@
+"""Drives the successions of all groups: tests, datagrams, the claim row, promotions."""
+
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+
+import msgspec
+from loguru import logger
+
+from dewledge.core.coordination_store import CoordinationStore, DutyCalls, StoreRow, StoreWrite
+from dewledge.core.pooling.connection_pool import Denial, Waiter
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.group import Group
+from dewledge.core.pooling.group_view import DatabaseRecord
+from dewledge.core.pooling.statements import Reply, StatementKind
+from dewledge.core.succession.messages import (
+    AskWitnesses,
+    ClaimRefused,
+    ClaimSeen,
+    DatabaseStatus,
+    Phase,
+    PrimaryDoubted,
+    Promote,
+    PromotionAnswered,
+    ReachTested,
+    ReadStatus,
+    StatusRead,
+    SuccessionEffect,
+    SuccessionEvent,
+    TestReach,
+    Ticked,
+    WitnessReported,
+    WriteClaim,
+)
+from dewledge.core.succession.succession import GroupSuccession
+from dewledge.errors import StoreError
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.pooling.coordination_rows import (
+    CLAIM_PREFIX,
+    TABLE,
+    ClaimValue,
+    encode_value,
+    read_claim,
+)
+from dewledge.shell.pooling.peer_messages import WitnessAnswer
+from dewledge.shell.pooling.witnesses import Witnesses
+
+TICK_SECONDS = 0.05
+STATUS_PRIORITY = -1
+STATUS_LIMIT_SECONDS = 1.0
+
+
+class SuccessionDriver:
+    """All methods belong to the loop's thread; store and duty calls run on the executor."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        own_name: str,
+        groups: dict[str, Group],
+        store: CoordinationStore,
+        duties: DutyCalls | None,
+        parse_status: Callable[[Reply], DatabaseStatus | None],
+        executor: Executor,
+        members: Callable[[], dict[str, str]],
+        record: Callable[[msgspec.Struct], None],
+    ) -> None:
+        """`members`: the peer address of each process by its name."""
+        self._loop = loop
+        self._own_name = own_name
+        self._groups = groups
+        self._store = store
+        self._duties = duties
+        self._parse_status = parse_status
+        self._executor = executor
+        self._members = members
+        self._record = record
+        self._successions: dict[str, GroupSuccession] = {}
+        self._witnesses: Witnesses | None = None
+        self._stopped = False
+
+    def start(self, witnesses: Witnesses) -> None:
+        """Starts to watch the groups' primaries."""
+        self._witnesses = witnesses
+        self._tick()
+
+    def stop(self) -> None:
+        """Takes no further step: a process that leaves begins no succession."""
+        self._stopped = True
+
+    def doubt(self, group: str, database_id: str) -> None:
+        """A statement got no answer, or no connection could be opened."""
+        self._handle(group, PrimaryDoubted(database_id))
+
+    def take_rows(self, rows: Sequence[StoreRow]) -> None:
+        """Takes claim rows of the store."""
+        for row in rows:
+            if row.key.startswith(CLAIM_PREFIX) and not row.gone:
+                claim = read_claim(row)
+                if claim is not None:
+                    self._handle(row.key.removeprefix(CLAIM_PREFIX), ClaimSeen(claim))
+
+    def take_answer(self, answer: WitnessAnswer) -> None:
+        """Takes another process's word on a database."""
+        record = self._find(answer.database)
+        if record is not None:
+            event = WitnessReported(answer.witness, answer.database, answer.reachable)
+            self._handle(record.group, event)
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        for name in list(self._groups):
+            self._handle(name, Ticked())
+        self._loop.call_later(TICK_SECONDS, self._tick)
+
+    def _handle(self, group_name: str, event: SuccessionEvent) -> None:
+        group = self._groups.get(group_name)
+        if group is None or self._stopped:
+            return
+        succession = self._successions.get(group_name)
+        if succession is None:
+            succession = GroupSuccession(group_name, self._own_name, self._record)
+            self._successions[group_name] = succession
+        members = sorted(self._members().keys() | {self._own_name})
+        effects = succession.handle(event, group.view, members, self._loop.now())
+        group.set_doubt(succession.doubted, succession.reached_by_others)
+        if succession.phase is Phase.STEADY and succession.doubted is not None:
+            group.pool(succession.doubted).close_idle()
+        for effect in effects:
+            self._carry_out(group, effect)
+
+    def _carry_out(self, group: Group, effect: SuccessionEffect) -> None:
+        if isinstance(effect, TestReach):
+            self._test(group, effect.database)
+        elif isinstance(effect, AskWitnesses):
+            self._ask(effect.database)
+        elif isinstance(effect, ReadStatus):
+            self._read_status(group, effect.database)
+        elif isinstance(effect, WriteClaim):
+            self._executor.submit(self._write_claim, group.view.name, effect)
+        elif isinstance(effect, Promote):
+            self._executor.submit(self._promote, group.view.name, effect)
+
+    def _test(self, group: Group, database_id: str) -> None:
+        record = group.view.databases.get(database_id)
+        if record is None or self._witnesses is None:
+            return
+
+        def done(reachable: bool) -> None:
+            self._handle(group.view.name, ReachTested(database_id, reachable))
+
+        self._witnesses.test(record, done)
+
+    def _ask(self, database_id: str) -> None:
+        others = [name for name in self._members() if name != self._own_name]
+        if self._witnesses is not None:
+            self._witnesses.ask([self._members()[name] for name in others], database_id)
+
+    def _read_status(self, group: Group, database_id: str) -> None:
+        """Reads a state over a pooled connection; given up silently once it takes too long."""
+        pool = group.pool(database_id)
+
+        def tell(status: DatabaseStatus | None) -> None:
+            self._handle(group.view.name, StatusRead(database_id, status))
+
+        def given(connection: DatabaseConnection) -> None:
+            timer = self._loop.call_later(STATUS_LIMIT_SECONDS, lambda: lost(connection))
+
+            def answered(reply: Reply | None) -> None:
+                timer.cancel()
+                pool.release(connection)
+                tell(None if reply is None else self._parse_status(reply))
+
+            connection.send_own(StatementKind.STATUS, answered)
+
+        def lost(connection: DatabaseConnection) -> None:
+            connection.close()
+            pool.release(connection)
+            tell(None)
+
+        def denied(_denial: Denial) -> None:
+            self._loop.call_later(TICK_SECONDS, lambda: tell(None))
+
+        pool.acquire(Waiter(STATUS_PRIORITY, given, denied), {})
+
+    def _write_claim(self, group: str, effect: WriteClaim) -> None:
+        """Runs on the executor. Whatever the answer, the row itself tells who holds the claim."""
+        key = CLAIM_PREFIX + group
+        value = encode_value(ClaimValue(self._own_name, effect.replaced))
+        try:
+            version = self._store.write(StoreWrite(TABLE, key, value, effect.expected))
+        except StoreError as error:
+            logger.bind(group=group, expected=effect.expected, error=error.message).info(
+                "claim_not_written"
+            )
+            self._read_claim_back(group, key)
+            return
+        row = StoreRow(key, value, version)
+        self._loop.post(lambda: self.take_rows([row]))
+
+    def _read_claim_back(self, group: str, key: str) -> None:
+        try:
+            rows = [row for row in self._store.read_table(TABLE).rows if row.key == key]
+        except StoreError:
+            rows = []
+
+        def tell() -> None:
+            self.take_rows(rows)
+            self._handle(group, ClaimRefused())
+
+        self._loop.post(tell)
+
+    def _promote(self, group: str, effect: Promote) -> None:
+        """Runs on the executor. A call without an answer is made again under the same token."""
+        if self._duties is None:
+            return
+        try:
+            accepted = self._duties.promote(group, effect.database, self._own_name, effect.token)
+        except StoreError as error:
+            logger.bind(group=group, database=effect.database, error=error.message).info(
+                "promotion_unanswered"
+            )
+            return
+        logger.bind(
+            group=group, database=effect.database, token=effect.token, accepted=accepted
+        ).info("promotion_answered")
+        answer = PromotionAnswered(effect.database, accepted, not accepted)
+        self._loop.post(lambda: self._handle(group, answer))
+
+    def _find(self, database_id: str) -> DatabaseRecord | None:
+        for group in self._groups.values():
+            record = group.view.databases.get(database_id)
+            if record is not None:
+                return record
+        return None
--- a/src/dewledge/shell/pooling/table_watcher.py
+++ b/src/dewledge/shell/pooling/table_watcher.py
@@ -10,7 +10,8 @@
 from dewledge.core.coordination_store import CoordinationStore, HistoryLost, StoreRow
 from dewledge.errors import StoreError
 
-WAIT_SECONDS = 8.0
+WAIT_SECONDS = 2.0
+"""Short: a store that swallows a call is noticed within this and the time-out of a call."""
 RETRY_SECONDS = 0.4
 LONGEST_RETRY_SECONDS = 1.5
 STALE_PAUSE_SECONDS = 0.2
@@ -67,7 +68,8 @@
     def _follow(self) -> None:
         while not self._stopped.is_set():
             try:
-                answer = self._store.watch_table(self._table, self._newest, WAIT_SECONDS)
+                wait = 0.0 if self._failures else WAIT_SECONDS
+                answer = self._store.watch_table(self._table, self._newest, wait)
             except HistoryLost:
                 raise
             except StoreError as error:
