--- a/src/dewledge/core/pooling/client_session.py
+++ b/src/dewledge/core/pooling/client_session.py
@@ -28,6 +28,9 @@
 from dewledge.errors import ErrorCode
 
 MAX_PIPELINED = 64
+STARTUP_HOLD_SECONDS = 1.6
+"""A process that has no configuration yet lets a new session wait; clients leave after 2 s."""
+COME_BACK_STARTING_MS = 500
 
 _ENDS = frozenset({StatementKind.COMMIT, StatementKind.ROLLBACK})
 _BEGINS = frozenset({StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY})
@@ -64,6 +67,7 @@
         self._queue: deque[Statement | MalformedInput] = deque()
         self._ended = False
         self._leaving = False
+        self._held: Startup | None = None
 
     @property
     def at_rest(self) -> bool:
@@ -134,14 +138,30 @@
             state.transaction = None
 
     def _start(self, startup: Startup) -> None:
-        if self._state is not None:
+        if self._state is not None or self._held is not None:
             self._refuse(ErrorCode.MALFORMED_REQUEST, "the session stands already")
+        elif not self._services.is_configured:
+            self._held = startup
+            self._services.wait_for_configuration(self._start_held)
+            scheduler = self._services.scheduler
+            scheduler.call_later(STARTUP_HOLD_SECONDS, self._refuse_held)
         elif self._services.routes.find(startup.database) is None:
             self._refuse(ErrorCode.UNKNOWN_GROUP, "no route of this name")
         else:
             self._state = SessionState(self._name, startup.database, startup.user)
             self._transport.send_ready()
 
+    def _start_held(self) -> None:
+        startup, self._held = self._held, None
+        if startup is not None and not self._ended:
+            self._start(startup)
+
+    def _refuse_held(self) -> None:
+        if self._held is not None and not self._ended:
+            self._held = None
+            message = f"not run, come back in {COME_BACK_STARTING_MS} ms"
+            self._refuse(ErrorCode.OVERLOADED, message)
+
     def _refuse(self, code: ErrorCode, message: str) -> None:
         self.end()
         self._transport.send_refusal(Failure(code, message))
--- a/src/dewledge/core/pooling/services.py
+++ b/src/dewledge/core/pooling/services.py
@@ -18,3 +18,22 @@
         self.groups: dict[str, Group] = {}
         self.suspect: Callable[[str, str], None] = lambda group, database: None
         """Called with a group and a database that left a statement without an answer."""
+        self._configuration_waiters: list[Callable[[], None]] = []
+
+    @property
+    def is_configured(self) -> bool:
+        """Whether a configuration and at least one database are known."""
+        if self.routes.version < 0:
+            return False
+        return any(group.view.databases for group in self.groups.values())
+
+    def wait_for_configuration(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` once when the process can serve."""
+        self._configuration_waiters.append(callback)
+
+    def wake_if_configured(self) -> None:
+        """Called after each change of the configuration or of a group."""
+        if self._configuration_waiters and self.is_configured:
+            waiters, self._configuration_waiters = self._configuration_waiters, []
+            for callback in waiters:
+                callback()
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -122,9 +122,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
-        if self._leaving_since is not None or self._services.routes.version < 0:
-            return False
-        return any(group.view.databases for group in self._services.groups.values())
+        return self._leaving_since is None and self._services.is_configured
 
     def _leave(self) -> None:
         if self._leaving_since is not None:
@@ -168,6 +166,7 @@
         logger.bind(version=table.version, revision=row.version, routes=len(table.routes)).info(
             "configuration_taken"
         )
+        self._services.wake_if_configured()
 
     def _coordination_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
         self._members.take_rows(rows)
@@ -206,6 +205,7 @@
             draining=record.draining,
             revision=row.version,
         ).info("database_known")
+        self._services.wake_if_configured()
 
     def _database_gone(self, group: Group, database_id: str, revision: int) -> None:
         if database_id in group.view.databases:
