--- /dev/null
+++ b/tests/core/pooling/test_connection_pool.py
@@ -0,0 +1,116 @@
+"""The pool: limits, waiting by urgency, connections of doubtful state, databases that leave."""
+
+import unittest
+
+from dewledge.core.pooling.connection_pool import ConnectionPool, Denial, Waiter
+from dewledge.core.pooling.connection_share import share_of_connections
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from tests.core.pooling.harness import ModelGroup, ModelScheduler
+
+
+class PoolCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.scheduler = ModelScheduler()
+        self.model = ModelGroup(self.scheduler)
+        self.pool = ConnectionPool("p", 2, self.model, self.scheduler.now)
+        self.given: list[tuple[str, DatabaseConnection]] = []
+        self.denied: list[tuple[str, Denial]] = []
+
+    def acquire(self, name: str, priority: int = 1, wait: float = 0.1) -> Waiter:
+        waiter = Waiter(
+            priority,
+            lambda connection: self.given.append((name, connection)),
+            lambda denial: self.denied.append((name, denial)),
+        )
+        self.pool.acquire(waiter, {})
+        self.scheduler.advance(wait)
+        return waiter
+
+
+class ConnectionPoolTest(PoolCase):
+    def test_no_more_connections_than_the_limit_are_opened(self) -> None:
+        for name in "abc":
+            self.acquire(name)
+        self.assertEqual([name for name, _ in self.given], ["a", "b"])
+        self.assertEqual(self.model.databases["p"].open_connections, 2)
+        self.pool.release(self.given[0][1])
+        self.assertEqual(self.given[2][0], "c")
+
+    def test_the_more_urgent_waiter_comes_first_then_the_earlier(self) -> None:
+        for name in "ab":
+            self.acquire(name)
+        for name, priority in (("late", 2), ("later", 2), ("urgent", 0)):
+            self.acquire(name, priority)
+        for index in range(3):
+            self.pool.release(self.given[index][1])
+        self.assertEqual([name for name, _ in self.given[2:]], ["urgent", "late", "later"])
+
+    def test_a_waiter_that_withdrew_is_passed_over(self) -> None:
+        for name in "ab":
+            self.acquire(name)
+        self.acquire("gone").withdrawn = True
+        self.acquire("next")
+        self.pool.release(self.given[0][1])
+        self.assertEqual(self.given[2][0], "next")
+
+    def test_a_connection_that_broke_is_replaced_for_who_waits(self) -> None:
+        for name in "abc":
+            self.acquire(name)
+        connection = self.given[0][1]
+        self.model.transports[0].break_off()
+        self.pool.release(connection)
+        self.scheduler.advance(0.1)
+        self.assertEqual(self.given[2][0], "c")
+        self.assertIsNot(self.given[2][1], connection)
+
+    def test_an_unreachable_database_denies_at_once_and_is_tried_again_later(self) -> None:
+        self.model.databases["p"].refuse_connections = True
+        self.acquire("a")
+        self.acquire("b", wait=0.0)
+        self.assertEqual(self.denied, [("a", Denial.UNREACHABLE), ("b", Denial.UNREACHABLE)])
+        self.model.databases["p"].refuse_connections = False
+        self.scheduler.advance(0.3)
+        self.acquire("c")
+        self.assertEqual(self.given[0][0], "c")
+
+    def test_a_database_at_its_own_limit_is_not_asked_at_every_statement(self) -> None:
+        self.model.databases["p"].max_connections = 1
+        for name in "ab":
+            self.acquire(name)
+        opened = len(self.model.transports)
+        self.acquire("c")
+        self.assertEqual(len(self.model.transports), opened)
+        self.pool.release(self.given[0][1])
+        self.assertEqual(self.given[1][0], "b")
+
+    def test_a_retired_pool_gives_nothing_and_ends_its_connections(self) -> None:
+        self.acquire("a")
+        self.acquire("b")
+        self.pool.release(self.given[0][1])
+        self.pool.retire()
+        self.acquire("c")
+        self.assertEqual(self.denied, [("c", Denial.CLOSED)])
+        self.pool.release(self.given[1][1])
+        self.assertEqual(self.model.databases["p"].open_connections, 0)
+
+    def test_a_smaller_share_closes_connections_as_they_come_back(self) -> None:
+        for name in "ab":
+            self.acquire(name)
+        self.pool.limit = 1
+        for _, connection in self.given:
+            self.pool.release(connection)
+        self.assertEqual(self.model.databases["p"].open_connections, 1)
+
+
+class ShareTest(unittest.TestCase):
+    def test_the_shares_of_all_members_stay_within_the_limit(self) -> None:
+        for limit in (1, 4, 36, 50, 100):
+            for members in range(1, max(limit - limit // 10, 2)):
+                share = share_of_connections(limit, members)
+                self.assertGreaterEqual(share, 1)
+                if members <= limit - max(limit // 10, 1):
+                    self.assertLessEqual(share * members, limit)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/pooling/test_freshness.py
@@ -0,0 +1,107 @@
+"""Proven positions, the view of a group, and the targets that follow from both."""
+
+import unittest
+
+from dewledge.core.pooling.freshness import FreshnessHistory
+from dewledge.core.pooling.group_view import DatabaseRecord, DatabaseRole, GroupView
+from dewledge.core.pooling.routes import Consistency
+from dewledge.core.pooling.targets import Proof, ReadNeed, read_floor, read_targets
+from dewledge.core.positions import LogPosition
+from tests.core.pooling.harness import GROUP, route
+
+
+def record(
+    name: str, revision: int, role: str = "replica", draining: bool = False
+) -> DatabaseRecord:
+    return DatabaseRecord(
+        name, GROUP, "127.0.0.1:1", "a", DatabaseRole(role), draining, 3, revision
+    )
+
+
+class FreshnessHistoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.history = FreshnessHistory()
+        for second in range(5):
+            self.history.record(100.0 + second, LogPosition(1, second))
+
+    def test_the_oldest_proof_within_the_bound_is_enough(self) -> None:
+        self.assertEqual(self.history.floor(104.5, 2.0).position, LogPosition(1, 3))  # type: ignore[union-attr]
+
+    def test_none_is_known_when_all_are_older(self) -> None:
+        self.assertIsNone(self.history.floor(107.0, 2.0))
+
+    def test_an_answer_of_an_earlier_term_proves_nothing_after_a_later_one(self) -> None:
+        self.history.record(105.0, LogPosition(2, 1))
+        self.history.record(106.0, LogPosition(1, 9))
+        self.assertEqual(self.history.newest.position, LogPosition(2, 1))  # type: ignore[union-attr]
+
+    def test_memory_is_bounded(self) -> None:
+        for step in range(100_000):
+            self.history.record(200.0 + step * 0.001, LogPosition(1, step))
+        self.assertLess(len(self.history._proofs), 250)
+
+
+class ReadFloorTest(unittest.TestCase):
+    def test_by_consistency(self) -> None:
+        history = FreshnessHistory()
+        history.record(100.0, LogPosition(1, 7))
+        own = LogPosition(1, 9)
+        cases = (
+            (Consistency.PRIMARY, own, None),
+            (Consistency.BOUNDED_STALENESS, own, LogPosition(1, 7)),
+            (Consistency.READ_OWN_WRITES, own, own),
+            (Consistency.READ_OWN_WRITES, None, LogPosition(1, 7)),
+            (Consistency.READ_OWN_WRITES, LogPosition(1, 2), LogPosition(1, 7)),
+        )
+        for consistency, session_floor, expected in cases:
+            with self.subTest(consistency=consistency, own=session_floor):
+                floor = read_floor(route(consistency), history, ReadNeed(100.5, session_floor))
+                self.assertEqual(floor, expected)
+
+
+class GroupViewTest(unittest.TestCase):
+    def test_the_last_to_call_itself_primary_is_taken(self) -> None:
+        view = GroupView(GROUP)
+        for change in (record("a", 1, "primary"), record("b", 2), record("b", 5, "primary")):
+            view = view.with_record(change, 0.0)
+        self.assertEqual(view.primary.id, "b")  # type: ignore[union-attr]
+
+    def test_an_older_word_changes_nothing(self) -> None:
+        view = GroupView(GROUP).with_record(record("a", 5, "primary"), 0.0)
+        self.assertIs(view.with_record(record("a", 4), 0.0), view)
+
+    def test_a_refuted_primary_counts_again_once_it_says_so_anew(self) -> None:
+        view = GroupView(GROUP).with_record(record("a", 1, "primary"), 0.0).with_refuted("a")
+        self.assertIsNone(view.primary)
+        view = view.with_record(record("a", 2, "primary", draining=True), 0.0)
+        self.assertEqual(view.primary.id, "a")  # type: ignore[union-attr]
+
+    def test_an_entry_that_goes_and_comes_back(self) -> None:
+        view = GroupView(GROUP).with_record(record("a", 1, "primary"), 0.0)
+        view = view.with_departure("a", 2, 10.0)
+        self.assertFalse(view.takes_work("a", 16.0, 5.0))
+        view = view.with_record(record("a", 3, "primary"), 20.0)
+        self.assertTrue(view.takes_work("a", 99.0, 5.0))
+        self.assertEqual(view.departed, frozenset())
+
+
+class ReadTargetsTest(unittest.TestCase):
+    def test_near_replicas_first_loaded_ones_later_the_primary_last(self) -> None:
+        view = GroupView(GROUP)
+        for each in (record("p", 1, "primary"), record("near", 2), record("far", 3)):
+            view = view.with_record(each, 0.0)
+        distance = {"p": 0, "near": 0, "far": 2}
+        for load, expected in (({}, ["near", "far", "p"]), ({"near": 5}, ["far", "near", "p"])):
+            targets = read_targets(
+                view,
+                LogPosition(1, 1),
+                view.primary,
+                lambda database: distance[database.id],
+                lambda database, load=load: load.get(database.id, 0),  # type: ignore[misc]
+            )
+            self.assertEqual([target.database.id for target in targets], expected)
+            self.assertEqual(targets[-1].proof, Proof.LEAD)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/succession/test_succession.py
@@ -0,0 +1,277 @@
+"""The cases in which a primary is replaced, and those in which it is not."""
+
+import unittest
+from collections.abc import Sequence
+
+from dewledge.core.pooling.group_view import DatabaseRecord, DatabaseRole, GroupView
+from dewledge.core.positions import LogPosition
+from dewledge.core.succession.messages import (
+    AskWitnesses,
+    Claim,
+    ClaimRefused,
+    ClaimSeen,
+    DatabaseStatus,
+    Phase,
+    PhaseChanged,
+    PrimaryDoubted,
+    Promote,
+    PromotionAnswered,
+    ReachTested,
+    ReadStatus,
+    StatusRead,
+    SuccessionEffect,
+    SuccessionEvent,
+    TestReach,
+    Ticked,
+    WitnessReported,
+    WriteClaim,
+)
+from dewledge.core.succession.succession import GroupSuccession
+
+MEMBERS = ("a", "b", "c")
+
+
+class SuccessionCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 1000.0
+        self.events: list[PhaseChanged] = []
+        self.view = GroupView("menus")
+        self.revision = 0
+        for name, role in (("p", "primary"), ("r1", "replica"), ("r2", "replica")):
+            self.announce(name, role)
+        self.succession = GroupSuccession("menus", "a", self.events.append)
+        self.effects: list[SuccessionEffect] = []
+
+    def announce(self, name: str, role: str, draining: bool = False) -> None:
+        self.revision += 1
+        record = DatabaseRecord(
+            name, "menus", "127.0.0.1:1", "z", DatabaseRole(role), draining, 3, self.revision
+        )
+        self.view = self.view.with_record(record, self.now)
+
+    def handle(
+        self, event: SuccessionEvent, members: Sequence[str] = MEMBERS
+    ) -> Sequence[SuccessionEffect]:
+        effects = self.succession.handle(event, self.view, members, self.now)
+        self.effects += effects
+        return effects
+
+    def wait(self, seconds: float, members: Sequence[str] = MEMBERS) -> list[SuccessionEffect]:
+        before = len(self.effects)
+        for _ in range(round(seconds / 0.05)):
+            self.now += 0.05
+            self.handle(Ticked(), members)
+        return self.effects[before:]
+
+    def lose_primary(self) -> None:
+        self.handle(PrimaryDoubted("p"))
+        self.handle(ReachTested("p", False))
+
+    def confirm(self) -> None:
+        for witness in ("b", "c"):
+            self.handle(WitnessReported(witness, "p", False))
+
+    def of(self, kind: type[SuccessionEffect]) -> list[SuccessionEffect]:
+        return [effect for effect in self.effects if isinstance(effect, kind)]
+
+
+class DoubtTest(SuccessionCase):
+    def test_a_primary_that_can_be_reached_is_kept(self) -> None:
+        self.assertEqual(self.handle(PrimaryDoubted("p")), [TestReach("p")])
+        self.handle(ReachTested("p", True))
+        self.wait(10.0)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.assertIsNone(self.succession.doubted)
+
+    def test_a_primary_that_another_process_reaches_is_kept(self) -> None:
+        self.lose_primary()
+        self.handle(WitnessReported("b", "p", False))
+        self.handle(WitnessReported("c", "p", True))
+        self.assertEqual(self.succession.phase, Phase.STEADY)
+        self.assertEqual(self.succession.doubted, "p")
+        self.assertTrue(self.succession.reached_by_others)
+        self.assertEqual(self.of(WriteClaim), [])
+
+    def test_it_is_tested_again_and_again_while_only_this_process_cannot_reach_it(self) -> None:
+        self.lose_primary()
+        self.handle(WitnessReported("c", "p", True))
+        tests = [e for e in self.wait(1.0) if isinstance(e, TestReach)]
+        self.assertGreaterEqual(len(tests), 1)
+        self.handle(ReachTested("p", True))
+        self.assertIsNone(self.succession.doubted)
+
+    def test_when_all_agree_the_duty_is_claimed_at_once(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.assertEqual(self.of(AskWitnesses), [AskWitnesses("p")])
+        self.assertEqual(self.of(WriteClaim), [WriteClaim("p", 0)])
+
+    def test_a_majority_is_enough_after_a_while(self) -> None:
+        self.lose_primary()
+        self.handle(WitnessReported("b", "p", False))
+        self.wait(0.3)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.wait(0.2)
+        self.assertEqual(len(self.of(WriteClaim)), 1)
+
+    def test_a_process_that_is_cut_off_from_all_waits_much_longer(self) -> None:
+        self.lose_primary()
+        self.wait(2.3)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.wait(0.4)
+        self.assertEqual(len(self.of(WriteClaim)), 1)
+
+    def test_doubt_about_a_replica_changes_nothing(self) -> None:
+        self.assertEqual(self.handle(PrimaryDoubted("r1")), [])
+
+
+class ClaimTest(SuccessionCase):
+    def claim(self, token: int = 7) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.handle(ClaimSeen(Claim("a", "p", token)))
+
+    def test_one_that_claims_later_follows_the_holder(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.handle(ClaimSeen(Claim("b", "p", 7)))
+        self.wait(2.0)
+        self.assertEqual(self.succession.phase, Phase.FOLLOWING)
+        self.assertEqual(self.of(Promote), [])
+
+    def test_a_holder_without_effect_is_succeeded_with_a_later_row(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.handle(ClaimSeen(Claim("b", "p", 7)))
+        self.wait(3.1)
+        self.lose_primary()
+        self.confirm()
+        self.wait(1.0)
+        self.assertEqual(self.of(WriteClaim)[-1], WriteClaim("p", 7))
+
+    def test_the_last_holder_acts_on_its_own_token_while_the_store_is_down(self) -> None:
+        self.handle(ClaimSeen(Claim("a", "x", 5)))
+        self.lose_primary()
+        self.confirm()
+        self.handle(ClaimRefused())
+        self.wait(1.0)
+        self.assertEqual(self.of(Promote)[0].token, 5)  # type: ignore[union-attr]
+
+    def test_another_process_does_nothing_without_a_claim(self) -> None:
+        self.handle(ClaimSeen(Claim("b", "x", 5)))
+        self.lose_primary()
+        self.confirm()
+        for _ in range(20):
+            self.wait(0.5)
+            self.handle(ClaimRefused())
+        self.assertEqual(self.of(Promote), [])
+
+    def test_the_replica_that_received_most_takes_the_lead(self) -> None:
+        self.claim()
+        self.assertEqual(self.of(ReadStatus), [ReadStatus("r1"), ReadStatus("r2")])
+        self.handle(StatusRead("r1", DatabaseStatus(False, 1, LogPosition(1, 4))))
+        self.handle(StatusRead("r2", DatabaseStatus(False, 1, LogPosition(1, 6))))
+        self.assertEqual(self.of(Promote), [Promote("r2", 7)])
+
+    def test_one_that_does_not_tell_is_waited_for_briefly(self) -> None:
+        self.claim()
+        self.handle(StatusRead("r1", DatabaseStatus(False, 1, LogPosition(1, 4))))
+        self.wait(0.2)
+        self.assertEqual(self.of(Promote), [])
+        self.wait(0.2)
+        self.assertEqual(self.of(Promote), [Promote("r1", 7)])
+
+    def test_a_promotion_without_an_answer_is_asked_for_again_under_the_same_token(self) -> None:
+        self.claim()
+        self.handle(StatusRead("r1", DatabaseStatus(False, 1, LogPosition(1, 4))))
+        self.wait(2.0)
+        promotions = self.of(Promote)
+        self.assertGreaterEqual(len(promotions), 2)
+        self.assertEqual(set(promotions), {Promote("r1", 7)})
+
+    def test_a_refused_candidate_is_not_asked_for_again(self) -> None:
+        self.claim()
+        for name in ("r1", "r2"):
+            self.handle(StatusRead(name, DatabaseStatus(False, 1, LogPosition(1, 4))))
+        first = self.of(Promote)[0].database  # type: ignore[union-attr]
+        self.handle(PromotionAnswered(first, False, True))
+        self.assertNotEqual(self.of(Promote)[-1].database, first)  # type: ignore[union-attr]
+
+    def test_it_is_over_when_another_primary_is_known(self) -> None:
+        self.claim()
+        self.handle(StatusRead("r1", DatabaseStatus(False, 1, LogPosition(1, 4))))
+        self.wait(0.4)
+        self.announce("r1", "primary")
+        self.handle(Ticked())
+        self.assertEqual(self.succession.phase, Phase.STEADY)
+        self.assertIsNone(self.succession.doubted)
+
+
+class PlannedTest(SuccessionCase):
+    def test_a_primary_that_says_it_leaves_is_replaced_without_doubt(self) -> None:
+        self.announce("p", "primary", draining=True)
+        self.wait(0.5)
+        self.assertEqual(len(self.of(WriteClaim)), 1)
+        self.assertEqual(self.of(TestReach), [])
+
+    def test_one_whose_entry_is_gone_is_replaced_after_a_while(self) -> None:
+        self.view = self.view.with_departure("p", 99, self.now)
+        self.wait(1.0)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.wait(1.0)
+        self.assertEqual(len(self.of(WriteClaim)), 1)
+
+    def test_one_whose_entry_comes_back_stays(self) -> None:
+        self.view = self.view.with_departure("p", 99, self.now)
+        self.wait(1.0)
+        self.revision = 100
+        self.announce("p", "primary")
+        self.wait(3.0)
+        self.assertEqual(self.of(WriteClaim), [])
+
+    def test_with_no_other_database_nothing_is_claimed(self) -> None:
+        self.view = self.view.without("r1").without("r2")
+        self.announce("p", "primary", draining=True)
+        self.wait(3.0)
+        self.assertEqual(self.of(WriteClaim), [])
+
+    def test_without_any_known_primary_one_is_made(self) -> None:
+        self.view = self.view.with_refuted("p")
+        self.wait(2.0)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.wait(1.0)
+        self.assertEqual(self.of(WriteClaim), [WriteClaim("", 0)])
+
+
+class RaceTest(SuccessionCase):
+    def test_of_many_that_claim_at_once_only_the_holder_of_the_row_promotes(self) -> None:
+        contenders = {name: GroupSuccession("menus", name, self.events.append) for name in MEMBERS}
+        promotions = []
+        row: Claim | None = None
+        for step in range(200):
+            self.now += 0.05
+            for name, contender in contenders.items():
+                events: list[SuccessionEvent] = [Ticked()]
+                if step == 0:
+                    events = [PrimaryDoubted("p"), ReachTested("p", False)]
+                    events += [WitnessReported(w, "p", False) for w in MEMBERS if w != name]
+                if row is not None:
+                    events.append(ClaimSeen(row))
+                for event in events:
+                    for effect in contender.handle(event, self.view, MEMBERS, self.now):
+                        if isinstance(effect, WriteClaim):
+                            if effect.expected == (0 if row is None else row.token):
+                                row = Claim(name, "p", step + 1)
+                            else:
+                                contender.handle(ClaimRefused(), self.view, MEMBERS, self.now)
+                        if isinstance(effect, Promote):
+                            promotions.append((name, effect.token))
+        holders: dict[int, set[str]] = {}
+        for name, token in promotions:
+            holders.setdefault(token, set()).add(name)
+        self.assertTrue(promotions)
+        self.assertTrue(all(len(names) == 1 for names in holders.values()), holders)
+
+
+if __name__ == "__main__":
+    unittest.main()
