Test the platform folder against stand-ins of its wire, store and duty calls

Found on the way, in the stand-in: a closed listener or socket that another thread waits on goes on serving.

--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -119,6 +119,16 @@
         """Begins a planned stop. May be called from a signal handler."""
         self._loop.post(self._leave)
 
+    @property
+    def client_address(self) -> str:
+        """Where clients connect."""
+        return self._clients.address
+
+    @property
+    def ready_address(self) -> str:
+        """Where readiness is asked for."""
+        return self._ready.address
+
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
--- /dev/null
+++ b/tests/platform/test_pooler_process.py
@@ -0,0 +1,163 @@
+"""Whole pooler processes in threads, before stand-in databases and a stand-in store."""
+
+import socket
+import threading
+import unittest
+import urllib.request
+
+from dewledge.platform.adapter import build_adapter
+from dewledge.pooler_settings import PoolerSettings, PoolerTimings
+from dewledge.shell.pooling.pooler_process import PoolerProcess
+from tests.platform.table_store import TableStore
+from tests.platform.wire_databases import WireClient, WireGroup, wait_until
+
+
+def free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class PoolerCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = TableStore()
+        self.addCleanup(self.store.close)
+        self.group = WireGroup("menus", self.store)
+        self.addCleanup(self.group.close)
+        self.version = 0
+        self.put_configuration()
+        self.processes = [self.start(f"node-{number}") for number in (1, 2)]
+        for process in self.processes:
+            self.assertTrue(wait_until(lambda p=process: p.is_ready))  # type: ignore[misc]
+
+    def put_configuration(self, databases: tuple[str, ...] = ("orders", "notes", "lists")) -> None:
+        self.version += 3
+        types = ("primary", "bounded_staleness", "read_own_writes")
+        routes = [
+            {
+                "name": f"r-{name}",
+                "host": name,
+                "pathPrefix": "/",
+                "type": kind,
+                "timeoutMs": 2000,
+                "targetLatencyMs": 1000,
+                "priority": 1,
+                "service": "menus",
+                "maxStalenessMs": 1500,
+            }
+            for name, kind in zip(databases, types, strict=False)
+        ]
+        services = [{"name": "menus", "maxConnections": 36, "syncReplicas": 0}]
+        self.store.put(
+            "op",
+            "config",
+            {
+                "version": self.version,
+                "routes": routes,
+                "services": services,
+                "limits": {"txIdleMs": 3000},
+            },
+        )
+
+    def start(self, name: str) -> PoolerProcess:
+        settings = PoolerSettings(
+            name=name,
+            zone="middle",
+            client_address=free_address(),
+            ready_address=free_address(),
+            peer_address=free_address(),
+            metrics_address=free_address(),
+            store_address=self.store.address,
+            duty_address=self.store.address,
+            timings=PoolerTimings(stop_bound=1.0),
+            zones={"north": "n", "middle": "n", "south": "s"},
+        )
+        process = PoolerProcess(settings, build_adapter(settings))
+        thread = threading.Thread(target=process.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, 10.0)
+        self.addCleanup(process.leave)
+        return process
+
+    def client(self, database: str, number: int = 0) -> WireClient:
+        client = WireClient(self.processes[number].client_address, database)
+        self.addCleanup(client.close)
+        return client
+
+
+class PoolerProcessTest(PoolerCase):
+    def test_a_session_reads_its_own_writes(self) -> None:
+        client = self.client("lists")
+        self.assertEqual(client.greeting, "READY I -")
+        for number in range(5):
+            self.assertTrue(client.ask(f"WRITE fish v{number}")[1].startswith("COMPLETE signed."))
+            self.assertEqual(client.ask("READ fish")[0], f"DATAROW v{number}")
+
+    def test_a_transaction_with_prepared_statements_and_values(self) -> None:
+        client = self.client("orders")
+        client.ask("SET tenant north")
+        client.ask("PARSE s1 WRITE shape")
+        self.assertEqual(client.ask("BEGIN"), ["COMPLETE -", "READY T -"])
+        self.assertEqual(client.ask("EXECUTE s1 soup hot")[-1], "READY T -")
+        self.assertEqual(client.ask("COMMIT")[-1], "READY I -")
+        self.assertEqual(client.ask("READ soup")[0], "DATAROW hot")
+
+    def test_an_unknown_database_and_bytes_without_meaning(self) -> None:
+        self.assertTrue(self.client("nowhere").greeting.startswith("ERROR NODB"))
+        client = self.client("lists")
+        client.send("GET / HTTP/1.1")
+        self.assertTrue(client.line().startswith("ERROR MALFORMED"))
+        self.assertEqual(self.client("lists").ask("READ x")[-1], "READY I -")
+
+    def test_a_new_configuration_is_in_force_on_every_process(self) -> None:
+        self.put_configuration(("orders", "notes", "lists-2"))
+        for number in (0, 1):
+            self.assertTrue(
+                wait_until(lambda n=number: self.client("lists-2", n).greeting == "READY I -")  # type: ignore[misc]
+            )
+            self.assertTrue(self.client("lists", number).greeting.startswith("ERROR NODB"))
+
+    def test_a_crashed_primary_is_replaced_once(self) -> None:
+        client = self.client("orders")
+        client.ask("WRITE fish v1")
+        self.group.databases["north"].crash()
+
+        def is_written() -> bool:
+            return client.ask("WRITE fish v2")[0].startswith("DATAROW")
+
+        self.assertTrue(wait_until(is_written, 8.0))
+        self.assertEqual(client.ask("READ fish")[0], "DATAROW v2")
+        self.assertEqual(len({fence for _, _, _, fence in self.store.promotions}), 1)
+        self.assertNotIn("i-north", {name for _, name, _, _ in self.store.promotions})
+
+    def test_a_leaving_primary_is_replaced(self) -> None:
+        client = self.client("orders")
+        self.group.databases["north"].state = "draining"
+        self.group.databases["north"].announce()
+        self.assertTrue(wait_until(lambda: not self.group.databases["north"].leads, 8.0))
+        self.assertTrue(client.ask("WRITE fish v2")[0].startswith("DATAROW"))
+
+    def test_a_lost_answer_of_a_write_is_told_as_unknown(self) -> None:
+        client = self.client("lists")
+        client.ask("WRITE fish v1")
+        self.group.databases["north"].lose_answers = 1
+        self.assertTrue(client.ask("WRITE fish v2")[0].startswith("ERROR TIMEOUT"))
+        self.assertEqual(client.ask("READ fish")[0], "DATAROW v2")
+
+    def test_a_planned_stop_answers_what_was_asked_and_closes_sessions_at_rest(self) -> None:
+        client, busy = self.client("lists"), self.client("orders")
+        busy.ask("BEGIN")
+        busy.ask("WRITE fish v1")
+        process = self.processes[0]
+        process.leave()
+        self.assertEqual(client.line(), "")
+        self.assertEqual(busy.ask("COMMIT")[-1], "READY I -")
+        self.assertFalse(process.is_ready)
+
+    def test_readiness(self) -> None:
+        url = f"http://{self.processes[0].ready_address}/dewledge/ready"
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            self.assertEqual(answer.status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,188 @@
+"""The store's client against a stand-in: reads, feed, conditional writes, and each fault."""
+
+import threading
+import unittest
+from collections.abc import Callable
+
+from dewledge.core.coordination_store import HistoryLost, StoreRow, StoreWrite
+from dewledge.errors import (
+    ProtocolError,
+    StoreConditionFailed,
+    StoreError,
+    StoreOutcomeUnknown,
+    StoreRateLimited,
+)
+from dewledge.platform.operator_records import parse_configuration, parse_database
+from dewledge.platform.store_client import PlatformDuties, PlatformStore
+from dewledge.shell.pooling.table_watcher import TableWatcher
+from tests.platform.table_store import TableStore
+from tests.platform.wire_databases import wait_until
+
+
+class StoreCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stand_in = TableStore()
+        self.addCleanup(self.stand_in.close)
+        self.store = PlatformStore(self.stand_in.address)
+
+
+class StoreClientTest(StoreCase):
+    def test_a_table_of_many_pages_is_read_whole(self) -> None:
+        for number in range(1203):
+            self.stand_in.put("servers", f"k{number:05}", b"x")
+        table = self.store.read_table("servers")
+        self.assertEqual([row.key for row in table.rows], [f"k{n:05}" for n in range(1203)])
+        self.assertEqual(table.version, 1203)
+
+    def test_the_feed_tells_changes_and_removals_in_order(self) -> None:
+        after = self.stand_in.put("op", "a", b"1")
+        self.stand_in.put("op", "b", b"2")
+        self.stand_in.remove("op", "a")
+        answer = self.store.watch_table("op", after, 0.0)
+        self.assertEqual([(row.key, row.gone) for row in answer.rows], [("b", False), ("a", True)])
+        self.assertEqual(answer.version, 3)
+
+    def test_the_feed_waits_for_a_change(self) -> None:
+        threading.Timer(0.1, self.stand_in.put, ("op", "a", b"1")).start()
+        answer = self.store.watch_table("op", 0, 3.0)
+        self.assertEqual([row.key for row in answer.rows], ["a"])
+
+    def test_a_write_under_a_condition(self) -> None:
+        first = self.store.write(StoreWrite("t", "k", b"1", 0))
+        with self.assertRaises(StoreConditionFailed):
+            self.store.write(StoreWrite("t", "k", b"2", 0))
+        second = self.store.write(StoreWrite("t", "k", b"2", first))
+        self.assertGreater(second, first)
+
+    def test_faults(self) -> None:
+        cases = (
+            (410, HistoryLost),
+            (412, StoreConditionFailed),
+            (429, StoreRateLimited),
+            (503, StoreError),
+            (500, StoreError),
+        )
+        for status, expected in cases:
+            self.stand_in.refuse_status = status
+            with self.subTest(status), self.assertRaises(expected):
+                self.store.watch_table("op", 0, 0.0)
+
+    def test_a_lost_answer_is_told_as_unknown_and_the_row_shows_what_happened(self) -> None:
+        self.stand_in.lose_answers = True
+        with self.assertRaises(StoreOutcomeUnknown):
+            self.store.write(StoreWrite("t", "k", b"1", 0))
+        self.stand_in.lose_answers = False
+        self.assertEqual(self.store.read_table("t").rows, (StoreRow("k", b"1", 1),))
+
+    def test_a_store_that_is_not_there(self) -> None:
+        with self.assertRaises(StoreError):
+            PlatformStore("127.0.0.1:1").read_table("op")
+
+    def test_a_silent_store_costs_a_bounded_time(self) -> None:
+        self.stand_in.silent = True
+        with self.assertRaises(StoreOutcomeUnknown):
+            self.store.read_table("op")
+
+    def test_duty_calls(self) -> None:
+        duties = PlatformDuties(self.stand_in.address)
+        self.assertTrue(duties.promote("menus", "i-1", "node-a", 7))
+        self.assertFalse(duties.promote("menus", "i-1", "node-b", 6))
+        self.assertEqual(self.stand_in.promotions, [("menus", "i-1", "node-a", 7)])
+        self.stand_in.refuse_status = 503
+        with self.assertRaises(StoreError):
+            duties.promote("menus", "i-1", "node-a", 7)
+
+
+class TableWatcherTest(StoreCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.seen: dict[str, bytes] = {}
+        self.snapshots: list[int] = []
+        self.watcher = TableWatcher(
+            self.store, "op", self._snapshot, self._changed, lambda call: call()
+        )
+        thread = threading.Thread(target=self.watcher.run, daemon=True)
+        self.addCleanup(thread.join, 5.0)
+        self.addCleanup(self.watcher.stop)
+        self.stand_in.put("op", "config", b"1")
+        thread.start()
+        self.wait_for(lambda: self.seen.get("config") == b"1")
+
+    def wait_for(self, condition: Callable[[], bool]) -> None:
+        self.assertTrue(wait_until(condition))
+
+    def _snapshot(self, rows: tuple[StoreRow, ...], version: int) -> None:
+        self.snapshots.append(version)
+        self.seen = {row.key: row.value for row in rows}
+
+    def _changed(self, rows: tuple[StoreRow, ...], _version: int) -> None:
+        self.seen.update({row.key: row.value for row in rows})
+
+    def test_changes_are_followed(self) -> None:
+        self.stand_in.put("op", "config", b"2")
+        self.wait_for(lambda: self.seen["config"] == b"2")
+
+    def test_faults_that_it_outlives(self) -> None:
+        for name, value, after in (
+            ("refuse_status", 503, 0),
+            ("refuse_status", 429, 0),
+            ("lose_answers", True, False),
+            ("silent", True, False),
+        ):
+            with self.subTest(fault=name, value=value):
+                setattr(self.stand_in, name, value)
+                version = self.stand_in.put("op", "config", b"before")
+                threading.Event().wait(0.3)
+                setattr(self.stand_in, name, after)
+                self.stand_in.put("op", "config", f"{name}{version}".encode())
+                self.wait_for(lambda n=name, v=version: self.seen["config"] == f"{n}{v}".encode())  # type: ignore[misc]
+
+    def test_after_lost_history_the_table_is_read_anew_and_never_an_older_one(self) -> None:
+        self.stand_in.stale_by = 2
+        self.stand_in.put("op", "config", b"2")
+        self.wait_for(lambda: self.seen["config"] == b"2")
+        self.stand_in.put("op", "config", b"3")
+        self.stand_in.drop_history()
+        threading.Event().wait(0.5)
+        self.stand_in.stale_by = 0
+        self.wait_for(lambda: self.seen["config"] == b"3")
+        self.assertEqual(self.snapshots, sorted(self.snapshots))
+
+
+class RecordsTest(unittest.TestCase):
+    def test_entries_that_cannot_be_read(self) -> None:
+        for value in (
+            b"",
+            b"{",
+            b"[]",
+            b"{}",
+            b'{"version":"x"}',
+            b"\xff",
+            b'{"version":1,"routes":[{}]}',
+        ):
+            with self.subTest(value):
+                with self.assertRaises(ProtocolError):
+                    parse_configuration(value)
+                with self.assertRaises(ProtocolError):
+                    parse_database("i-1", value, 1)
+
+    def test_unknown_fields_are_passed_over(self) -> None:
+        table = parse_configuration(b'{"version":3,"colour":"red","routes":[],"services":[]}')
+        self.assertEqual(table.version, 3)
+
+    def test_a_route(self) -> None:
+        table = parse_configuration(
+            b'{"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/","type":'
+            b'"read_own_writes","timeoutMs":800,"targetLatencyMs":1000,"priority":2,'
+            b'"service":"s","maxAttempts":2,"maxStalenessMs":2500}],"services":[{"name":"s",'
+            b'"maxConnections":36,"syncReplicas":1}],"limits":{"txIdleMs":3000}}'
+        )
+        route = table.find("h")
+        assert route is not None
+        self.assertEqual((route.statement_timeout, route.max_staleness), (0.8, 2.5))
+        self.assertEqual(table.groups["s"].synchronous_replicas, 1)
+        self.assertEqual(table.transaction_idle_timeout, 3.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/wire_databases.py
@@ -0,0 +1,250 @@
+"""Stand-in databases that speak the wire on loopback, with one log, terms and promotions."""
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from tests.platform.table_store import TableStore
+
+ROLE_WORDS = {True: "primary", False: "replica"}
+
+
+class WireDatabase:
+    """One database of a group; a thread for each connection."""
+
+    def __init__(self, group: "WireGroup", name: str, zone: str) -> None:
+        self.group = group
+        self.name = name
+        self.zone = zone
+        self.leads = False
+        self.applied = (1, 0)
+        self.values: dict[str, str] = {}
+        self.state = "ready"
+        self.lose_answers = 0
+        self.alive = True
+        self.ran: list[str] = []
+        self._sequence = 0
+        self._connections: set[socket.socket] = set()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def announce(self) -> None:
+        self._sequence += 1
+        self.group.store.put(
+            "servers",
+            self.name,
+            {
+                "service": self.group.name,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": 3,
+                "state": self.state,
+                "coldRemainingMs": 0,
+                "dbRole": ROLE_WORDS[self.leads],
+                "callSeq": self._sequence,
+            },
+        )
+
+    def crash(self) -> None:
+        self.alive = False
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+    def _accept(self) -> None:
+        while self.alive:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections.add(connection)
+            threading.Thread(target=_WireSession(self, connection).run, daemon=True).start()
+
+
+class _WireSession:
+    def __init__(self, database: WireDatabase, connection: socket.socket) -> None:
+        self.database = database
+        self.connection = connection
+        self.state = "I"
+        self.plain = False
+        self.names: dict[str, str] = {}
+        self.written: list[str] = []
+
+    def run(self) -> None:
+        try:
+            for line in self.connection.makefile("r", encoding="latin-1", newline="\r\n"):
+                if not self._take(line.rstrip("\r\n")):
+                    return
+        except (OSError, ValueError):
+            return
+
+    def _take(self, line: str) -> bool:
+        word, _, rest = line.partition(" ")
+        if word == "STARTUP":
+            fields = rest.split(" ")
+            wrong = fields[0] != self.database.group.name
+            wrong = wrong or (len(fields) > 2 and fields[2] != self.database.name)
+            self._send("ERROR WRONGNODE -" if wrong else self._ready())
+            return not wrong
+        statement_id, _, text = rest.partition(" ")
+        with self.database.group.lock:
+            lines = self._run(statement_id, text)
+        if statement_id != "-" and self.database.lose_answers:
+            self.database.lose_answers -= 1
+            return True
+        self._send(*lines, self._ready())
+        return True
+
+    def _run(self, statement_id: str, text: str) -> list[str]:
+        database = self.database
+        if text.startswith("AFTER "):
+            _, position, text = text.split(" ", 2)
+            term, number = position.split(".")
+            if database.applied < (int(term), int(number)):
+                return ["ERROR LAGGING -"]
+        word, _, rest = text.partition(" ")
+        if word == "BEGIN":
+            if not rest and not database.leads:
+                return [f"ERROR READONLY {database.name}"]
+            self.state, self.plain = "T", not rest
+        elif word == "ROLLBACK":
+            self.state, self.written = "I", []
+        elif word == "STATUS":
+            role = ROLE_WORDS[database.leads]
+            term, number = database.applied
+            return [f"DATAROW {role} {term} {term}.{number} 0 0 0 1", "COMPLETE -"]
+        elif word == "PARSE":
+            name, access, _ = rest.split(" ", 2)
+            self.names[name] = access
+        elif word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
+            return self._work(statement_id, word, rest)
+        return ["COMPLETE -"]
+
+    def _work(self, statement_id: str, word: str, rest: str) -> list[str]:
+        database = self.database
+        writes = word == "WRITE"
+        if word == "EXECUTE":
+            name, _, rest = rest.partition(" ")
+            if name not in self.names:
+                return ["ERROR NOSTMT -"]
+            writes = self.names[name] == "WRITE"
+        if not database.leads and (writes or (self.state == "T" and self.plain)):
+            if self.state == "T":
+                self.state = "E"
+            return [f"ERROR READONLY {database.name}"]
+        database.ran.append(f"{statement_id} {word} {rest}")
+        if word == "COMMIT":
+            self.state = "I"
+            written, self.written = self.written, []
+            database.group.commit(written)
+        elif writes and self.state == "T":
+            self.written.append(rest)
+        elif writes:
+            database.group.commit([rest])
+        thing = rest.partition(" ")[0]
+        value = database.values.get(thing, "none")
+        return [f"DATAROW {value}", f"COMPLETE signed.{statement_id}"]
+
+    def _ready(self) -> str:
+        term, number = self.database.applied
+        return f"READY {self.state} {term}.{number}"
+
+    def _send(self, *lines: str) -> None:
+        self.connection.sendall("".join(f"{line}\r\n" for line in lines).encode("latin-1"))
+
+
+class WireGroup:
+    """Three databases; replicas have a commit as soon as the primary."""
+
+    def __init__(self, name: str, store: TableStore, promote_seconds: float = 0.1) -> None:
+        self.name = name
+        self.store = store
+        self.lock = threading.Lock()
+        self._promote_seconds = promote_seconds
+        self.databases = {
+            zone: WireDatabase(self, f"i-{zone}", zone) for zone in ("north", "middle", "south")
+        }
+        self.databases["north"].leads = True
+        for database in self.databases.values():
+            database.announce()
+        store.on_promote = self.promote
+
+    def commit(self, written: list[str]) -> None:
+        if not written:
+            return
+        for database in self.databases.values():
+            if database.alive:
+                database.applied = (database.applied[0], database.applied[1] + 1)
+                for each in written:
+                    thing, _, value = each.partition(" ")
+                    database.values[thing] = value
+
+    def promote(self, name: str) -> bool:
+        chosen = next(d for d in self.databases.values() if d.name == name)
+        if not chosen.alive:
+            return False
+
+        def take_over() -> None:
+            time.sleep(self._promote_seconds)
+            with self.lock:
+                if chosen.leads:
+                    return
+                for database in self.databases.values():
+                    database.leads = database is chosen
+                    database.applied = (chosen.applied[0] + 1, chosen.applied[1])
+            for database in self.databases.values():
+                if database.alive:
+                    database.announce()
+
+        threading.Thread(target=take_over, daemon=True).start()
+        return True
+
+    def close(self) -> None:
+        for database in self.databases.values():
+            database.crash()
+
+
+class WireClient:
+    """A client of the wire, for tests."""
+
+    def __init__(self, address: str, database: str, timeout: float = 5.0) -> None:
+        host, port = address.rsplit(":", 1)
+        self.connection = socket.create_connection((host, int(port)), timeout=timeout)
+        self._lines = self.connection.makefile("r", encoding="latin-1", newline="\r\n")
+        self._next = 0
+        self.send(f"STARTUP {database} test")
+        self.greeting = self.line()
+
+    def send(self, line: str) -> None:
+        self.connection.sendall(f"{line}\r\n".encode("latin-1"))
+
+    def line(self) -> str:
+        return self._lines.readline().rstrip("\r\n")
+
+    def ask(self, text: str) -> list[str]:
+        self._next += 1
+        self.send(f"QUERY {self._next:016x} {text}")
+        lines = [self.line()]
+        while lines[-1] and not lines[-1].startswith("READY"):
+            lines.append(self.line())
+        return lines
+
+    def close(self) -> None:
+        self._lines.close()
+        self.connection.close()
+
+
+def wait_until(condition: Callable[[], bool], seconds: float = 5.0) -> bool:
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return condition()
