Let the successor of a leaving primary receive what it has before it is promoted

Change: the leaving primary is asked too, and the promotion waits up to 2 s for the successor to have received as much. Tests first red without the wait.

--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -49,6 +49,9 @@
 NONE_KNOWN_SECONDS = 2.5
 STATUS_LIMIT_SECONDS = 0.3
 CLAIM_LIMIT_SECONDS = 1.5
+CATCH_UP_LIMIT_SECONDS = 2.0
+"""A primary that leaves serves on: its successor is given so long to receive all it has."""
+ASK_STATUS_AGAIN_SECONDS = 0.15
 PROMOTE_AGAIN_SECONDS = 0.7
 PROMOTION_LIMIT_SECONDS = 6.0
 FOLLOW_LIMIT_SECONDS = 3.0
@@ -78,6 +81,7 @@
         self._witnesses: dict[str, bool] = {}
         self._statuses: dict[str, DatabaseStatus] = {}
         self._asked: set[str] = set()
+        self._asked_at = 0.0
         self._refused: frozenset[str] = frozenset()
         self._candidate = ""
         self._promoted_at = 0.0
@@ -192,8 +196,7 @@
         if primary.id != self._replaced and not primary.draining:
             return True
         still_leaving = primary.draining
-        planned = self._cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
-        return planned and not still_leaving
+        return self._is_planned and not still_leaving
 
     def _watch(
         self, view: GroupView, members: Sequence[str], now: float
@@ -281,12 +284,9 @@
 
     def _choose(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
         names = eligible(view, self._replaced, self._refused)
-        missing = [name for name in names if name not in self._statuses]
-        effects: list[SuccessionEffect] = []
-        for name in missing:
-            if name not in self._asked:
-                self._asked.add(name)
-                effects.append(ReadStatus(name))
+        wanted = [*names, self._replaced] if self._is_planned else names
+        effects = self._ask_statuses(wanted)
+        missing = [name for name in wanted if name not in self._statuses]
         if missing and now < self._phase_since + STATUS_LIMIT_SECONDS:
             return effects
         chosen = choose(names, self._statuses, {})
@@ -294,11 +294,37 @@
             if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
                 self._move(Phase.STEADY, "no_candidate", now)
             return effects
+        if self._is_behind(chosen) and now < self._phase_since + CATCH_UP_LIMIT_SECONDS:
+            self._ask_again(now)
+            return effects
         self._candidate = chosen
         self._promoted_at = now
         self._move(Phase.PROMOTING, "chosen", now)
         return [*effects, Promote(chosen, self._own_token)]
 
+    @property
+    def _is_planned(self) -> bool:
+        return self._cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
+
+    def _ask_statuses(self, names: Sequence[str]) -> list[SuccessionEffect]:
+        unasked = [name for name in names if name not in self._asked]
+        self._asked.update(unasked)
+        return [ReadStatus(name) for name in unasked]
+
+    def _is_behind(self, chosen: str) -> bool:
+        """Tells whether a primary that still serves has what the chosen database lacks."""
+        leaving = self._statuses.get(self._replaced)
+        status = self._statuses.get(chosen)
+        if not self._is_planned or leaving is None or status is None:
+            return False
+        return status.received < leaving.received
+
+    def _ask_again(self, now: float) -> None:
+        """Has the databases asked once more, a moment after the last time."""
+        if now >= self._asked_at + ASK_STATUS_AGAIN_SECONDS:
+            self._asked_at = now
+            self._asked = set()
+
     def _waited_for_status(self, now: float) -> bool:
         return now > self._phase_since + 2 * STATUS_LIMIT_SECONDS
 
--- a/tests/core/succession/test_succession.py
+++ b/tests/core/succession/test_succession.py
@@ -214,6 +214,37 @@
         self.assertEqual(len(self.of(WriteClaim)), 1)
         self.assertEqual(self.of(TestReach), [])
 
+    def plan(self) -> None:
+        self.announce("p", "primary", draining=True)
+        self.wait(0.5)
+        self.handle(ClaimSeen(Claim("a", "p", 7)))
+
+    def tell(self, **offsets: int) -> None:
+        for name, offset in offsets.items():
+            status = DatabaseStatus(name == "p", 1, LogPosition(1, offset))
+            self.handle(StatusRead(name, status))
+
+    def test_the_successor_first_receives_what_the_leaving_primary_has(self) -> None:
+        self.plan()
+        self.tell(r1=4, r2=6, p=9)
+        self.wait(0.2)
+        self.assertEqual(self.of(Promote), [])
+        self.tell(r1=4, r2=9, p=9)
+        self.assertEqual(self.of(Promote), [Promote("r2", 7)])
+
+    def test_one_that_never_catches_up_is_promoted_in_time_all_the_same(self) -> None:
+        self.plan()
+        for _ in range(30):
+            self.tell(r1=4, r2=6, p=9)
+            self.wait(0.1)
+        self.assertEqual({each for each in self.of(Promote)}, {Promote("r2", 7)})
+
+    def test_a_lost_primary_is_not_asked_what_it_has(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.handle(ClaimSeen(Claim("a", "p", 7)))
+        self.assertNotIn(ReadStatus("p"), self.effects)
+
     def test_one_whose_entry_is_gone_is_replaced_after_a_while(self) -> None:
         self.view = self.view.with_departure("p", 99, self.now)
         self.wait(1.0)
