--- a/src/dewledge/core/pooling/connection_pool.py
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -10,7 +10,7 @@
 from dewledge.errors import ErrorCode
 
 OPEN_BACKOFF_SECONDS = 0.25
-LIMIT_BACKOFF_SECONDS = 1.0
+LIMIT_BACKOFF_SECONDS = 0.3
 
 
 class Denial(StrEnum):
--- a/src/dewledge/shell/pooling/member_table.py
+++ b/src/dewledge/shell/pooling/member_table.py
@@ -16,6 +16,8 @@
 )
 
 RETRY_SECONDS = 0.5
+ASSUMED_MEMBERS = 12
+"""Before the table is known: a share that does not crowd out who came earlier."""
 
 
 class MemberTable:
@@ -26,10 +28,16 @@
         self._peer_address = peer_address
         self._store = store
         self.addresses: dict[str, str] = {own_name: peer_address}
-        self._registered = False
+        self._is_known = False
+
+    @property
+    def count(self) -> int:
+        """How many processes share the databases, an assumption before the table is known."""
+        return len(self.addresses) if self._is_known else ASSUMED_MEMBERS
 
     def take_rows(self, rows: Sequence[StoreRow]) -> None:
         """Takes rows of the store."""
+        self._is_known = True
         for row in rows:
             if not row.key.startswith(MEMBER_PREFIX):
                 continue
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -240,7 +240,7 @@
 
     def _share_connections(self) -> None:
         for name, policy in self._services.routes.groups.items():
-            limit = share_of_connections(policy.max_connections, len(self._members.addresses))
+            limit = share_of_connections(policy.max_connections, self._members.count)
             self._group(name).set_connection_limit(limit)
 
     # Time.
@@ -273,6 +273,9 @@
         logger.bind(unfinished=len(self._clients.connections)).info("pooler_stopped")
         for watcher in self._watchers:
             watcher.stop()
+        self._clients.close()
+        self._ready.close()
+        self._witnesses.close()
         self._loop.stop()
 
 
--- a/src/dewledge/shell/pooling/witnesses.py
+++ b/src/dewledge/shell/pooling/witnesses.py
@@ -43,6 +43,11 @@
         """Starts to take datagrams."""
         self._loop.watch(self._socket, READABLE, self._receive)
 
+    def close(self) -> None:
+        """Takes no more datagrams."""
+        self._loop.unwatch(self._socket)
+        self._socket.close()
+
     def ask(self, addresses: list[str], database_id: str) -> None:
         """Asks the processes at `addresses`."""
         data = encode(WitnessQuestion(self._own_name, database_id))
