--- a/src/dewledge/core/pooling/connection_pool.py
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -11,6 +11,10 @@
 
 OPEN_BACKOFF_SECONDS = 0.25
 LIMIT_BACKOFF_SECONDS = 0.3
+IDLE_SECONDS = 1.5
+KEPT_IDLE = 1
+"""Idle connections kept open for good. Few: a database goes on counting those of a machine that
+lost power for seconds, and its successor needs room under the same limit."""
 
 
 class Denial(StrEnum):
@@ -117,9 +121,15 @@
         if connection.closed or self.retired or connection.unanswered or self.size >= self.limit:
             connection.close()
         else:
-            self._idle.append(connection)
+            self._put_idle(connection)
         self._serve_waiters()
 
+    def trim(self) -> None:
+        """Closes connections that have been idle for a while, the longest idle first."""
+        now = self._clock()
+        while len(self._idle) > KEPT_IDLE and self._idle[0].idle_since < now - IDLE_SECONDS:
+            self._idle[0].close()
+
     def warm(self, count: int) -> None:
         """Opens connections until there are `count`."""
         while self.size < min(count, self.limit) and not self.is_unreachable and not self.retired:
@@ -128,17 +138,21 @@
     def retire(self) -> None:
         """Gives out no more connections; those in use end when they come back."""
         self.retired = True
-        for connection in self._idle:
+        for connection in list(self._idle):
             connection.close()
         self._idle.clear()
         self._deny_all(Denial.CLOSED)
 
     def close_idle(self) -> None:
         """Closes the connections that are not in use: their state is in doubt."""
-        for connection in self._idle:
+        for connection in list(self._idle):
             connection.close()
         self._idle.clear()
 
+    def _put_idle(self, connection: DatabaseConnection) -> None:
+        connection.idle_since = self._clock()
+        self._idle.append(connection)
+
     def _take_idle(self, values: dict[str, str]) -> DatabaseConnection | None:
         while self._idle:
             position = len(self._idle) - 1
@@ -179,7 +193,7 @@
             return
         self._not_before = 0.0
         self.last_failure = None
-        self._idle.append(connection)
+        self._put_idle(connection)
         self._serve_waiters()
 
     def _failed(self, code: ErrorCode) -> None:
--- a/src/dewledge/core/pooling/database_connection.py
+++ b/src/dewledge/core/pooling/database_connection.py
@@ -29,7 +29,7 @@
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
         self.closed = False
-        self.discarded = False
+        self.idle_since = 0.0
         self._transport = transport
         self._waiting: deque[ReplyCallback] = deque()
 
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -74,6 +74,11 @@
             self.pools[database_id] = pool
         return pool
 
+    def trim_connections(self) -> None:
+        """Closes connections that nobody has used for a while."""
+        for pool in self.pools.values():
+            pool.trim()
+
     def change_view(self, view: GroupView) -> None:
         """Takes the next view, ends pools of databases that leave, wakes who waits."""
         self.view = view
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -248,6 +248,8 @@
     def _sweep(self) -> None:
         now = self._loop.now()
         self._end_resting_transactions(now)
+        for group in self._services.groups.values():
+            group.trim_connections()
         if self._leaving_since is not None:
             self._continue_leaving(now - self._leaving_since)
         self._loop.call_later(SWEEP_SECONDS, self._sweep)
--- a/tests/core/pooling/test_connection_pool.py
+++ b/tests/core/pooling/test_connection_pool.py
@@ -102,6 +102,26 @@
         self.assertEqual(self.model.databases["p"].open_connections, 1)
 
 
+class TrimTest(PoolCase):
+    def test_all_but_one_idle_connection_are_closed_after_a_while(self) -> None:
+        for name in "ab":
+            self.acquire(name)
+        for _, connection in self.given:
+            self.pool.release(connection)
+        self.pool.trim()
+        self.assertEqual(self.model.databases["p"].open_connections, 2)
+        self.scheduler.advance(2.0)
+        self.pool.trim()
+        self.assertEqual(self.model.databases["p"].open_connections, 1)
+
+    def test_one_in_use_is_never_closed(self) -> None:
+        for name in "ab":
+            self.acquire(name)
+        self.scheduler.advance(9.0)
+        self.pool.trim()
+        self.assertEqual(self.model.databases["p"].open_connections, 2)
+
+
 class ShareTest(unittest.TestCase):
     def test_the_shares_of_all_members_stay_within_the_limit(self) -> None:
         for limit in (1, 4, 36, 50, 100):
