Reach a cut-off primary through a process that reaches it; hold the duty from the start

Change: a bare relay of bytes by a witness that reaches it; the claim of a healthy group is held by one process, so that it may act while the store is down.

--- a/src/dewledge/core/pooling/connection_pool.py
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -143,6 +143,10 @@
         self._idle.clear()
         self._deny_all(Denial.CLOSED)
 
+    def forget_failure(self) -> None:
+        """The way to the database has changed: it is tried again at once."""
+        self._not_before = 0.0
+
     def close_idle(self) -> None:
         """Closes the connections that are not in use: their state is in doubt."""
         for connection in list(self._idle):
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -58,7 +58,8 @@
         self._connection_limit = 1
         self._primary_waiters: list[Callable[[], None]] = []
         self._doubted: str | None = None
-        self.reached_by_others = False
+        self.relay: str | None = None
+        """The address of a process that reaches a database which this one does not."""
 
     def set_connection_limit(self, limit: int) -> None:
         """Sets how many connections this process may hold to each database of the group."""
@@ -97,20 +98,30 @@
     def usable_primary(self) -> DatabaseRecord | None:
         """The primary, unless it has been leaving for too long to be given new work."""
         primary = self.view.primary
-        if primary is None or primary.id == self._doubted:
+        if primary is None or (primary.id == self._doubted and self.relay is None):
             return None
         usable = self.view.takes_work(primary.id, self._clock(), self._drain_bound)
         return primary if usable else None
 
-    def set_doubt(self, database_id: str | None, reached_by_others: bool) -> None:
-        """Notes which database cannot be reached; while it is the primary, none is used."""
-        self.reached_by_others = reached_by_others
-        if database_id == self._doubted:
+    def set_doubt(self, database_id: str | None, relay: str | None) -> None:
+        """Notes which database cannot be reached, and the process that can stand between.
+
+        Without one no statement goes there while it is the primary.
+        """
+        if (database_id, relay) == (self._doubted, self.relay):
             return
         self._doubted = database_id
+        self.relay = relay
+        if database_id is not None:
+            self.pool(database_id).close_idle()
+            self.pool(database_id).forget_failure()
         if self.usable_primary is not None:
             self._wake_waiters()
 
+    def relay_to(self, database_id: str) -> str | None:
+        """Returns the address of the process through which a database is reached, if any."""
+        return self.relay if database_id == self._doubted else None
+
     def wait_for_primary(self, callback: Callable[[], None]) -> None:
         """Calls `callback` once when a primary is known."""
         self._primary_waiters.append(callback)
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -133,7 +133,7 @@
 
     def _wait_and_plan(self) -> None:
         if self._group.usable_primary is None:
-            if not self._waits_for_primary and not self._group.reached_by_others:
+            if not self._waits_for_primary:
                 self._waits_for_primary = True
                 limit = self._route.statement_timeout * FAILOVER_SHARE_OF_TIMEOUT
                 self._give_up_at = self._arrived + limit
--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -11,6 +11,7 @@
 claim lets one through, and the platform refuses a token lower than one it has seen.
 """
 
+import zlib
 from collections.abc import Callable, Sequence
 
 from dewledge.core.pooling.group_view import GroupView
@@ -53,12 +54,15 @@
 """A primary that leaves serves on: its successor is given so long to receive all it has."""
 ASK_STATUS_AGAIN_SECONDS = 0.15
 PROMOTE_AGAIN_SECONDS = 0.7
+STANDING_AGAIN_SECONDS = 3.0
 PROMOTION_LIMIT_SECONDS = 6.0
 FOLLOW_LIMIT_SECONDS = 3.0
 CLAIM_STEP_SECONDS = 0.08
 OTHER_HOLDER_SECONDS = 0.5
 """The last holder acts first: turns between holders stay rare."""
 
+_ACTING = frozenset({Phase.CHECKING, Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING})
+
 
 class GroupSuccession:
     """The state machine of one group. `handle` takes an event and returns effects."""
@@ -69,13 +73,14 @@
         self._record = record
         self.phase = Phase.STEADY
         self.doubted: str | None = None
-        self.reached_by_others = False
+        self.reached_by: str | None = None
         self._cause = LossCause.UNREACHABLE
         self._replaced = ""
         self._since = 0.0
         self._phase_since = 0.0
         self._claim_at = 0.0
         self._claim: Claim | None = None
+        self._standing_at = 0.0
         self._own_token = 0
         self._reach: ReachTested | None = None
         self._witnesses: dict[str, bool] = {}
@@ -130,7 +135,12 @@
             if self.phase is Phase.CLAIMING:
                 self._own_token = claim.token
             return
-        if self.phase in (Phase.CHECKING, Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING):
+        if claim.replaced and self.phase in (
+            Phase.CHECKING,
+            Phase.CLAIMING,
+            Phase.CHOOSING,
+            Phase.PROMOTING,
+        ):
             self._replaced = claim.replaced
             self._move(Phase.FOLLOWING, f"claimed_by_{claim.holder}", now)
 
@@ -174,6 +184,7 @@
     ) -> Sequence[SuccessionEffect]:
         if self._is_over(view):
             self.doubted = None
+            self.reached_by = None
             self._move(Phase.STEADY, "new_primary", now)
         if self.phase is Phase.STEADY:
             return self._watch(view, members, now)
@@ -216,7 +227,7 @@
         if self.doubted == primary.id and now >= self._last_check + CHECK_AGAIN_SECONDS:
             return self._start_check(primary.id, now)
         if not primary.draining:
-            return []
+            return self._claim_standing(members, now)
         gone = primary.id in view.departed
         since = view.draining_since.get(primary.id, now)
         if gone and now < since + ENTRY_GONE_SECONDS:
@@ -228,28 +239,39 @@
         self._start_claim(members, now)
         return []
 
+    def _claim_standing(self, members: Sequence[str], now: float) -> Sequence[SuccessionEffect]:
+        """Has one process hold the duty from the start, so that it may act without the store."""
+        if self._claim is not None or now < self._standing_at or not members:
+            return []
+        self._standing_at = now + STANDING_AGAIN_SECONDS
+        chosen = members[zlib.crc32(self._group.encode()) % len(members)]
+        return [WriteClaim("", 0)] if chosen == self._own_name else []
+
     def _check(
         self, view: GroupView, members: Sequence[str], now: float
     ) -> Sequence[SuccessionEffect]:
         if self._reach is not None and self._reach.reachable:
             self.doubted = None
-            self.reached_by_others = False
+            self.reached_by = None
             self._move(Phase.STEADY, "reachable", now)
             return []
-        if self._reach is not None:
+        failed = self._reach is not None
+        if failed:
             self.doubted = self._replaced
-        if any(self._witnesses.values()):
-            self.reached_by_others = True
-            self._move(Phase.STEADY, "reached_by_others", now)
+        reaching = sorted(name for name, reaches in self._witnesses.items() if reaches)
+        if reaching and failed:
+            self.reached_by = self.reached_by if self.reached_by in reaching else reaching[0]
+            self._move(Phase.STEADY, f"reached_by_{self.reached_by}", now)
+            return []
+        if reaching:
             return []
         effects: list[SuccessionEffect] = []
-        failed = self._reach is not None
         if not self._asks_witnesses and (failed or now >= self._phase_since + ASK_AFTER_SECONDS):
             self._asks_witnesses = True
             effects.append(AskWitnesses(self._replaced))
         if not failed or not self._is_confirmed(members, now):
             return effects
-        self.reached_by_others = False
+        self.reached_by = None
         self._start_claim(members, now)
         return self._claim_duty(view, now)
 
--- a/src/dewledge/shell/pooling/database_opener.py
+++ b/src/dewledge/shell/pooling/database_opener.py
@@ -11,6 +11,7 @@
 from dewledge.errors import ErrorCode, ProtocolError
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.pooling.byte_stream import ByteStream, Connecting
+from dewledge.shell.pooling.relay import open_through_relay
 
 CONNECT_LIMIT_SECONDS = 0.6
 STARTUP_LIMIT_SECONDS = 1.5
@@ -25,8 +26,11 @@
         user: str,
         new_codec: Callable[[], DatabaseCodec],
         find: Callable[[str], DatabaseRecord | None],
+        find_relay: Callable[[DatabaseRecord], str | None],
     ) -> None:
+        """`find_relay`: the address of a process to go through, None for the direct way."""
         self._loop = loop
+        self._find_relay = find_relay
         self._user = user
         self._new_codec = new_codec
         self._find = find
@@ -53,7 +57,11 @@
         def refused() -> None:
             failed(ErrorCode.DATABASE_UNREACHABLE)
 
-        Connecting(self._loop, record.address, CONNECT_LIMIT_SECONDS, connected, refused)
+        relay = self._find_relay(record)
+        if relay is None:
+            Connecting(self._loop, record.address, CONNECT_LIMIT_SECONDS, connected, refused)
+        else:
+            open_through_relay(self._loop, relay, record.id, connected, refused)
 
 
 class _DatabaseLink:
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -25,6 +25,7 @@
 from dewledge.shell.pooling.database_opener import DatabaseOpener
 from dewledge.shell.pooling.event_log import EventLog
 from dewledge.shell.pooling.member_table import MemberTable
+from dewledge.shell.pooling.relay import RelayServer
 from dewledge.shell.pooling.succession_driver import SuccessionDriver
 from dewledge.shell.pooling.table_watcher import TableWatcher
 from dewledge.shell.pooling.witnesses import Witnesses
@@ -61,7 +62,11 @@
         self._log = EventLog()
         self._services = PoolServices(_LoopScheduler(self._loop), self._log.record)
         self._opener = DatabaseOpener(
-            self._loop, settings.name, platform.new_database_codec, self._find_database
+            self._loop,
+            settings.name,
+            platform.new_database_codec,
+            self._find_database,
+            self._find_relay,
         )
         self._place = Place(settings.zone, settings.zones)
         self._clients = ClientListener(
@@ -94,6 +99,7 @@
             self._find_database,
             self._succession.take_answer,
         )
+        self._relays = RelayServer(self._loop, settings.peer_address, self._find_database)
         self._services.suspect = self._succession.doubt
         self._watchers = [
             self._watch(platform.configuration_table, self._configuration_rows),
@@ -109,6 +115,7 @@
             self._executor.submit(watcher.run)
         self._executor.submit(self._members.register, lambda: self._leaving_since is not None)
         self._witnesses.start()
+        self._relays.start()
         self._succession.start(self._witnesses)
         self._clients.start()
         self._ready.start()
@@ -230,6 +237,9 @@
                 return record
         return None
 
+    def _find_relay(self, record: DatabaseRecord) -> str | None:
+        return self._group(record.group).relay_to(record.id)
+
     def _group(self, name: str) -> Group:
         group = self._services.groups.get(name)
         if group is None:
@@ -278,6 +288,7 @@
         self._clients.close()
         self._ready.close()
         self._witnesses.close()
+        self._relays.close()
         self._loop.stop()
 
 
--- a/src/dewledge/shell/pooling/succession_driver.py
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -17,7 +17,6 @@
     ClaimRefused,
     ClaimSeen,
     DatabaseStatus,
-    Phase,
     PrimaryDoubted,
     Promote,
     PromotionAnswered,
@@ -123,9 +122,10 @@
             self._successions[group_name] = succession
         members = sorted(self._members().keys() | {self._own_name})
         effects = succession.handle(event, group.view, members, self._loop.now())
-        group.set_doubt(succession.doubted, succession.reached_by_others)
-        if succession.phase is Phase.STEADY and succession.doubted is not None:
-            group.pool(succession.doubted).close_idle()
+        relay = (
+            None if succession.reached_by is None else self._members().get(succession.reached_by)
+        )
+        group.set_doubt(succession.doubted, relay)
         for effect in effects:
             self._carry_out(group, effect)
 
