Let the last holder promote at once, and tell the new leader by datagram

Change: the last holder acts on its own token while it writes the row; it asks the chosen database until it says that it leads, then tells all by datagram, a hint that each statement still proves. Ruled out: the promotion itself, answered in 40 ms each time.

--- a/src/dewledge/core/pooling/group_view.py
+++ b/src/dewledge/core/pooling/group_view.py
@@ -92,6 +92,20 @@
         view = self.with_record(leaving, now)
         return msgspec.structs.replace(view, departed=view.departed | {database_id})
 
+    def with_leader(self, database_id: str) -> "GroupView":
+        """Returns the view after a process told that a database has taken the lead.
+
+        Its own entry may tell so later; another that begins to call itself primary counts more.
+        """
+        record = self.databases.get(database_id)
+        if record is None or record.draining or database_id in self.claims:
+            return self
+        newest = max(known.revision for known in self.databases.values())
+        refuted = {name: at for name, at in self.refuted.items() if name != database_id}
+        return msgspec.structs.replace(
+            self, claims={**self.claims, database_id: newest}, refuted=refuted
+        )
+
     def without(self, database_id: str) -> "GroupView":
         """Returns the view without a database that has left for good."""
         databases = {name: known for name, known in self.databases.items() if name != database_id}
--- a/src/dewledge/core/succession/messages.py
+++ b/src/dewledge/core/succession/messages.py
@@ -121,7 +121,16 @@
     token: int
 
 
-SuccessionEffect = TestReach | AskWitnesses | WriteClaim | ReadStatus | Promote
+class AnnounceLeader(msgspec.Struct, frozen=True):
+    """Tell every process that a database has taken the lead.
+
+    A hint only: whoever uses it still gets proof of the lead with each statement.
+    """
+
+    database: str
+
+
+SuccessionEffect = TestReach | AskWitnesses | WriteClaim | ReadStatus | Promote | AnnounceLeader
 
 
 class Phase(StrEnum):
--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -17,6 +17,7 @@
 from dewledge.core.pooling.group_view import GroupView
 from dewledge.core.succession.candidates import choose, eligible
 from dewledge.core.succession.messages import (
+    AnnounceLeader,
     AskWitnesses,
     Claim,
     ClaimRefused,
@@ -100,6 +101,8 @@
         """Takes an event. `members`: the names of all processes, the own one included."""
         self._take(event, now)
         effects: list[SuccessionEffect] = []
+        if isinstance(event, StatusRead):
+            effects += self._announce(event)
         if isinstance(event, PrimaryDoubted):
             effects += self._doubt(event.database, view, now)
         effects += self._advance(view, members, now)
@@ -117,22 +120,24 @@
         elif isinstance(event, ClaimSeen):
             self._see_claim(event.claim, now)
         elif isinstance(event, ClaimRefused) and self.phase is Phase.CLAIMING:
-            self._take_refusal(now)
+            self._claim_at = now + CLAIM_AGAIN_SECONDS
         elif isinstance(event, PromotionAnswered):
             self._take_promotion(event, now)
 
-    def _take_refusal(self, now: float) -> None:
-        """The store did not take the claim. The last holder may still act on its own token."""
-        self._claim_at = now + CLAIM_AGAIN_SECONDS
-        if self._claim is not None and self._claim.holder == self._own_name:
-            self._own_token = self._claim.token
+    def _announce(self, event: StatusRead) -> Sequence[SuccessionEffect]:
+        """The chosen database says that it leads: others learn it also without the store."""
+        if self.phase is not Phase.PROMOTING or event.database != self._candidate:
+            return []
+        if event.status is None or not event.status.is_primary:
+            return []
+        return [AnnounceLeader(event.database)]
 
     def _see_claim(self, claim: Claim, now: float) -> None:
         if self._claim is not None and claim.token <= self._claim.token:
             return
         self._claim = claim
         if claim.holder == self._own_name:
-            if self.phase is Phase.CLAIMING:
+            if self.phase in (Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING):
                 self._own_token = claim.token
             return
         if claim.replaced and self.phase in (
@@ -147,7 +152,9 @@
     def _take_promotion(self, event: PromotionAnswered, now: float) -> None:
         if self.phase is not Phase.PROMOTING or event.database != self._candidate:
             return
-        if event.fenced:
+        if event.fenced and self._own_token < self._newest_token:
+            self._move(Phase.FOLLOWING, "token_too_old", now)
+        elif event.fenced:
             self._refused = self._refused | {event.database}
             self._statuses.pop(event.database, None)
             self._move(Phase.CHOOSING, "candidate_refused", now)
@@ -301,8 +308,17 @@
         if now < self._claim_at:
             return []
         self._claim_at = now + CLAIM_LIMIT_SECONDS
-        expected = 0 if self._claim is None else self._claim.token
-        return [WriteClaim(self._replaced, expected)]
+        write = WriteClaim(self._replaced, self._newest_token)
+        if self._claim is None or self._claim.holder != self._own_name:
+            return [write]
+        # The last holder need not wait for the row, which tells the others to follow.
+        self._own_token = self._claim.token
+        self._move(Phase.CHOOSING, "held_before", now)
+        return [write, *self._choose(view, now)]
+
+    @property
+    def _newest_token(self) -> int:
+        return 0 if self._claim is None else self._claim.token
 
     def _choose(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
         names = eligible(view, self._replaced, self._refused)
@@ -354,10 +370,14 @@
         if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
             self._move(Phase.STEADY, "promotion_without_effect", now)
             return []
-        if now < self._promoted_at + PROMOTE_AGAIN_SECONDS:
-            return []
-        self._promoted_at = now
-        return [Promote(self._candidate, self._own_token)]
+        effects: list[SuccessionEffect] = []
+        if now >= self._asked_at + ASK_STATUS_AGAIN_SECONDS:
+            self._asked_at = now
+            effects.append(ReadStatus(self._candidate))
+        if now >= self._promoted_at + PROMOTE_AGAIN_SECONDS:
+            self._promoted_at = now
+            effects.append(Promote(self._candidate, self._own_token))
+        return effects
 
     def _follow(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
         if now < self._phase_since + FOLLOW_LIMIT_SECONDS:
--- a/src/dewledge/shell/pooling/peer_messages.py
+++ b/src/dewledge/shell/pooling/peer_messages.py
@@ -23,7 +23,14 @@
     reachable: bool
 
 
-PeerMessage = WitnessQuestion | WitnessAnswer
+class LeaderNotice(msgspec.Struct, frozen=True, tag="lead"):
+    """Tells that a database has taken the lead of its group."""
+
+    sender: str
+    database: str
+
+
+PeerMessage = WitnessQuestion | WitnessAnswer | LeaderNotice
 
 
 def encode(message: PeerMessage) -> bytes:
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -98,6 +98,7 @@
             settings.name,
             self._find_database,
             self._succession.take_answer,
+            self._succession.take_leader,
         )
         self._relays = RelayServer(self._loop, settings.peer_address, self._find_database)
         self._services.suspect = self._succession.doubt
--- a/src/dewledge/shell/pooling/succession_driver.py
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -13,6 +13,7 @@
 from dewledge.core.pooling.group_view import DatabaseRecord
 from dewledge.core.pooling.statements import Reply, StatementKind
 from dewledge.core.succession.messages import (
+    AnnounceLeader,
     AskWitnesses,
     ClaimRefused,
     ClaimSeen,
@@ -40,7 +41,7 @@
     encode_value,
     read_claim,
 )
-from dewledge.shell.pooling.peer_messages import WitnessAnswer
+from dewledge.shell.pooling.peer_messages import LeaderNotice, WitnessAnswer
 from dewledge.shell.pooling.witnesses import Witnesses
 
 TICK_SECONDS = 0.05
@@ -105,6 +106,20 @@
             event = WitnessReported(answer.witness, answer.database, answer.reachable)
             self._handle(record.group, event)
 
+    def take_leader(self, notice: LeaderNotice) -> None:
+        """Takes the word that a database leads; statements still prove it."""
+        record = self._find(notice.database)
+        if record is None:
+            return
+        group = self._groups[record.group]
+        view = group.view.with_leader(record.id)
+        if view is not group.view:
+            logger.bind(group=record.group, database=record.id, sender=notice.sender).info(
+                "leader_told"
+            )
+            group.change_view(view)
+            self._handle(record.group, Ticked())
+
     def _tick(self) -> None:
         if self._stopped:
             return
@@ -134,6 +149,8 @@
             self._test(group, effect.database)
         elif isinstance(effect, AskWitnesses):
             self._ask(effect.database)
+        elif isinstance(effect, AnnounceLeader):
+            self._announce(effect.database)
         elif isinstance(effect, ReadStatus):
             self._read_status(group, effect.database)
         elif isinstance(effect, WriteClaim):
@@ -152,9 +169,17 @@
         self._witnesses.test(record, done)
 
     def _ask(self, database_id: str) -> None:
-        others = [name for name in self._members() if name != self._own_name]
         if self._witnesses is not None:
-            self._witnesses.ask([self._members()[name] for name in others], database_id)
+            self._witnesses.ask(self._other_addresses(), database_id)
+
+    def _announce(self, database_id: str) -> None:
+        if self._witnesses is not None:
+            self._witnesses.tell_leader(self._other_addresses(), database_id)
+        self.take_leader(LeaderNotice(self._own_name, database_id))
+
+    def _other_addresses(self) -> list[str]:
+        members = self._members().items()
+        return [address for name, address in members if name != self._own_name]
 
     def _read_status(self, group: Group, database_id: str) -> None:
         """Reads a state over a pooled connection; given up silently once it takes too long."""
--- a/src/dewledge/shell/pooling/witnesses.py
+++ b/src/dewledge/shell/pooling/witnesses.py
@@ -10,6 +10,7 @@
 from dewledge.shell.pooling.byte_stream import Connecting
 from dewledge.shell.pooling.peer_messages import (
     MAX_BYTES,
+    LeaderNotice,
     WitnessAnswer,
     WitnessQuestion,
     decode,
@@ -31,12 +32,14 @@
         own_name: str,
         find: Callable[[str], DatabaseRecord | None],
         answered: Callable[[WitnessAnswer], None],
+        leader_told: Callable[[LeaderNotice], None],
     ) -> None:
         """Binds `address`. Raises OSError if it cannot."""
         self._loop = loop
         self._own_name = own_name
         self._find = find
         self._answered = answered
+        self._leader_told = leader_told
         self._socket, self.address = bind_udp(address)
 
     def start(self) -> None:
@@ -54,6 +57,12 @@
         for address in addresses:
             self._send(data, parse_address(address))
 
+    def tell_leader(self, addresses: list[str], database_id: str) -> None:
+        """Tells the processes at `addresses` which database leads."""
+        data = encode(LeaderNotice(self._own_name, database_id))
+        for address in addresses:
+            self._send(data, parse_address(address))
+
     def test(self, record: DatabaseRecord, done: Callable[[bool], None]) -> None:
         """Tests whether a database's address takes connections."""
 
@@ -77,6 +86,9 @@
         if isinstance(message, WitnessAnswer):
             self._answered(message)
             return
+        if isinstance(message, LeaderNotice):
+            self._leader_told(message)
+            return
         record = self._find(message.database)
         if record is None:
             return
--- a/tests/core/pooling/test_freshness.py
+++ b/tests/core/pooling/test_freshness.py
@@ -76,6 +76,15 @@
         view = view.with_record(record("a", 2, "primary", draining=True), 0.0)
         self.assertEqual(view.primary.id, "a")  # type: ignore[union-attr]
 
+    def test_a_leader_that_was_told_counts_until_another_begins_to_lead(self) -> None:
+        view = GroupView(GROUP).with_record(record("a", 1, "primary"), 0.0)
+        view = view.with_record(record("b", 2), 0.0).with_record(record("c", 3), 0.0)
+        view = view.with_leader("b")
+        self.assertEqual(view.primary.id, "b")  # type: ignore[union-attr]
+        view = view.with_record(record("c", 4, "primary"), 0.0)
+        self.assertEqual(view.primary.id, "c")  # type: ignore[union-attr]
+        self.assertIs(view.with_leader("unknown"), view)
+
     def test_an_entry_that_goes_and_comes_back(self) -> None:
         view = GroupView(GROUP).with_record(record("a", 1, "primary"), 0.0)
         view = view.with_departure("a", 2, 10.0)
--- a/tests/core/succession/test_succession.py
+++ b/tests/core/succession/test_succession.py
@@ -6,6 +6,7 @@
 from dewledge.core.pooling.group_view import DatabaseRecord, DatabaseRole, GroupView
 from dewledge.core.positions import LogPosition
 from dewledge.core.succession.messages import (
+    AnnounceLeader,
     AskWitnesses,
     Claim,
     ClaimRefused,
@@ -159,6 +160,34 @@
         self.wait(1.0)
         self.assertEqual(self.of(Promote)[0].token, 5)  # type: ignore[union-attr]
 
+    def test_the_last_holder_does_not_wait_for_the_row(self) -> None:
+        self.handle(ClaimSeen(Claim("a", "x", 5)))
+        self.lose_primary()
+        self.confirm()
+        self.assertEqual(self.of(WriteClaim), [WriteClaim("p", 5)])
+        self.assertEqual(self.succession.phase, Phase.CHOOSING)
+
+    def test_a_token_that_another_has_overtaken_is_given_up(self) -> None:
+        self.handle(ClaimSeen(Claim("a", "x", 5)))
+        self.lose_primary()
+        self.confirm()
+        self.handle(StatusRead("r1", DatabaseStatus(False, 1, LogPosition(1, 4))))
+        self.wait(0.4)
+        self.handle(ClaimSeen(Claim("b", "p", 8)))
+        self.handle(PromotionAnswered("r1", False, True))
+        self.assertEqual(self.succession.phase, Phase.FOLLOWING)
+
+    def test_the_new_primary_is_announced_once_it_says_that_it_leads(self) -> None:
+        self.claim()
+        self.handle(StatusRead("r1", DatabaseStatus(False, 1, LogPosition(1, 4))))
+        self.wait(0.6)
+        self.assertEqual(self.of(AnnounceLeader), [])
+        self.handle(StatusRead("r1", DatabaseStatus(True, 2, LogPosition(2, 4))))
+        self.assertEqual(self.of(AnnounceLeader), [AnnounceLeader("r1")])
+        self.view = self.view.with_leader("r1")
+        self.handle(Ticked())
+        self.assertEqual(self.succession.phase, Phase.STEADY)
+
     def test_another_process_does_nothing_without_a_claim(self) -> None:
         self.handle(ClaimSeen(Claim("b", "x", 5)))
         self.lose_primary()
