Bound the log, tell metrics, read the settings file again

Log lines go through a bounded buffer that a thread writes; plain lines have a budget of 400 a second. Counters, a latency histogram and gauges at the metrics address.

--- a/src/dewledge/cli/pooler_command.py
+++ b/src/dewledge/cli/pooler_command.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import sys
 from pathlib import Path
 from types import FrameType
 from typing import Annotated
@@ -22,22 +21,25 @@
     """Run one pooler until SIGTERM: sessions over shared database connections."""
     from dewledge.platform.adapter import build_adapter
     from dewledge.pooler_settings import load_pooler_settings
-    from dewledge.shell.log import configure_log
+    from dewledge.shell.pooling.event_log import send_log_to
     from dewledge.shell.pooling.pooler_process import PoolerProcess
 
     settings = load_pooler_settings(config)
-    configure_log(settings.log_level, sys.stdout)
+    log = send_log_to(settings.log_level)
     try:
-        process = PoolerProcess(settings, build_adapter(settings))
+        process = PoolerProcess(settings, build_adapter(settings), config)
     except OSError as error:
         raise CommandFailed(f"cannot listen: {error}", ErrorCode.INVALID_SETTING) from error
 
     def on_stop(_number: int, _frame: FrameType | None) -> None:
         process.leave()
 
+    def on_reload(_number: int, _frame: FrameType | None) -> None:
+        process.reload()
+
     signal.signal(signal.SIGTERM, on_stop)
     signal.signal(signal.SIGINT, on_stop)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGHUP, on_reload)
     process.run()
-    sys.stdout.flush()
+    log.stop()
     os._exit(EXIT_DONE)
--- a/src/dewledge/core/coordination_store.py
+++ b/src/dewledge/core/coordination_store.py
@@ -49,6 +49,9 @@
 class CoordinationStore(Protocol):
     """What the product needs of a table store. Calls block; all raise StoreError."""
 
+    def change_address(self, address: str) -> None:
+        """Sends later calls to another "ip:port"."""
+
     def read_table(self, table: str) -> TableRows:
         """Returns all rows of a table."""
 
--- a/src/dewledge/core/pooling/events.py
+++ b/src/dewledge/core/pooling/events.py
@@ -17,6 +17,7 @@
     statement: str
     session: str
     route: str
+    consistency: str
     kind: str
     way: str
     outcome: str
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -75,6 +75,10 @@
             self.pools[database_id] = pool
         return pool
 
+    def all_pools(self) -> Sequence[ConnectionPool]:
+        """Returns the pools of all databases."""
+        return list(self.pools.values())
+
     def trim_connections(self) -> None:
         """Closes connections that nobody has used for a while."""
         for pool in self.pools.values():
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -559,6 +559,7 @@
                 statement=self._statement.id,
                 session=self._session.name,
                 route=self._route.name,
+                consistency=self._route.consistency,
                 kind=self._statement.kind,
                 way=",".join(self._way),
                 outcome="done" if reply.failure is None else reply.failure.code,
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -62,6 +62,10 @@
         self._base = f"http://{address}"
         self._http = urllib3.PoolManager(maxsize=8, retries=False, socket_options=_KEEPALIVE)
 
+    def change_address(self, address: str) -> None:
+        """Sends later calls to another "ip:port"."""
+        self._base = f"http://{address}"
+
     def read_table(self, table: str) -> TableRows:
         """Returns all rows of a table's empty part."""
         rows: list[StoreRow] = []
--- a/src/dewledge/shell/pooling/event_log.py
+++ b/src/dewledge/shell/pooling/event_log.py
@@ -1,18 +1,39 @@
-"""Writes typed events as log lines and counts them."""
+"""Writes typed events as log lines, and counts them."""
+
+import sys
+from typing import TYPE_CHECKING, TextIO
 
 import msgspec
 from loguru import logger
 
+from dewledge.core.pooling.events import StatementAnswered
+from dewledge.shell.log import format_line
+from dewledge.shell.pooling.log_writer import LogWriter
+from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+PLAIN_EVENTS = frozenset({"statement_answered"})
+
 
 class EventLog:
     """One line for each event; field names are the event's own."""
 
+    def __init__(self, metrics: PoolerMetrics) -> None:
+        self._metrics = metrics
+
     def record(self, event: msgspec.Struct) -> None:
         """Logs an event under its type's name."""
+        name = event_name(type(event))
+        if isinstance(event, StatementAnswered):
+            self._metrics.observe_statement(event)
+        else:
+            self._metrics.count_event(name)
         fields = {
             name: value for name, value in msgspec.structs.asdict(event).items() if value != ""
         }
-        logger.bind(**fields).info(event_name(type(event)))
+        logger.bind(**fields).info(name)
 
 
 def event_name(kind: type[msgspec.Struct]) -> str:
@@ -23,3 +44,18 @@
             letters.append("_")
         letters.append(letter.lower())
     return "".join(letters)
+
+
+def send_log_to(level: str, stream: TextIO | None = None) -> LogWriter:
+    """Sends events of at least `level` to a stream (standard output) through a bounded buffer."""
+    writer = LogWriter(stream or sys.stdout)
+
+    def write(message: "Message") -> None:
+        record = message.record
+        is_plain = record["message"] in PLAIN_EVENTS
+        writer.write(format_line(record), is_plain)
+
+    logger.remove()
+    logger.add(write, level=level, format="{message}", catch=True)
+    writer.start()
+    return writer
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 import msgspec
 from loguru import logger
@@ -25,7 +26,10 @@
 from dewledge.shell.pooling.database_opener import DatabaseOpener
 from dewledge.shell.pooling.event_log import EventLog
 from dewledge.shell.pooling.member_table import MemberTable
+from dewledge.shell.pooling.pooler_metrics import CONTENT_TYPE as METRICS_TYPE
+from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
 from dewledge.shell.pooling.relay import RelayServer
+from dewledge.shell.pooling.settings_file import SettingsFile
 from dewledge.shell.pooling.succession_driver import SuccessionDriver
 from dewledge.shell.pooling.table_watcher import TableWatcher
 from dewledge.shell.pooling.witnesses import Witnesses
@@ -54,12 +58,22 @@
 class PoolerProcess:
     """Everything of one process. All methods but `leave` belong to the loop's thread."""
 
-    def __init__(self, settings: PoolerSettings, platform: PlatformAdapter) -> None:
-        """Binds all addresses. Raises OSError if one cannot be bound."""
+    def __init__(
+        self,
+        settings: PoolerSettings,
+        platform: PlatformAdapter,
+        settings_file: Path | None = None,
+    ) -> None:
+        """Binds all addresses. Raises OSError if one cannot be bound.
+
+        settings_file: read again when it changes or the process is told to.
+        """
+        self._settings_file = SettingsFile(settings_file)
         self._settings = settings
         self._platform = platform
         self._loop = EventLoop()
-        self._log = EventLog()
+        self._metrics = PoolerMetrics()
+        self._log = EventLog(self._metrics)
         self._services = PoolServices(_LoopScheduler(self._loop), self._log.record)
         self._opener = DatabaseOpener(
             self._loop,
@@ -79,6 +93,10 @@
         self._ready = HttpServer(
             self._loop, settings.ready_address, HttpLimits(), self._answer_ready
         )
+        self._metrics_server = HttpServer(
+            self._loop, settings.metrics_address, HttpLimits(), self._answer_metrics
+        )
+        self._add_gauges()
         self._executor = ThreadPoolExecutor(max_workers=EXECUTOR_THREADS)
         self._members = MemberTable(settings.name, settings.peer_address, platform.store)
         self._succession = SuccessionDriver(
@@ -111,7 +129,13 @@
 
     def run(self) -> None:
         """Serves until the process has left."""
-        logger.bind(name=self._settings.name, zone=self._settings.zone).info("pooler_started")
+        logger.bind(
+            name=self._settings.name,
+            zone=self._settings.zone,
+            clients=self._settings.client_address,
+            peers=self._settings.peer_address,
+            store=self._settings.store_address,
+        ).info("pooler_started")
         for watcher in self._watchers:
             self._executor.submit(watcher.run)
         self._executor.submit(self._members.register, lambda: self._leaving_since is not None)
@@ -120,6 +144,7 @@
         self._succession.start(self._witnesses)
         self._clients.start()
         self._ready.start()
+        self._metrics_server.start()
         self._sweep()
         self._loop.run()
 
@@ -152,6 +177,45 @@
         status = 200 if self.is_ready else 503
         exchange.respond(HttpResponse(status, b"", PLAIN))
 
+    def _answer_metrics(self, exchange: Exchange) -> None:
+        exchange.respond(HttpResponse(200, self._metrics.render(), METRICS_TYPE))
+
+    def _add_gauges(self) -> None:
+        groups = self._services.groups
+        gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
+            ("client_sessions", "Clients' sessions open.", self._count_sessions),
+            (
+                "database_connections",
+                "Connections to databases.",
+                lambda: sum(pool.size for group in groups.values() for pool in group.all_pools()),
+            ),
+            (
+                "statements_waiting",
+                "Statements that wait for a connection.",
+                lambda: sum(
+                    pool.waiting for group in groups.values() for pool in group.all_pools()
+                ),
+            ),
+            ("members", "Processes that registered.", lambda: self._members.count),
+            ("configuration_version", "In force.", lambda: self._services.routes.version),
+            ("ready", "1 while new sessions are taken.", lambda: float(self.is_ready)),
+        )
+        for name, description, read in gauges:
+            self._metrics.add_gauge(name, description, read)
+
+    def _count_sessions(self) -> float:
+        return len(self._clients.connections)
+
+    def reload(self) -> None:
+        """Reads the settings file again. May be called from a signal handler."""
+        self._loop.post(self._reload)
+
+    def _reload(self) -> None:
+        changed = self._settings_file.read(self._settings)
+        if changed is not None:
+            self._settings = changed
+            self._platform.store.change_address(changed.store_address)
+
     def _watch(
         self,
         table: str,
@@ -261,6 +325,8 @@
         self._end_resting_transactions(now)
         for group in self._services.groups.values():
             group.trim_connections()
+        if self._settings_file.has_changed():
+            self._reload()
         if self._leaving_since is not None:
             self._continue_leaving(now - self._leaving_since)
         self._loop.call_later(SWEEP_SECONDS, self._sweep)
@@ -288,6 +354,7 @@
             watcher.stop()
         self._clients.close()
         self._ready.close()
+        self._metrics_server.close()
         self._witnesses.close()
         self._relays.close()
         self._loop.stop()
--- /dev/null
+++ b/src/dewledge/shell/pooling/settings_file.py
@@ -0,0 +1,55 @@
+"""The settings file of a running process: noticed when it changes, taken only if it is right."""
+
+from pathlib import Path
+
+from loguru import logger
+
+from dewledge.errors import InvalidInput
+from dewledge.pooler_settings import PoolerSettings, load_pooler_settings
+
+FIXED = ("name", "client_address", "ready_address", "peer_address", "metrics_address")
+"""Settings that need a restart; a change of one is told and not taken."""
+
+
+class SettingsFile:
+    """Reads the file again when its time or size has changed."""
+
+    def __init__(self, path: Path | None) -> None:
+        self._path = path
+        self._seen = self._stamp()
+
+    def has_changed(self) -> bool:
+        """Tells whether the file is another one than last time."""
+        return self._path is not None and self._stamp() != self._seen
+
+    def read(self, present: PoolerSettings) -> PoolerSettings | None:
+        """Returns the new settings, None if nothing changed or the file has findings."""
+        if self._path is None:
+            return None
+        self._seen = self._stamp()
+        try:
+            read = load_pooler_settings(self._path)
+        except InvalidInput as error:
+            logger.bind(findings=error.message).error("settings_refused")
+            return None
+        changed = [name for name in PoolerSettings.model_fields if differs(present, read, name)]
+        fixed = [name for name in changed if name in FIXED]
+        kept = {name: getattr(present, name) for name in fixed}
+        logger.bind(changed=",".join(changed), need_restart=",".join(fixed)).info(
+            "settings_reloaded"
+        )
+        return read.model_copy(update=kept) if changed else None
+
+    def _stamp(self) -> tuple[int, int] | None:
+        if self._path is None:
+            return None
+        try:
+            status = self._path.stat()
+        except OSError:
+            return None
+        return (status.st_mtime_ns, status.st_size)
+
+
+def differs(present: PoolerSettings, read: PoolerSettings, name: str) -> bool:
+    """Tells whether one setting differs."""
+    return bool(getattr(present, name) != getattr(read, name))
