--- a/tests/core/pooling/harness.py
+++ b/tests/core/pooling/harness.py
@@ -83,6 +83,8 @@
     floor: LogPosition | None
     connection: int
     in_transaction: bool
+    applied: LogPosition
+    at: float
 
 
 @dataclass
@@ -117,9 +119,30 @@
         self.commits: list[str] = []
         self.transports: list[ModelTransport] = []
         self.own: list[StatementKind] = []
+        self.positions: dict[str, LogPosition] = {}
+        self.lag: dict[str, float | None] = {}
+        """Seconds by which a replica applies later, None while it receives nothing; absent: it
+        keeps what a test gives it."""
+
+    def replicate(self, source: str, position: LogPosition) -> None:
+        """Has the replicas apply a commit later."""
+        for name, lag in self.lag.items():
+            if name != source and lag is not None:
+                self.scheduler.call_later(lag, lambda n=name: self._apply(n, position))  # type: ignore[misc]
+
+    def _apply(self, name: str, position: LogPosition) -> None:
+        database = self.databases[name]
+        newest = max(each.applied.term for each in self.databases.values())
+        follows = database.role is DatabaseRole.REPLICA and position.term == newest
+        if follows and self.lag.get(name) is not None and database.applied < position:
+            database.applied = position
 
     def promote(self, name: str) -> None:
         term = max(database.applied.term for database in self.databases.values()) + 1
+        kept = self.databases[name].applied
+        lost = [known for known, position in self.positions.items() if position > kept]
+        for known in lost:
+            del self.positions[known]
         for database in self.databases.values():
             is_new = database.id == name
             database.role = DatabaseRole.PRIMARY if is_new else DatabaseRole.REPLICA
@@ -254,7 +277,8 @@
             return self._failed(ErrorCode.UNKNOWN_STATEMENT)
         writes = statement.kind is StatementKind.WRITE or shape.startswith("True")
         is_commit = statement.kind is StatementKind.COMMIT
-        if not leads and (writes or (in_transaction and self.plain and not is_commit)):
+        empty_commit = is_commit and not self.written
+        if not leads and (writes or (in_transaction and self.plain and not empty_commit)):
             return self._failed(ErrorCode.NOT_PRIMARY)
         self.group.ran.append(
             Ran(
@@ -265,6 +289,8 @@
                 floor,
                 self.number,
                 in_transaction,
+                self.database.applied,
+                self.group.scheduler.time,
             )
         )
         if writes and in_transaction:
@@ -281,6 +307,9 @@
             applied = self.database.applied
             self.database.applied = LogPosition(applied.term, applied.offset + 1)
             self.group.commits += written
+            for known in written:
+                self.group.positions[known] = self.database.applied
+            self.group.replicate(self.database.id, self.database.applied)
 
     def _done(self, rows: tuple[str, ...] = (), signature: str = "-") -> Reply:
         return Reply(self.state, rows, signature, position=self.database.applied)
@@ -331,9 +360,15 @@
 class PoolerHarness:
     """Services, one group of three databases, and sessions."""
 
-    def __init__(self, limit: int = 4, configured: bool = True) -> None:
-        self.scheduler = ModelScheduler()
-        self.model = ModelGroup(self.scheduler)
+    def __init__(
+        self,
+        limit: int = 4,
+        configured: bool = True,
+        scheduler: ModelScheduler | None = None,
+        model: ModelGroup | None = None,
+    ) -> None:
+        self.scheduler = scheduler or ModelScheduler()
+        self.model = model or ModelGroup(self.scheduler)
         self.events: list[PoolingEvent] = []
         self.suspected: list[str] = []
         self.services = PoolServices(self.scheduler, self.events.append)
--- /dev/null
+++ b/tests/core/pooling/random_day.py
@@ -0,0 +1,338 @@
+"""A random day: several poolers before one group, faults, and what must hold of all that ran."""
+
+import random
+from dataclasses import dataclass, field
+
+from dewledge.core.pooling.group_view import DatabaseRole
+from dewledge.core.pooling.routes import Consistency
+from dewledge.core.pooling.statements import Reply, StatementKind, TransactionState
+from dewledge.core.positions import LogPosition
+from dewledge.errors import ErrorCode
+from tests.core.pooling.harness import (
+    ModelDatabase,
+    ModelGroup,
+    ModelScheduler,
+    PoolerHarness,
+    SessionProbe,
+)
+
+POOLERS = 3
+SESSIONS = 9
+STEP_SECONDS = 0.02
+BOUND_SECONDS = 1.5
+PROMISES = frozenset(
+    {
+        ErrorCode.OVERLOADED,
+        ErrorCode.TRANSACTION_LOST,
+        ErrorCode.NOT_FRESH,
+        ErrorCode.NOT_PRIMARY,
+        ErrorCode.WRONG_DATABASE,
+        ErrorCode.CONNECTION_LIMIT,
+    }
+)
+
+
+class LaggingGroup(ModelGroup):
+    """A group whose replicas apply later, and whose databases crash and come back."""
+
+    def __init__(self, scheduler: ModelScheduler) -> None:
+        super().__init__(scheduler)
+        self.lag = dict.fromkeys(self.databases, 0.008)
+
+    @property
+    def primary(self) -> ModelDatabase:
+        return next(d for d in self.databases.values() if d.role is DatabaseRole.PRIMARY)
+
+
+@dataclass
+class Asked:
+    """A statement that a client sent."""
+
+    id: str
+    kind: StatementKind
+    at: float
+    transaction: int
+    transaction_at: float
+    values: dict[str, str]
+    reply: Reply | None = None
+    answered_at: float = 0.0
+    floor_commits: set[str] = field(default_factory=set)
+
+
+class RandomClient:
+    """One session that does something random whenever it is not waiting."""
+
+    def __init__(self, day: "RandomDay", probe: SessionProbe, consistency: Consistency) -> None:
+        self.day = day
+        self.probe = probe
+        self.consistency = consistency
+        self.asked: list[Asked] = []
+        self.values: dict[str, str] = {}
+        self.own_commits: set[str] = set()
+        self.transaction = 0
+        self.transaction_at = 0.0
+        self.writes_open: list[str] = []
+        self.next_at = 0.0
+
+    def act(self, now: float) -> None:
+        self._take_answer(now)
+        waiting = self.asked and self.asked[-1].reply is None
+        if waiting or now < self.next_at:
+            return
+        self.next_at = now + self.day.random.expovariate(8.0)
+        self._ask(self._choose(), now)
+
+    def _choose(self) -> StatementKind:
+        random_value = self.day.random.random()
+        if self.transaction:
+            if random_value < 0.15:
+                return StatementKind.COMMIT
+            if random_value < 0.2:
+                return StatementKind.ROLLBACK
+        elif random_value < 0.15:
+            return StatementKind.BEGIN
+        elif random_value < 0.2:
+            return StatementKind.SET_VALUE
+        return StatementKind.WRITE if self.day.random.random() < 0.35 else StatementKind.READ
+
+    def _ask(self, kind: StatementKind, now: float) -> None:
+        if kind is StatementKind.BEGIN:
+            self.transaction += 1
+            self.day.transactions += 1
+            self.transaction = self.day.transactions
+            self.transaction_at = now
+        name, value = "", "thing data"
+        if kind is StatementKind.SET_VALUE:
+            name, value = f"n{self.day.random.randrange(3)}", str(self.day.random.random())
+            self.values[name] = value
+        asked = Asked(
+            "", kind, now, self.transaction, self.transaction_at or now, dict(self.values)
+        )
+        started = asked.transaction_at if self.transaction else now
+        asked.floor_commits = self.day.commits_needed(self, started)
+        self.asked.append(asked)
+        asked.id = self.probe.start(kind, name, value)
+        self.day.statements[asked.id] = (self, asked)
+        self._take_answer(now)
+
+    def _take_answer(self, now: float) -> None:
+        asked = self.asked[-1] if self.asked else None
+        if asked is None or asked.reply is not None:
+            return
+        for known, reply in self.probe.client.replies:
+            if known == asked.id:
+                asked.reply = reply
+                asked.answered_at = now
+                self._note(asked, reply)
+
+    def _note(self, asked: Asked, reply: Reply) -> None:
+        done = reply.failure is None
+        if asked.kind is StatementKind.WRITE and done and not asked.transaction:
+            self._committed([asked.id], asked.answered_at)
+        elif asked.kind is StatementKind.WRITE and done:
+            self.writes_open.append(asked.id)
+        elif asked.kind is StatementKind.COMMIT and done:
+            self._committed(self.writes_open, asked.answered_at)
+        if reply.state is TransactionState.IDLE and self.transaction:
+            self.transaction = 0
+            self.transaction_at = 0.0
+            self.writes_open = []
+
+    def _committed(self, ids: list[str], now: float) -> None:
+        self.own_commits.update(ids)
+        self.day.acknowledged.update(dict.fromkeys(ids, now))
+
+
+class RandomDay:
+    """Plays a day from a seed; `violations` tells what did not hold."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.scheduler = ModelScheduler()
+        self.group = LaggingGroup(self.scheduler)
+        self.poolers = [PoolerHarness(4, True, self.scheduler, self.group) for _ in range(POOLERS)]
+        self.acknowledged: dict[str, float] = {}
+        self.statements: dict[str, tuple[RandomClient, Asked]] = {}
+        self.transactions = 0
+        kinds = list(Consistency)
+        self.clients = [
+            self._client(n, kinds[(n // POOLERS) % len(kinds)]) for n in range(SESSIONS)
+        ]
+
+    def _client(self, number: int, consistency: Consistency) -> RandomClient:
+        session = self.poolers[number % POOLERS].session(consistency)
+        return RandomClient(self, session, consistency)
+
+    def play(self, seconds: float) -> "RandomDay":
+        end = self.scheduler.time + seconds
+        next_fault = self.scheduler.time + self.random.uniform(0.5, 2.0)
+        while self.scheduler.time < end:
+            self.scheduler.advance(STEP_SECONDS)
+            for client in self.clients:
+                client.act(self.scheduler.time)
+            if self.scheduler.time >= next_fault:
+                self._fault()
+                next_fault = self.scheduler.time + self.random.uniform(0.3, 1.5)
+        for database in self.group.databases.values():
+            database.silent = False
+        self.scheduler.advance(3.0)
+        return self
+
+    def commits_needed(self, client: RandomClient, started: float) -> set[str]:
+        """Returns the commits that a read begun now must show."""
+        since = {
+            Consistency.PRIMARY: started,
+            Consistency.BOUNDED_STALENESS: started - BOUND_SECONDS,
+            Consistency.READ_OWN_WRITES: started - BOUND_SECONDS,
+        }[client.consistency]
+        needed = {known for known, at in self.acknowledged.items() if at < since}
+        if client.consistency is not Consistency.BOUNDED_STALENESS:
+            own = client.own_commits
+            needed |= {known for known in own if self.acknowledged[known] < started}
+        return needed
+
+    def violations(self) -> list[str]:
+        return [
+            *self._twice(),
+            *self._kept_against_promise(),
+            *self._stale(),
+            *self._mixed_values(),
+            *self._mixed_transactions(),
+            *self._unanswered(),
+        ]
+
+    def _fault(self) -> None:
+        fault = self.random.choice(
+            (
+                "lose",
+                "break",
+                "busy",
+                "lag",
+                "deaf",
+                "deaf",
+                "heal",
+                "promote",
+                "crash",
+                "fail",
+                "doubt",
+            )
+        )
+        database = self.random.choice(list(self.group.databases.values()))
+        if fault == "lose":
+            database.lose_answers += self.random.randrange(1, 4)
+        elif fault == "break":
+            database.break_answers += self.random.randrange(1, 4)
+        elif fault in ("busy", "fail"):
+            code = ErrorCode.OVERLOADED if fault == "busy" else ErrorCode.STATEMENT_FAILED
+            database.fail_next += [code] * self.random.randrange(1, 8)
+        elif fault == "lag":
+            self.group.lag[database.id] = self.random.uniform(0.008, 1.0)
+        elif fault == "deaf":
+            self.group.lag[database.id] = None
+        elif fault == "heal":
+            self._heal()
+        elif fault == "crash":
+            self._silence(database)
+        elif fault == "doubt":
+            self.random.choice(self.poolers).group.set_doubt(database.id, None)
+        else:
+            self._promote()
+
+    def _heal(self) -> None:
+        position = self.group.primary.applied
+        for name, database in self.group.databases.items():
+            self.group.lag[name] = 0.008
+            database.silent = False
+            database.applied = position
+        for pooler in self.poolers:
+            pooler.group.set_doubt(None, None)
+
+    def _silence(self, database: ModelDatabase) -> None:
+        database.silent = True
+        self.scheduler.call_later(self.random.uniform(0.2, 2.0), lambda: _wake(database))
+
+    def _promote(self) -> None:
+        """Any replica may be made primary at any moment, and the word of it comes late."""
+        replicas = [d.id for d in self.group.databases.values() if d is not self.group.primary]
+        chosen = self.random.choice(replicas)
+        if self.random.random() < 0.5:
+            self.group.lag[self.group.primary.id] = None
+        self.group.promote(chosen)
+        kept = self.group.databases[chosen].applied
+        for database in self.group.databases.values():
+            if database.id != chosen and self.group.lag[database.id] is not None:
+                database.applied = LogPosition(kept.term, kept.offset)
+        for pooler in self.poolers:
+            for name in self.group.databases:
+                delay = self.random.uniform(0.0, 2.5)
+                self.scheduler.call_later(delay, lambda p=pooler, n=name: p.announce(n))  # type: ignore[misc]
+
+    def _twice(self) -> list[str]:
+        commits = self.group.commits
+        return [f"{known} took effect twice" for known in set(commits) if commits.count(known) > 1]
+
+    def _kept_against_promise(self) -> list[str]:
+        found = []
+        kept = set(self.group.commits)
+        for client in self.clients:
+            refused = {
+                asked.transaction
+                for asked in client.asked
+                if asked.transaction and _is_promise(asked.reply)
+            }
+            for asked in client.asked:
+                alone = not asked.transaction and _is_promise(asked.reply)
+                if asked.id in kept and (alone or asked.transaction in refused):
+                    found.append(f"{asked.id} is kept, though the client was told that it is not")
+        return found
+
+    def _stale(self) -> list[str]:
+        found = []
+        for ran in self.group.ran:
+            client, asked = self.statements[ran.statement.id]
+            if ran.statement.kind is not StatementKind.READ:
+                continue
+            missing = [
+                known
+                for known in asked.floor_commits
+                if known in self.group.positions and self.group.positions[known] > ran.applied
+            ]
+            if missing:
+                found.append(f"{client.consistency} read {asked.id} misses {missing[0]}")
+        return found
+
+    def _mixed_values(self) -> list[str]:
+        return [
+            f"{ran.statement.id} ran with foreign values"
+            for ran in self.group.ran
+            if ran.values != self.statements[ran.statement.id][1].values
+        ]
+
+    def _mixed_transactions(self) -> list[str]:
+        found = []
+        connections: dict[int, int] = {}
+        for ran in self.group.ran:
+            asked = self.statements[ran.statement.id][1]
+            if not asked.transaction:
+                continue
+            known = connections.setdefault(asked.transaction, ran.connection)
+            if known != ran.connection or not ran.in_transaction:
+                found.append(f"{asked.id} ran outside its transaction")
+        return found
+
+    def _unanswered(self) -> list[str]:
+        found = []
+        for client in self.clients:
+            client.act(self.scheduler.time)
+            for asked in client.asked[:-1]:
+                if asked.reply is None:
+                    found.append(f"{asked.id} was never answered")
+        return found
+
+
+def _wake(database: ModelDatabase) -> None:
+    database.silent = False
+
+
+def _is_promise(reply: Reply | None) -> bool:
+    return reply is not None and reply.failure is not None and reply.failure.code in PROMISES
