--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -11,11 +11,13 @@
 claim lets one through, and the platform refuses a token lower than one it has seen.
 """
 
+import zlib
 from collections.abc import Callable, Sequence
 
 from dewledge.core.pooling.group_view import GroupView
 from dewledge.core.succession.candidates import choose, eligible
 from dewledge.core.succession.messages import (
+    AnnounceLeader,
     AskWitnesses,
     Claim,
     ClaimRefused,
@@ -49,13 +51,19 @@
 NONE_KNOWN_SECONDS = 2.5
 STATUS_LIMIT_SECONDS = 0.3
 CLAIM_LIMIT_SECONDS = 1.5
+CATCH_UP_LIMIT_SECONDS = 2.0
+"""A primary that leaves serves on: its successor is given so long to receive all it has."""
+ASK_STATUS_AGAIN_SECONDS = 0.15
 PROMOTE_AGAIN_SECONDS = 0.7
+STANDING_AGAIN_SECONDS = 3.0
 PROMOTION_LIMIT_SECONDS = 6.0
 FOLLOW_LIMIT_SECONDS = 3.0
 CLAIM_STEP_SECONDS = 0.08
 OTHER_HOLDER_SECONDS = 0.5
 """The last holder acts first: turns between holders stay rare."""
 
+_ACTING = frozenset({Phase.CHECKING, Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING})
+
 
 class GroupSuccession:
     """The state machine of one group. `handle` takes an event and returns effects."""
@@ -66,18 +74,20 @@
         self._record = record
         self.phase = Phase.STEADY
         self.doubted: str | None = None
-        self.reached_by_others = False
+        self.reached_by: str | None = None
         self._cause = LossCause.UNREACHABLE
         self._replaced = ""
         self._since = 0.0
         self._phase_since = 0.0
         self._claim_at = 0.0
         self._claim: Claim | None = None
+        self._standing_at = 0.0
         self._own_token = 0
         self._reach: ReachTested | None = None
         self._witnesses: dict[str, bool] = {}
         self._statuses: dict[str, DatabaseStatus] = {}
         self._asked: set[str] = set()
+        self._asked_at = 0.0
         self._refused: frozenset[str] = frozenset()
         self._candidate = ""
         self._promoted_at = 0.0
@@ -91,6 +101,8 @@
         """Takes an event. `members`: the names of all processes, the own one included."""
         self._take(event, now)
         effects: list[SuccessionEffect] = []
+        if isinstance(event, StatusRead):
+            effects += self._announce(event)
         if isinstance(event, PrimaryDoubted):
             effects += self._doubt(event.database, view, now)
         effects += self._advance(view, members, now)
@@ -108,32 +120,41 @@
         elif isinstance(event, ClaimSeen):
             self._see_claim(event.claim, now)
         elif isinstance(event, ClaimRefused) and self.phase is Phase.CLAIMING:
-            self._take_refusal(now)
+            self._claim_at = now + CLAIM_AGAIN_SECONDS
         elif isinstance(event, PromotionAnswered):
             self._take_promotion(event, now)
 
-    def _take_refusal(self, now: float) -> None:
-        """The store did not take the claim. The last holder may still act on its own token."""
-        self._claim_at = now + CLAIM_AGAIN_SECONDS
-        if self._claim is not None and self._claim.holder == self._own_name:
-            self._own_token = self._claim.token
+    def _announce(self, event: StatusRead) -> Sequence[SuccessionEffect]:
+        """The chosen database says that it leads: others learn it also without the store."""
+        if self.phase is not Phase.PROMOTING or event.database != self._candidate:
+            return []
+        if event.status is None or not event.status.is_primary:
+            return []
+        return [AnnounceLeader(event.database)]
 
     def _see_claim(self, claim: Claim, now: float) -> None:
         if self._claim is not None and claim.token <= self._claim.token:
             return
         self._claim = claim
         if claim.holder == self._own_name:
-            if self.phase is Phase.CLAIMING:
+            if self.phase in (Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING):
                 self._own_token = claim.token
             return
-        if self.phase in (Phase.CHECKING, Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING):
+        if claim.replaced and self.phase in (
+            Phase.CHECKING,
+            Phase.CLAIMING,
+            Phase.CHOOSING,
+            Phase.PROMOTING,
+        ):
             self._replaced = claim.replaced
             self._move(Phase.FOLLOWING, f"claimed_by_{claim.holder}", now)
 
     def _take_promotion(self, event: PromotionAnswered, now: float) -> None:
         if self.phase is not Phase.PROMOTING or event.database != self._candidate:
             return
-        if event.fenced:
+        if event.fenced and self._own_token < self._newest_token:
+            self._move(Phase.FOLLOWING, "token_too_old", now)
+        elif event.fenced:
             self._refused = self._refused | {event.database}
             self._statuses.pop(event.database, None)
             self._move(Phase.CHOOSING, "candidate_refused", now)
@@ -170,6 +191,7 @@
     ) -> Sequence[SuccessionEffect]:
         if self._is_over(view):
             self.doubted = None
+            self.reached_by = None
             self._move(Phase.STEADY, "new_primary", now)
         if self.phase is Phase.STEADY:
             return self._watch(view, members, now)
@@ -192,8 +214,7 @@
         if primary.id != self._replaced and not primary.draining:
             return True
         still_leaving = primary.draining
-        planned = self._cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
-        return planned and not still_leaving
+        return self._is_planned and not still_leaving
 
     def _watch(
         self, view: GroupView, members: Sequence[str], now: float
@@ -213,7 +234,7 @@
         if self.doubted == primary.id and now >= self._last_check + CHECK_AGAIN_SECONDS:
             return self._start_check(primary.id, now)
         if not primary.draining:
-            return []
+            return self._claim_standing(members, now)
         gone = primary.id in view.departed
         since = view.draining_since.get(primary.id, now)
         if gone and now < since + ENTRY_GONE_SECONDS:
@@ -225,28 +246,39 @@
         self._start_claim(members, now)
         return []
 
+    def _claim_standing(self, members: Sequence[str], now: float) -> Sequence[SuccessionEffect]:
+        """Has one process hold the duty from the start, so that it may act without the store."""
+        if self._claim is not None or now < self._standing_at or not members:
+            return []
+        self._standing_at = now + STANDING_AGAIN_SECONDS
+        chosen = members[zlib.crc32(self._group.encode()) % len(members)]
+        return [WriteClaim("", 0)] if chosen == self._own_name else []
+
     def _check(
         self, view: GroupView, members: Sequence[str], now: float
     ) -> Sequence[SuccessionEffect]:
         if self._reach is not None and self._reach.reachable:
             self.doubted = None
-            self.reached_by_others = False
+            self.reached_by = None
             self._move(Phase.STEADY, "reachable", now)
             return []
-        if self._reach is not None:
+        failed = self._reach is not None
+        if failed:
             self.doubted = self._replaced
-        if any(self._witnesses.values()):
-            self.reached_by_others = True
-            self._move(Phase.STEADY, "reached_by_others", now)
+        reaching = sorted(name for name, reaches in self._witnesses.items() if reaches)
+        if reaching and failed:
+            self.reached_by = self.reached_by if self.reached_by in reaching else reaching[0]
+            self._move(Phase.STEADY, f"reached_by_{self.reached_by}", now)
+            return []
+        if reaching:
             return []
         effects: list[SuccessionEffect] = []
-        failed = self._reach is not None
         if not self._asks_witnesses and (failed or now >= self._phase_since + ASK_AFTER_SECONDS):
             self._asks_witnesses = True
             effects.append(AskWitnesses(self._replaced))
         if not failed or not self._is_confirmed(members, now):
             return effects
-        self.reached_by_others = False
+        self.reached_by = None
         self._start_claim(members, now)
         return self._claim_duty(view, now)
 
@@ -276,17 +308,23 @@
         if now < self._claim_at:
             return []
         self._claim_at = now + CLAIM_LIMIT_SECONDS
-        expected = 0 if self._claim is None else self._claim.token
-        return [WriteClaim(self._replaced, expected)]
+        write = WriteClaim(self._replaced, self._newest_token)
+        if self._claim is None or self._claim.holder != self._own_name:
+            return [write]
+        # The last holder need not wait for the row, which tells the others to follow.
+        self._own_token = self._claim.token
+        self._move(Phase.CHOOSING, "held_before", now)
+        return [write, *self._choose(view, now)]
+
+    @property
+    def _newest_token(self) -> int:
+        return 0 if self._claim is None else self._claim.token
 
     def _choose(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
         names = eligible(view, self._replaced, self._refused)
-        missing = [name for name in names if name not in self._statuses]
-        effects: list[SuccessionEffect] = []
-        for name in missing:
-            if name not in self._asked:
-                self._asked.add(name)
-                effects.append(ReadStatus(name))
+        wanted = [*names, self._replaced] if self._is_planned else names
+        effects = self._ask_statuses(wanted)
+        missing = [name for name in wanted if name not in self._statuses]
         if missing and now < self._phase_since + STATUS_LIMIT_SECONDS:
             return effects
         chosen = choose(names, self._statuses, {})
@@ -294,11 +332,37 @@
             if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
                 self._move(Phase.STEADY, "no_candidate", now)
             return effects
+        if self._is_behind(chosen) and now < self._phase_since + CATCH_UP_LIMIT_SECONDS:
+            self._ask_again(now)
+            return effects
         self._candidate = chosen
         self._promoted_at = now
         self._move(Phase.PROMOTING, "chosen", now)
         return [*effects, Promote(chosen, self._own_token)]
 
+    @property
+    def _is_planned(self) -> bool:
+        return self._cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
+
+    def _ask_statuses(self, names: Sequence[str]) -> list[SuccessionEffect]:
+        unasked = [name for name in names if name not in self._asked]
+        self._asked.update(unasked)
+        return [ReadStatus(name) for name in unasked]
+
+    def _is_behind(self, chosen: str) -> bool:
+        """Tells whether a primary that still serves has what the chosen database lacks."""
+        leaving = self._statuses.get(self._replaced)
+        status = self._statuses.get(chosen)
+        if not self._is_planned or leaving is None or status is None:
+            return False
+        return status.received < leaving.received
+
+    def _ask_again(self, now: float) -> None:
+        """Has the databases asked once more, a moment after the last time."""
+        if now >= self._asked_at + ASK_STATUS_AGAIN_SECONDS:
+            self._asked_at = now
+            self._asked = set()
+
     def _waited_for_status(self, now: float) -> bool:
         return now > self._phase_since + 2 * STATUS_LIMIT_SECONDS
 
@@ -306,10 +370,14 @@
         if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
             self._move(Phase.STEADY, "promotion_without_effect", now)
             return []
-        if now < self._promoted_at + PROMOTE_AGAIN_SECONDS:
-            return []
-        self._promoted_at = now
-        return [Promote(self._candidate, self._own_token)]
+        effects: list[SuccessionEffect] = []
+        if now >= self._asked_at + ASK_STATUS_AGAIN_SECONDS:
+            self._asked_at = now
+            effects.append(ReadStatus(self._candidate))
+        if now >= self._promoted_at + PROMOTE_AGAIN_SECONDS:
+            self._promoted_at = now
+            effects.append(Promote(self._candidate, self._own_token))
+        return effects
 
     def _follow(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
         if now < self._phase_since + FOLLOW_LIMIT_SECONDS:
--- a/tests/core/succession/test_succession.py
+++ b/tests/core/succession/test_succession.py
@@ -6,6 +6,7 @@
 from dewledge.core.pooling.group_view import DatabaseRecord, DatabaseRole, GroupView
 from dewledge.core.positions import LogPosition
 from dewledge.core.succession.messages import (
+    AnnounceLeader,
     AskWitnesses,
     Claim,
     ClaimRefused,
@@ -32,6 +33,8 @@
 
 
 class SuccessionCase(unittest.TestCase):
+    own_name = "a"
+
     def setUp(self) -> None:
         self.now = 1000.0
         self.events: list[PhaseChanged] = []
@@ -89,7 +92,7 @@
         self.handle(WitnessReported("c", "p", True))
         self.assertEqual(self.succession.phase, Phase.STEADY)
         self.assertEqual(self.succession.doubted, "p")
-        self.assertTrue(self.succession.reached_by_others)
+        self.assertEqual(self.succession.reached_by, "c")
         self.assertEqual(self.of(WriteClaim), [])
 
     def test_it_is_tested_again_and_again_while_only_this_process_cannot_reach_it(self) -> None:
@@ -157,6 +160,34 @@
         self.wait(1.0)
         self.assertEqual(self.of(Promote)[0].token, 5)  # type: ignore[union-attr]
 
+    def test_the_last_holder_does_not_wait_for_the_row(self) -> None:
+        self.handle(ClaimSeen(Claim("a", "x", 5)))
+        self.lose_primary()
+        self.confirm()
+        self.assertEqual(self.of(WriteClaim), [WriteClaim("p", 5)])
+        self.assertEqual(self.succession.phase, Phase.CHOOSING)
+
+    def test_a_token_that_another_has_overtaken_is_given_up(self) -> None:
+        self.handle(ClaimSeen(Claim("a", "x", 5)))
+        self.lose_primary()
+        self.confirm()
+        self.handle(StatusRead("r1", DatabaseStatus(False, 1, LogPosition(1, 4))))
+        self.wait(0.4)
+        self.handle(ClaimSeen(Claim("b", "p", 8)))
+        self.handle(PromotionAnswered("r1", False, True))
+        self.assertEqual(self.succession.phase, Phase.FOLLOWING)
+
+    def test_the_new_primary_is_announced_once_it_says_that_it_leads(self) -> None:
+        self.claim()
+        self.handle(StatusRead("r1", DatabaseStatus(False, 1, LogPosition(1, 4))))
+        self.wait(0.6)
+        self.assertEqual(self.of(AnnounceLeader), [])
+        self.handle(StatusRead("r1", DatabaseStatus(True, 2, LogPosition(2, 4))))
+        self.assertEqual(self.of(AnnounceLeader), [AnnounceLeader("r1")])
+        self.view = self.view.with_leader("r1")
+        self.handle(Ticked())
+        self.assertEqual(self.succession.phase, Phase.STEADY)
+
     def test_another_process_does_nothing_without_a_claim(self) -> None:
         self.handle(ClaimSeen(Claim("b", "x", 5)))
         self.lose_primary()
@@ -207,6 +238,26 @@
         self.assertIsNone(self.succession.doubted)
 
 
+class StandingClaimTest(SuccessionCase):
+    def test_one_process_holds_the_duty_of_a_healthy_group(self) -> None:
+        writers = []
+        for name in MEMBERS:
+            succession = GroupSuccession("menus", name, self.events.append)
+            effects = succession.handle(Ticked(), self.view, MEMBERS, self.now)
+            writers += [name for effect in effects if isinstance(effect, WriteClaim)]
+        self.assertEqual(len(writers), 1)
+
+    def test_where_it_is_held_nothing_is_written(self) -> None:
+        self.handle(ClaimSeen(Claim("b", "", 3)))
+        self.wait(20.0)
+        self.assertEqual(self.of(WriteClaim), [])
+
+    def test_a_standing_claim_is_not_followed(self) -> None:
+        self.lose_primary()
+        self.handle(ClaimSeen(Claim("b", "", 3)))
+        self.assertEqual(self.succession.phase, Phase.CHECKING)
+
+
 class PlannedTest(SuccessionCase):
     def test_a_primary_that_says_it_leaves_is_replaced_without_doubt(self) -> None:
         self.announce("p", "primary", draining=True)
@@ -214,6 +265,37 @@
         self.assertEqual(len(self.of(WriteClaim)), 1)
         self.assertEqual(self.of(TestReach), [])
 
+    def plan(self) -> None:
+        self.announce("p", "primary", draining=True)
+        self.wait(0.5)
+        self.handle(ClaimSeen(Claim("a", "p", 7)))
+
+    def tell(self, **offsets: int) -> None:
+        for name, offset in offsets.items():
+            status = DatabaseStatus(name == "p", 1, LogPosition(1, offset))
+            self.handle(StatusRead(name, status))
+
+    def test_the_successor_first_receives_what_the_leaving_primary_has(self) -> None:
+        self.plan()
+        self.tell(r1=4, r2=6, p=9)
+        self.wait(0.2)
+        self.assertEqual(self.of(Promote), [])
+        self.tell(r1=4, r2=9, p=9)
+        self.assertEqual(self.of(Promote), [Promote("r2", 7)])
+
+    def test_one_that_never_catches_up_is_promoted_in_time_all_the_same(self) -> None:
+        self.plan()
+        for _ in range(30):
+            self.tell(r1=4, r2=6, p=9)
+            self.wait(0.1)
+        self.assertEqual(set(self.of(Promote)), {Promote("r2", 7)})
+
+    def test_a_lost_primary_is_not_asked_what_it_has(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.handle(ClaimSeen(Claim("a", "p", 7)))
+        self.assertNotIn(ReadStatus("p"), self.effects)
+
     def test_one_whose_entry_is_gone_is_replaced_after_a_while(self) -> None:
         self.view = self.view.with_departure("p", 99, self.now)
         self.wait(1.0)
