--- a/src/dewledge/core/pooling/connection_setup.py
+++ b/src/dewledge/core/pooling/connection_setup.py
@@ -1,13 +1,19 @@
 """What a shared database connection must be told before a session's statement may run there."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 import xxhash
 
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.session_state import PreparedShape, SessionState
-from dewledge.core.pooling.statements import Statement, StatementKind
+from dewledge.core.pooling.statements import (
+    OWN_STATEMENT_ID,
+    Reply,
+    Statement,
+    StatementKind,
+)
+from dewledge.core.positions import LogPosition
 
 MAX_PREPARED_PER_CONNECTION = 200
 
@@ -55,3 +61,47 @@
             steps.append(SetupStep(StatementKind.PREPARE, name, shape.shape, shape.writes))
             connection.prepared.add(name)
     return steps
+
+
+class SetupAnswers:
+    """Collects the answers to setup statements sent at once; tells one verdict.
+
+    `done` gets True if all succeeded, else the first bad answer, or None if the connection ended.
+    """
+
+    def __init__(self, pending: int, done: Callable[[Reply | None | bool], None]) -> None:
+        self._pending = pending
+        self._done = done
+        self._told = False
+
+    def take(self, reply: Reply | None) -> None:
+        """Takes one answer; None if the connection ended."""
+        self._pending -= 1
+        if self._told:
+            return
+        if reply is None or reply.failure is not None:
+            self._told = True
+            self._done(reply)
+        elif self._pending == 0:
+            self._told = True
+            self._done(True)
+
+
+def send_setup(
+    connection: DatabaseConnection,
+    steps: Sequence[SetupStep],
+    begin: StatementKind | None,
+    floor: LogPosition | None,
+    done: Callable[[Reply | None | bool], None],
+) -> None:
+    """Sends the steps and, last, the begin of a transaction, without waiting between them."""
+    answers = SetupAnswers(len(steps) + (begin is not None), done)
+    for step in steps:
+        own = Statement(
+            OWN_STATEMENT_ID, step.kind, name=step.name, argument=step.argument, writes=step.writes
+        )
+        connection.send(own, answers.take)
+    if begin is not None:
+        read_only = begin is StatementKind.BEGIN_READ_ONLY
+        own = Statement(OWN_STATEMENT_ID, begin)
+        connection.send(own, answers.take, floor if read_only else None)
--- /dev/null
+++ b/src/dewledge/core/pooling/run_record.py
@@ -0,0 +1,52 @@
+"""What one statement went through, for its line in the log."""
+
+from dewledge.core.pooling.events import StatementAnswered
+from dewledge.core.pooling.routes import Route
+from dewledge.core.pooling.services import PoolServices
+from dewledge.core.pooling.session_state import SessionState
+from dewledge.core.pooling.statements import Reply, Statement
+from dewledge.core.pooling.targets import Target
+
+MILLISECONDS = 1000
+
+
+class RunRecord:
+    """Collects the attempts of a statement."""
+
+    def __init__(
+        self, services: PoolServices, session: SessionState, route: Route, statement: Statement
+    ) -> None:
+        self._services = services
+        self._session = session
+        self._route = route
+        self._statement = statement
+        self._arrived = services.scheduler.now()
+        self._way: list[str] = []
+
+    def note(self, database: str, target: Target | None, result: str) -> None:
+        """Notes how an attempt ended, as database:proof:result@milliseconds."""
+        if not database and target is not None:
+            database = target.database.id
+        proof = "" if target is None else target.proof
+        self._way.append(f"{database}:{proof}:{result}@{self._elapsed_ms()}")
+
+    def finish(self, reply: Reply, target: Target | None) -> None:
+        """Records the answer."""
+        floor = target.floor if target is not None else None
+        self._services.record(
+            StatementAnswered(
+                statement=self._statement.id,
+                session=self._session.name,
+                route=self._route.name,
+                consistency=self._route.consistency,
+                kind=self._statement.kind,
+                way=",".join(self._way),
+                outcome="done" if reply.failure is None else reply.failure.code,
+                floor="" if floor is None else f"{floor.term}.{floor.offset}",
+                waited_ms=self._elapsed_ms(),
+                configuration=self._services.routes.version,
+            )
+        )
+
+    def _elapsed_ms(self) -> int:
+        return int((self._services.scheduler.now() - self._arrived) * MILLISECONDS)
--- /dev/null
+++ b/src/dewledge/core/pooling/run_timers.py
@@ -0,0 +1,54 @@
+"""The timers of one statement: one limit, one pause, one suspicion."""
+
+from collections.abc import Callable
+
+from dewledge.core.pooling.scheduling import ScheduledCall, Scheduler
+
+SUSPECT_AFTER_SECONDS = 0.25
+"""A statement without an answer for so long makes its database suspect; nothing else changes."""
+
+
+class RunTimers:
+    """Each kind of timer replaces its earlier one."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+        self._limit: ScheduledCall | None = None
+        self._pause: ScheduledCall | None = None
+        self._suspicion: ScheduledCall | None = None
+
+    def limit(self, when: float, callback: Callable[[], None]) -> None:
+        """Calls `callback` at `when` (steady clock, seconds)."""
+        self.clear_limit()
+        delay = max(when - self._scheduler.now(), 0.0)
+        self._limit = self._scheduler.call_later(delay, callback)
+
+    def clear_limit(self) -> None:
+        """Cancels the limit."""
+        if self._limit is not None:
+            self._limit.cancel()
+            self._limit = None
+
+    def pause(self, seconds: float, callback: Callable[[], None]) -> None:
+        """Calls `callback` after `seconds`."""
+        if self._pause is not None:
+            self._pause.cancel()
+        self._pause = self._scheduler.call_later(seconds, callback)
+
+    def watch_answer(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` if a statement that is sent now stays without an answer."""
+        self._clear_suspicion()
+        self._suspicion = self._scheduler.call_later(SUSPECT_AFTER_SECONDS, callback)
+
+    def clear(self) -> None:
+        """Cancels all timers."""
+        self.clear_limit()
+        self._clear_suspicion()
+        if self._pause is not None:
+            self._pause.cancel()
+            self._pause = None
+
+    def _clear_suspicion(self) -> None:
+        if self._suspicion is not None:
+            self._suspicion.cancel()
+            self._suspicion = None
--- a/tests/core/pooling/test_random_days.py
+++ b/tests/core/pooling/test_random_days.py
@@ -52,9 +52,9 @@
         original = statement_run.StatementRun._send
 
         def send(run: statement_run.StatementRun, connection: object) -> None:
-            target = run._target
+            target = run._search.target
             if target is not None and target.proof is Proof.FLOOR:
-                run._target = Target(target.database, Proof.FLOOR, None)
+                run._search.target = Target(target.database, Proof.FLOOR, None)
             original(run, connection)  # type: ignore[arg-type]
 
         self.swap(statement_run.StatementRun, "_send", send)
@@ -76,8 +76,8 @@
 
     def test_a_write_sent_again_takes_effect_twice(self) -> None:
         def lost(run: statement_run.StatementRun) -> None:
-            run._drop_connection()
-            run._retry_read()
+            run._held.drop()
+            run._rerun_read()
 
         self.swap(statement_run.StatementRun, "_lost", lost)
         self.assert_breaks("twice")
