Explain a statement from logs; check a pooler's settings; the pooler's page

dewledge explain reads log lines of several processes: attempts, what was believed before, what another process did, and the likely cause out of a table of cases. docs/POOLER.md lists settings, events and metrics, and a test keeps it equal to the code; the events test of OPERATIONS.md leaves the pooler's packages to it, nothing is uncovered.

--- a/src/dewledge/cli/check.py
+++ b/src/dewledge/cli/check.py
@@ -13,7 +13,8 @@
 
 def check(
     file: Annotated[
-        Path, typer.Argument(help="Settings of a proxy (.toml) or resources (.yaml, .yml).")
+        Path,
+        typer.Argument(help="Settings (.toml) or resources (.yaml, .yml)."),
     ],
     partial: Annotated[
         bool,
@@ -37,8 +38,13 @@
 
 
 def _check_settings(file: Path) -> None:
+    from dewledge.pooler_settings import is_pooler_file, load_pooler_settings
     from dewledge.settings import load_settings
 
+    if is_pooler_file(file):
+        pooler = load_pooler_settings(file)
+        typer.echo(f"{file.name}: settings of pooler {pooler.name}, no findings")
+        return
     settings = load_settings(file)
     typer.echo(f"{file.name}: settings of proxy {settings.name}, no findings")
 
--- a/src/dewledge/cli/main.py
+++ b/src/dewledge/cli/main.py
@@ -55,6 +55,7 @@
     "delete": CommandSource("dewledge.cli.operator_commands", "delete"),
     "status": CommandSource("dewledge.cli.operator_commands", "status"),
     "query": CommandSource("dewledge.cli.query", "query"),
+    "explain": CommandSource("dewledge.cli.explain_command", "explain"),
     "demo": CommandSource("dewledge.cli.demo_command", "demo"),
     "bench": CommandSource("dewledge.cli.bench_command", "bench"),
     "scale": CommandSource("dewledge.cli.scale_command", "scale"),
--- a/src/dewledge/cli/pooler_command.py
+++ b/src/dewledge/cli/pooler_command.py
@@ -18,7 +18,9 @@
         typer.Option("--config", "-c", envvar="DEWLEDGE_SETTINGS", help="Settings file in TOML."),
     ],
 ) -> None:
-    """Run one pooler until SIGTERM: sessions over shared database connections."""
+    """Run one pooler until SIGTERM or SIGINT.
+
+    It gives many sessions few shared database connections."""
     from dewledge.platform.adapter import build_adapter
     from dewledge.pooler_settings import load_pooler_settings
     from dewledge.shell.pooling.event_log import send_log_to
--- a/src/dewledge/pooler_settings.py
+++ b/src/dewledge/pooler_settings.py
@@ -38,7 +38,7 @@
     zone: str = Field(description="Zone of this machine, as databases name theirs.")
     client_address: ListenAddress = Field(description="ip:port for clients' sessions.")
     ready_address: ListenAddress = Field(description="ip:port for readiness probes (HTTP).")
-    peer_address: ListenAddress = Field(description="ip:port for other poolers (UDP).")
+    peer_address: ListenAddress = Field(description="ip:port for other poolers (UDP and TCP).")
     metrics_address: ListenAddress = Field(description="ip:port for metrics (HTTP).")
     store_address: RemoteAddress = Field(description="ip:port of the platform's store.")
     duty_address: RemoteAddress | None = Field(
@@ -69,5 +69,14 @@
         raise InvalidInput(findings) from error
 
 
+def is_pooler_file(path: Path) -> bool:
+    """Tells whether a settings file is a pooler's and not a proxy's."""
+    try:
+        values = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, tomllib.TOMLDecodeError, ValueError):
+        return False
+    return "client_address" in values or "store_address" in values
+
+
 def _finding(path: Path, message: str) -> InvalidInput:
     return InvalidInput([Finding(path.name, ErrorCode.INVALID_SETTING, message)])
--- /dev/null
+++ b/tests/platform/test_pooler_page.py
@@ -0,0 +1,82 @@
+"""docs/POOLER.md: its settings, events and metrics are those of the code."""
+
+import ast
+import re
+import unittest
+from pathlib import Path
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from dewledge.core.pooling import events as pooling_events
+from dewledge.core.succession.messages import PhaseChanged
+from dewledge.pooler_settings import PoolerSettings, PoolerTimings
+from dewledge.shell.pooling.event_log import event_name
+from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
+from tests.test_operations import POOLER_PACKAGES, SOURCES, constants, is_logging_call
+
+ROOT = Path(__file__).parent.parent.parent
+PAGE = (ROOT / "docs" / "POOLER.md").read_text()
+GAUGES = {
+    "dewledge_client_sessions",
+    "dewledge_database_connections",
+    "dewledge_statements_waiting",
+    "dewledge_members",
+    "dewledge_configuration_version",
+    "dewledge_ready",
+}
+
+
+def section(title: str) -> str:
+    return PAGE.partition(f"\n## {title}\n")[2].partition("\n## ")[0]
+
+
+def typed_events() -> set[str]:
+    kinds = [
+        kind
+        for kind in vars(pooling_events).values()
+        if isinstance(kind, type)
+        and issubclass(kind, pooling_events.PoolingEvent)
+        and kind is not pooling_events.PoolingEvent
+    ]
+    return {event_name(kind) for kind in [*kinds, PhaseChanged]}
+
+
+def logged_events() -> set[str]:
+    events: set[str] = set()
+    for package in POOLER_PACKAGES:
+        for path in (SOURCES / package).rglob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.Call) and node.args and is_logging_call(node):
+                    events.update(constants(node.args[0]))
+    return events
+
+
+class PageTest(unittest.TestCase):
+    def test_events(self) -> None:
+        listed = re.findall(r"^\| `(\w+)` \|", section("Events"), re.MULTILINE)
+        self.assertCountEqual(listed, typed_events() | logged_events())
+
+    def test_settings(self) -> None:
+        rows = re.findall(
+            r"^\| `([\w.]+)` \| (.*?) \| (.*?) \|$", section("Settings"), re.MULTILINE
+        )
+        listed = {name: (default, meaning) for name, default, meaning in rows}
+        expected: dict[str, tuple[str, str]] = {}
+        for prefix, model in (("", PoolerSettings), ("timings.", PoolerTimings)):
+            for name, field in model.model_fields.items():
+                if name == "timings":
+                    continue
+                default = "none" if field.default is None else str(field.default)
+                text = "required" if field.is_required() else f"`{default}`"
+                expected[prefix + name] = (text, field.description or "")
+        self.assertEqual(listed, expected)
+
+    def test_metrics(self) -> None:
+        rows = re.findall(r"^\| `(\w+)` \| (\w+) \|", section("Metrics"), re.MULTILINE)
+        families = text_string_to_metric_families(PoolerMetrics().render().decode())
+        expected = {family.name: family.type for family in families}
+        self.assertEqual(dict(rows), expected | dict.fromkeys(GAUGES, "gauge"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -24,6 +24,8 @@
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
 SOURCES = ROOT / "src" / "dewledge"
 LOGGING_PACKAGES = ("core", "shell")
+POOLER_PACKAGES = ("shell/pooling", "core/pooling", "core/succession")
+"""Their events stand on the pooler's own page, which has a test of its own."""
 LOGGER_METHODS = ("debug", "info", "warning", "error", "exception")
 PATIENCE_SECONDS = 20.0
 
@@ -69,6 +71,8 @@
     events: set[str] = set()
     for package in LOGGING_PACKAGES:
         for path in (SOURCES / package).rglob("*.py"):
+            if any(path.is_relative_to(SOURCES / each) for each in POOLER_PACKAGES):
+                continue
             for node in ast.walk(ast.parse(path.read_text())):
                 if isinstance(node, ast.Call) and node.args and is_logging_call(node):
                     events.update(constants(node.args[0]))
