--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -140,7 +140,8 @@
         if writes:
             return [] if primary is None else [Target(primary, Proof.NONE)]
         floor = read_floor(route, self.history, need)
-        return read_targets(self.view, floor, primary, self._distance, self._load)
+        excluded = self._doubted if self.relay is None else None
+        return read_targets(self.view, floor, primary, self._distance, self._load, excluded)
 
     def roll_back(self, connection: DatabaseConnection, scheduler: Scheduler) -> None:
         """Ends a transaction on a connection, then takes the connection back into its pool."""
--- a/src/dewledge/core/pooling/targets.py
+++ b/src/dewledge/core/pooling/targets.py
@@ -60,15 +60,21 @@
     primary: DatabaseRecord | None,
     distance: Callable[[DatabaseRecord], int],
     load: Callable[[DatabaseRecord], int],
+    excluded: str | None = None,
 ) -> Sequence[Target]:
-    """Returns the targets of a read: replicas, near and unloaded first, then the primary."""
+    """Returns the targets of a read: replicas, near and unloaded first, then the primary.
+
+    excluded: a database that cannot be reached.
+    """
     leading = [] if primary is None else [Target(primary, Proof.LEAD)]
     if floor is None:
         return leading
     replicas = [
         record
         for record in view.databases.values()
-        if not record.draining and (primary is None or record.id != primary.id)
+        if not record.draining
+        and record.id != excluded
+        and (primary is None or record.id != primary.id)
     ]
     replicas.sort(key=lambda record: load(record) + LOAD_PER_ZONE_STEP * distance(record))
     return [Target(record, Proof.FLOOR, floor) for record in replicas] + leading
--- a/src/dewledge/core/succession/candidates.py
+++ b/src/dewledge/core/succession/candidates.py
@@ -1,11 +1,27 @@
 """Which replica takes the lead. Pure functions."""
 
-from collections.abc import Mapping, Sequence
+import zlib
+from collections.abc import Iterable, Mapping, Sequence
 
 from dewledge.core.pooling.group_view import GroupView
 from dewledge.core.positions import LogPosition
 from dewledge.core.succession.messages import DatabaseStatus
 
+PANEL_SIZE = 15
+"""So many processes judge a group's primary, however many there are."""
+
+
+def panel(group: str, members: Iterable[str]) -> Sequence[str]:
+    """Returns the processes that judge a group's primary and may replace it, in order of rank.
+
+    Chosen by rendezvous hashing: the same on every process that knows the same members.
+    """
+
+    def weight(name: str) -> tuple[int, str]:
+        return (zlib.crc32(f"{group} {name}".encode()), name)
+
+    return sorted(members, key=weight)[:PANEL_SIZE]
+
 
 def eligible(view: GroupView, replaced: str, refused: frozenset[str]) -> Sequence[str]:
     """Returns the databases that may take the lead: in service, and not the replaced one."""
--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -11,7 +11,6 @@
 claim lets one through, and the platform refuses a token lower than one it has seen.
 """
 
-import zlib
 from collections.abc import Callable, Sequence
 
 from dewledge.core.pooling.group_view import GroupView
@@ -98,7 +97,7 @@
     def handle(
         self, event: SuccessionEvent, view: GroupView, members: Sequence[str], now: float
     ) -> Sequence[SuccessionEffect]:
-        """Takes an event. `members`: the names of all processes, the own one included."""
+        """Takes an event. `members`: the processes that judge the primary, in order of rank."""
         self._take(event, now)
         effects: list[SuccessionEffect] = []
         if isinstance(event, StatusRead):
@@ -251,8 +250,7 @@
         if self._claim is not None or now < self._standing_at or not members:
             return []
         self._standing_at = now + STANDING_AGAIN_SECONDS
-        chosen = members[zlib.crc32(self._group.encode()) % len(members)]
-        return [WriteClaim("", 0)] if chosen == self._own_name else []
+        return [WriteClaim("", 0)] if members[0] == self._own_name else []
 
     def _check(
         self, view: GroupView, members: Sequence[str], now: float
@@ -292,7 +290,7 @@
         return waited >= LONE_CHECK_LIMIT_SECONDS
 
     def _start_claim(self, members: Sequence[str], now: float) -> None:
-        rank = list(members).index(self._own_name) if self._own_name in members else 0
+        rank = list(members).index(self._own_name) if self._own_name in members else len(members)
         delay = CLAIM_STEP_SECONDS * rank
         if self._claim is not None and self._claim.holder != self._own_name:
             delay += OTHER_HOLDER_SECONDS if self._claim.holder in members else 0.0
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -115,6 +115,7 @@
             settings.peer_address,
             settings.name,
             self._find_database,
+            lambda record: self._succession.doubt(record.group, record.id),
             self._succession.take_answer,
             self._succession.take_leader,
         )
--- a/src/dewledge/shell/pooling/succession_driver.py
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -12,6 +12,7 @@
 from dewledge.core.pooling.group import Group
 from dewledge.core.pooling.group_view import DatabaseRecord
 from dewledge.core.pooling.statements import Reply, StatementKind
+from dewledge.core.succession.candidates import panel
 from dewledge.core.succession.messages import (
     AnnounceLeader,
     AskWitnesses,
@@ -135,8 +136,8 @@
         if succession is None:
             succession = GroupSuccession(group_name, self._own_name, self._record)
             self._successions[group_name] = succession
-        members = sorted(self._members().keys() | {self._own_name})
-        effects = succession.handle(event, group.view, members, self._loop.now())
+        judges = self._panel(group_name)
+        effects = succession.handle(event, group.view, judges, self._loop.now())
         relay = (
             None if succession.reached_by is None else self._members().get(succession.reached_by)
         )
@@ -148,7 +149,7 @@
         if isinstance(effect, TestReach):
             self._test(group, effect.database)
         elif isinstance(effect, AskWitnesses):
-            self._ask(effect.database)
+            self._ask(group, effect.database)
         elif isinstance(effect, AnnounceLeader):
             self._announce(effect.database)
         elif isinstance(effect, ReadStatus):
@@ -168,9 +169,13 @@
 
         self._witnesses.test(record, done)
 
-    def _ask(self, database_id: str) -> None:
+    def _panel(self, group_name: str) -> Sequence[str]:
+        return panel(group_name, self._members().keys() | {self._own_name})
+
+    def _ask(self, group: Group, database_id: str) -> None:
+        names = [name for name in self._panel(group.view.name) if name != self._own_name]
         if self._witnesses is not None:
-            self._witnesses.ask(self._other_addresses(), database_id)
+            self._witnesses.ask([self._members()[name] for name in names], database_id)
 
     def _announce(self, database_id: str) -> None:
         if self._witnesses is not None:
--- a/src/dewledge/shell/pooling/witnesses.py
+++ b/src/dewledge/shell/pooling/witnesses.py
@@ -31,6 +31,7 @@
         address: str,
         own_name: str,
         find: Callable[[str], DatabaseRecord | None],
+        asked: Callable[[DatabaseRecord], None],
         answered: Callable[[WitnessAnswer], None],
         leader_told: Callable[[LeaderNotice], None],
     ) -> None:
@@ -38,6 +39,7 @@
         self._loop = loop
         self._own_name = own_name
         self._find = find
+        self._asked = asked
         self._answered = answered
         self._leader_told = leader_told
         self._socket, self.address = bind_udp(address)
@@ -92,6 +94,7 @@
         record = self._find(message.database)
         if record is None:
             return
+        self._asked(record)
         self.test(record, lambda reachable: self._say(message.database, reachable, sender))
 
     def _say(self, database_id: str, reachable: bool, sender: tuple[str, int]) -> None:
--- a/tests/core/pooling/test_statement_run.py
+++ b/tests/core/pooling/test_statement_run.py
@@ -242,6 +242,16 @@
         self.assertIsNone(code_of(probe.reply(statement_id)))
         self.assertEqual(harness.model.ran[-1].database, "r1")
 
+    def test_a_read_does_not_queue_at_a_primary_that_cannot_be_reached(self) -> None:
+        harness = PoolerHarness()
+        probe = harness.session()
+        probe.write()
+        harness.model.databases["r2"].applied = harness.model.databases["p"].applied
+        harness.model.databases["p"].silent = True
+        harness.group.set_doubt("p", None)
+        self.assertIsNone(code_of(probe.read(wait=0.1)))
+        self.assertEqual(harness.model.ran[-1].database, "r2")
+
     def test_a_doubted_primary_that_another_process_reaches_is_used_through_it(self) -> None:
         harness = PoolerHarness()
         harness.group.set_doubt("p", "10.0.0.2:1")
