--- a/src/dewledge/cli/main.py
+++ b/src/dewledge/cli/main.py
@@ -4,7 +4,6 @@
 import importlib.util
 import sys
 from collections.abc import Sequence
-from importlib.metadata import version as package_version
 from typing import Annotated, Any
 
 import msgspec
@@ -103,6 +102,8 @@
 
 def _print_version(value: bool) -> None:
     if value:
+        from importlib.metadata import version as package_version
+
         typer.echo(f"{PROGRAM} {package_version(PROGRAM)}")
         raise typer.Exit()
 
--- a/src/dewledge/core/configuration/resource_documents.py
+++ b/src/dewledge/core/configuration/resource_documents.py
@@ -22,10 +22,10 @@
 from dewledge.core.configuration.resource_documents_yaml import parse_documents
 from dewledge.core.configuration.resources import Kind, Resource, RuleEffect, RuleSpec, Selector
 from dewledge.errors import ErrorCode, Finding, InvalidInput
+from dewledge.validation import findings_of_validation
 
 __all__ = [
     "check_configuration",
-    "findings_of_validation",
     "load_documents",
     "read_documents",
     "selector_from_text",
@@ -88,32 +88,6 @@
     return Selector(tuple(sorted(pairs.items())))
 
 
-def findings_of_validation(error: ValidationError, place: str, code: ErrorCode) -> list[Finding]:
-    """Turns what pydantic found into findings; unknown fields get UNKNOWN_FIELD."""
-    findings: list[Finding] = []
-    for item in error.errors(include_input=False, include_url=False, include_context=False):
-        path = _path_text(item["loc"])
-        if item["type"] == "extra_forbidden":
-            found = Finding(f"{place} {path}", ErrorCode.UNKNOWN_FIELD, "there is no such field")
-        else:
-            message = item["msg"].removeprefix("Value error, ")
-            found = Finding(f"{place} {path}".strip(), code, message)
-        findings.append(found)
-    return findings
-
-
-def _path_text(location: Iterable[int | str]) -> str:
-    text = ""
-    for part in location:
-        if isinstance(part, int):
-            text += f"[{part}]"
-        elif part == "[key]":  # how pydantic says that a mapping's key is meant, not its value
-            text += part
-        else:
-            text += f".{part}" if text else part
-    return text
-
-
 def _read_all(numbered: Iterable[tuple[str, object]], earlier: Iterable[Finding]) -> list[Resource]:
     findings = list(earlier)
     resources: list[Resource] = []
--- a/src/dewledge/pooler_settings.py
+++ b/src/dewledge/pooler_settings.py
@@ -6,9 +6,9 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from dewledge.core.configuration.resource_documents import findings_of_validation
 from dewledge.errors import ErrorCode, Finding, InvalidInput
 from dewledge.settings import NAME_PATTERN, ListenAddress, RemoteAddress, Seconds
+from dewledge.validation import findings_of_validation
 
 
 class _Section(BaseModel):
--- a/src/dewledge/settings.py
+++ b/src/dewledge/settings.py
@@ -8,8 +8,8 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from dewledge.core.addresses import check_remote_address, split_address
-from dewledge.core.configuration.resource_documents import findings_of_validation
 from dewledge.errors import ErrorCode, Finding, InvalidInput
+from dewledge.validation import findings_of_validation
 
 MIN_SESSION_KEY_CHARACTERS = 32
 NAME_PATTERN = r"^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$"
--- a/src/dewledge/shell/request_bodies.py
+++ b/src/dewledge/shell/request_bodies.py
@@ -6,9 +6,9 @@
 from pydantic import BaseModel, ConfigDict, Field, PlainValidator, ValidationError
 
 from dewledge.core.calls import Access, Scalar
-from dewledge.core.configuration.resource_documents import findings_of_validation
 from dewledge.core.configuration.resources import Kind
 from dewledge.errors import ErrorCode, Finding, InvalidInput
+from dewledge.validation import findings_of_validation
 
 MAX_NAME_CHARACTERS = 253
 MAX_SESSION_CHARACTERS = 4096
--- a/src/dewledge/standin/group_settings.py
+++ b/src/dewledge/standin/group_settings.py
@@ -7,11 +7,11 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from dewledge.core.configuration.resource_documents import findings_of_validation
 from dewledge.errors import ErrorCode, Finding, InvalidInput
 from dewledge.settings import Count, ListenAddress
 from dewledge.standin.group_types import GroupTiming, ModelDatabase
 from dewledge.standin.link_delays import LinkDelays
+from dewledge.validation import findings_of_validation
 
 LOOPBACK = "127.0.0.1:0"
 
