--- a/src/dewledge/shell/pooling/member_table.py
+++ b/src/dewledge/shell/pooling/member_table.py
@@ -35,9 +35,14 @@
         """How many processes share the databases, an assumption before the table is known."""
         return len(self.addresses) if self._is_known else ASSUMED_MEMBERS
 
-    def take_rows(self, rows: Sequence[StoreRow]) -> None:
-        """Takes rows of the store."""
+    def take_rows(self, rows: Sequence[StoreRow]) -> bool:
+        """Takes rows of the store; returns whether the members changed or became known."""
+        before = dict(self.addresses) if self._is_known else None
         self._is_known = True
+        self._take(rows)
+        return self.addresses != before
+
+    def _take(self, rows: Sequence[StoreRow]) -> None:
         for row in rows:
             if not row.key.startswith(MEMBER_PREFIX):
                 continue
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -252,9 +252,10 @@
         self._services.wake_if_configured()
 
     def _coordination_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
-        self._members.take_rows(rows)
+        if self._members.take_rows(rows):
+            self._succession.members_changed()
+            self._share_connections()
         self._succession.take_rows(rows)
-        self._share_connections()
 
     def _database_snapshot(self, rows: tuple[StoreRow, ...], version: int) -> None:
         present = {row.key for row in rows}
@@ -280,6 +281,7 @@
             return
         group = self._group(record.group)
         group.change_view(group.view.with_record(record, self._loop.now()))
+        self._succession.look_at(record.group)
         logger.bind(
             database=record.id,
             group=record.group,
--- a/src/dewledge/shell/pooling/succession_driver.py
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -19,6 +19,7 @@
     ClaimRefused,
     ClaimSeen,
     DatabaseStatus,
+    Phase,
     PrimaryDoubted,
     Promote,
     PromotionAnswered,
@@ -46,6 +47,8 @@
 from dewledge.shell.pooling.witnesses import Witnesses
 
 TICK_SECONDS = 0.05
+STEADY_TICKS = 20
+"""A group whose primary is well is looked at once in so many ticks, or when its view changes."""
 STATUS_PRIORITY = -1
 STATUS_LIMIT_SECONDS = 1.0
 
@@ -78,6 +81,8 @@
         self._successions: dict[str, GroupSuccession] = {}
         self._witnesses: Witnesses | None = None
         self._stopped = False
+        self._ticks = 0
+        self._panels: dict[str, Sequence[str]] = {}
 
     def start(self, witnesses: Witnesses) -> None:
         """Starts to watch the groups' primaries."""
@@ -121,13 +126,26 @@
             group.change_view(view)
             self._handle(record.group, Ticked())
 
+    def look_at(self, group_name: str) -> None:
+        """The view of a group has changed."""
+        self._handle(group_name, Ticked())
+
     def _tick(self) -> None:
         if self._stopped:
             return
-        for name in list(self._groups):
-            self._handle(name, Ticked())
+        self._ticks += 1
+        for number, name in enumerate(list(self._groups)):
+            due = (self._ticks + number) % STEADY_TICKS == 0
+            if due or self._is_unsettled(name):
+                self._handle(name, Ticked())
         self._loop.call_later(TICK_SECONDS, self._tick)
 
+    def _is_unsettled(self, name: str) -> bool:
+        succession = self._successions.get(name)
+        if succession is None:
+            return True
+        return succession.phase is not Phase.STEADY or succession.doubted is not None
+
     def _handle(self, group_name: str, event: SuccessionEvent) -> None:
         group = self._groups.get(group_name)
         if group is None or self._stopped:
@@ -170,7 +188,15 @@
         self._witnesses.test(record, done)
 
     def _panel(self, group_name: str) -> Sequence[str]:
-        return panel(group_name, self._members().keys() | {self._own_name})
+        known = self._panels.get(group_name)
+        if known is None:
+            known = panel(group_name, self._members().keys() | {self._own_name})
+            self._panels[group_name] = known
+        return known
+
+    def members_changed(self) -> None:
+        """The processes that may judge a primary are to be chosen anew."""
+        self._panels.clear()
 
     def _ask(self, group: Group, database_id: str) -> None:
         names = [name for name in self._panel(group.view.name) if name != self._own_name]
