--- a/src/dewledge/pooler_settings.py
+++ b/src/dewledge/pooler_settings.py
@@ -1,13 +1,12 @@
 """The settings of one pooler process: a TOML file, checked as a whole."""
 
-import tomllib
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from dewledge.errors import ErrorCode, Finding, InvalidInput
-from dewledge.settings import NAME_PATTERN, ListenAddress, RemoteAddress, Seconds
+from dewledge.errors import ErrorCode, InvalidInput
+from dewledge.settings import NAME_PATTERN, ListenAddress, RemoteAddress, Seconds, read_toml
 from dewledge.validation import findings_of_validation
 
 
@@ -56,12 +55,7 @@
 
 def load_pooler_settings(path: Path) -> PoolerSettings:
     """Reads and checks a settings file. Raises InvalidInput with every finding."""
-    try:
-        values: dict[str, Any] = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise _finding(path, f"cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, ValueError) as error:
-        raise _finding(path, f"is not TOML: {error}") from error
+    values = read_toml(path)
     try:
         return PoolerSettings.model_validate(values)
     except ValidationError as error:
@@ -72,11 +66,7 @@
 def is_pooler_file(path: Path) -> bool:
     """Tells whether a settings file is a pooler's and not a proxy's."""
     try:
-        values = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, tomllib.TOMLDecodeError, ValueError):
+        values = read_toml(path)
+    except InvalidInput:
         return False
     return "client_address" in values or "store_address" in values
-
-
-def _finding(path: Path, message: str) -> InvalidInput:
-    return InvalidInput([Finding(path.name, ErrorCode.INVALID_SETTING, message)])
--- a/src/dewledge/settings.py
+++ b/src/dewledge/settings.py
@@ -178,7 +178,7 @@
     Raises InvalidInput with every finding; a place is the file's name and the setting's.
     """
     source = "flags" if path is None else Path(path).name
-    values = {} if path is None else _read_toml(Path(path))
+    values = {} if path is None else read_toml(Path(path))
     for name, value in (overrides or {}).items():
         if value is not None:
             _override(values, name, value)
@@ -194,7 +194,8 @@
         raise InvalidInput(findings) from error
 
 
-def _read_toml(path: Path) -> dict[str, Any]:
+def read_toml(path: Path) -> dict[str, Any]:
+    """Reads a settings file. Raises InvalidInput if it cannot be read or is not TOML."""
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
--- a/src/dewledge/shell/metrics.py
+++ b/src/dewledge/shell/metrics.py
@@ -16,11 +16,26 @@
 LATENCY_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
-class ProxyMetrics:
-    """The counters, histograms and gauges of one proxy."""
+class MetricsRegistry:
+    """A registry of its own for one process, with gauges that are read when asked for."""
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
+
+    def add_gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Adds a gauge whose value is read when metrics are asked for."""
+        Gauge(f"dewledge_{name}", description, registry=self._registry).set_function(read)
+
+    def render(self) -> bytes:
+        """Returns all metrics in the text format."""
+        return generate_latest(self._registry)
+
+
+class ProxyMetrics(MetricsRegistry):
+    """The counters, histograms and gauges of one proxy."""
+
+    def __init__(self) -> None:
+        super().__init__()
         self._requests = Counter(
             "dewledge_requests",
             "Callers' requests answered.",
@@ -59,11 +74,3 @@
     def count_event(self, name: str) -> None:
         """Counts one logged event."""
         self._events.labels(name).inc()
-
-    def add_gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
-        """Adds a gauge whose value is read when metrics are asked for."""
-        Gauge(f"dewledge_{name}", description, registry=self._registry).set_function(read)
-
-    def render(self) -> bytes:
-        """Returns all metrics in the text format."""
-        return generate_latest(self._registry)
--- /dev/null
+++ b/src/dewledge/shell/pooling/directory.py
@@ -0,0 +1,134 @@
+"""What the store's rows tell of routes and databases, kept as groups."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from dewledge.core.coordination_store import StoreRow
+from dewledge.core.pooling.connection_share import share_of_connections
+from dewledge.core.pooling.group import Group, Place
+from dewledge.core.pooling.group_view import DatabaseRecord
+from dewledge.core.pooling.services import PoolServices
+from dewledge.errors import ProtocolError
+from dewledge.pooler_settings import PoolerSettings
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.pooling.database_opener import DatabaseOpener
+from dewledge.shell.pooling.member_table import ASSUMED_MEMBERS
+from dewledge.shell.pooling.platform_adapter import PlatformAdapter
+
+DRAIN_MARGIN_SECONDS = 2.0
+
+
+class Directory:
+    """Routes and groups of one process. All methods belong to the loop's thread."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        settings: PoolerSettings,
+        platform: PlatformAdapter,
+        services: PoolServices,
+    ) -> None:
+        self._loop = loop
+        self._settings = settings
+        self._platform = platform
+        self._services = services
+        self._place = Place(settings.zone, settings.zones)
+        self._opener = DatabaseOpener(
+            loop, settings.name, platform.new_database_codec, self.find, self._find_relay
+        )
+        self._members = ASSUMED_MEMBERS
+        self.group_changed: Callable[[str], None] = lambda group: None
+        """Called with the name of a group whose view has changed."""
+
+    def take_configuration_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
+        """Takes rows of the operators' table."""
+        for row in rows:
+            if row.key == self._platform.configuration_key and not row.gone:
+                self._take_configuration(row)
+
+    def _take_configuration(self, row: StoreRow) -> None:
+        try:
+            table = self._platform.parse_configuration(row.value)
+        except ProtocolError as error:
+            logger.bind(error=error.message, revision=row.version).error("configuration_refused")
+            return
+        if table.version <= self._services.routes.version:
+            return
+        self._services.routes = table
+        for name in table.groups:
+            self._group(name)
+        self.share_connections(self._members)
+        logger.bind(version=table.version, revision=row.version, routes=len(table.routes)).info(
+            "configuration_taken"
+        )
+        self._services.wake_if_configured()
+
+    def take_database_snapshot(self, rows: tuple[StoreRow, ...], version: int) -> None:
+        """Takes the whole table of databases: what is not in it has left."""
+        present = {row.key for row in rows}
+        for group in self._services.groups.values():
+            for database_id in list(group.view.databases):
+                if database_id not in present:
+                    self._database_gone(group, database_id, version)
+        self.take_database_rows(rows, version)
+
+    def take_database_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
+        """Takes rows of databases that changed."""
+        for row in rows:
+            if row.gone:
+                for group in self._services.groups.values():
+                    self._database_gone(group, row.key, row.version)
+            else:
+                self._take_database(row)
+
+    def _take_database(self, row: StoreRow) -> None:
+        try:
+            record = self._platform.parse_database(row.key, row.value, row.version)
+        except ProtocolError as error:
+            logger.bind(error=error.message, database=row.key).error("database_entry_refused")
+            return
+        group = self._group(record.group)
+        group.change_view(group.view.with_record(record, self._loop.now()))
+        self.group_changed(record.group)
+        logger.bind(
+            database=record.id,
+            group=record.group,
+            zone=record.zone,
+            role=record.role,
+            draining=record.draining,
+            revision=row.version,
+        ).info("database_known")
+        self._services.wake_if_configured()
+
+    def _database_gone(self, group: Group, database_id: str, revision: int) -> None:
+        if database_id in group.view.databases:
+            view = group.view.with_departure(database_id, revision, self._loop.now())
+            group.change_view(view)
+            logger.bind(database=database_id, revision=revision).info("database_entry_gone")
+
+    def find(self, database_id: str) -> DatabaseRecord | None:
+        """Returns a database by its id, None if no group has it."""
+        for group in self._services.groups.values():
+            record = group.view.databases.get(database_id)
+            if record is not None:
+                return record
+        return None
+
+    def _find_relay(self, record: DatabaseRecord) -> str | None:
+        return self._group(record.group).relay_to(record.id)
+
+    def _group(self, name: str) -> Group:
+        group = self._services.groups.get(name)
+        if group is None:
+            bound = max(self._settings.timings.drain_bound - DRAIN_MARGIN_SECONDS, 1.0)
+            group = Group(name, self._place, self._opener, self._loop.now, bound)
+            self._services.groups[name] = group
+        return group
+
+    def share_connections(self, members: int) -> None:
+        """Sets this process's share of each database's connections among `members`."""
+        self._members = members
+        for name, policy in self._services.routes.groups.items():
+            limit = share_of_connections(policy.max_connections, members)
+            self._group(name).set_connection_limit(limit)
--- a/src/dewledge/shell/pooling/pooler_metrics.py
+++ b/src/dewledge/shell/pooling/pooler_metrics.py
@@ -3,23 +3,20 @@
 Labels are bounded: kinds, codes and event names are constants of the code.
 """
 
-from collections.abc import Callable
-
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from prometheus_client import Counter, Histogram
 
 from dewledge.core.pooling.events import StatementAnswered
+from dewledge.shell.metrics import MetricsRegistry
 
-CONTENT_TYPE = CONTENT_TYPE_LATEST
 LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0)
 MILLISECONDS = 1000.0
 
 
-class PoolerMetrics:
+class PoolerMetrics(MetricsRegistry):
     """The registry of one process."""
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
+        super().__init__()
         self._statements = Counter(
             "dewledge_statements",
             "Clients' statements answered.",
@@ -56,11 +53,3 @@
     def count_event(self, name: str) -> None:
         """Counts one logged event."""
         self._events.labels(name).inc()
-
-    def add_gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
-        """Adds a gauge that is read when metrics are asked for."""
-        Gauge(f"dewledge_{name}", description, registry=self._registry).set_function(read)
-
-    def render(self) -> bytes:
-        """Returns all metrics in the text format."""
-        return generate_latest(self._registry)
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -4,29 +4,21 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-import msgspec
 from loguru import logger
 
-from dewledge.core.coordination_store import CoordinationStore, DutyCalls, StoreRow
-from dewledge.core.pooling.codec import ClientCodec, DatabaseCodec
-from dewledge.core.pooling.connection_share import share_of_connections
-from dewledge.core.pooling.group import Group, Place
-from dewledge.core.pooling.group_view import DatabaseRecord
-from dewledge.core.pooling.routes import RouteTable
+from dewledge.core.coordination_store import StoreRow
 from dewledge.core.pooling.services import PoolServices
-from dewledge.core.pooling.statements import Reply
-from dewledge.core.succession.messages import DatabaseStatus
-from dewledge.errors import ProtocolError
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.http_messages import Exchange, HttpLimits, HttpResponse
 from dewledge.shell.http_server import HttpServer
+from dewledge.shell.metrics import CONTENT_TYPE as METRICS_TYPE
 from dewledge.shell.pooling.client_listener import ClientListener
 from dewledge.shell.pooling.coordination_rows import TABLE
-from dewledge.shell.pooling.database_opener import DatabaseOpener
+from dewledge.shell.pooling.directory import Directory
 from dewledge.shell.pooling.event_log import EventLog
 from dewledge.shell.pooling.member_table import MemberTable
-from dewledge.shell.pooling.pooler_metrics import CONTENT_TYPE as METRICS_TYPE
+from dewledge.shell.pooling.platform_adapter import PlatformAdapter
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
 from dewledge.shell.pooling.relay import RelayServer
 from dewledge.shell.pooling.settings_file import SettingsFile
@@ -40,21 +32,6 @@
 PLAIN = "text/plain"
 
 
-class PlatformAdapter(msgspec.Struct, frozen=True):
-    """What the adapter of a platform brings: codecs, tables, and readers of their rows."""
-
-    store: CoordinationStore
-    duties: DutyCalls | None
-    parse_status: Callable[[Reply], DatabaseStatus | None]
-    new_client_codec: Callable[[], ClientCodec]
-    new_database_codec: Callable[[], DatabaseCodec]
-    configuration_table: str
-    configuration_key: str
-    database_table: str
-    parse_configuration: Callable[[bytes], RouteTable]
-    parse_database: Callable[[str, bytes, int], DatabaseRecord]
-
-
 class PoolerProcess:
     """Everything of one process. All methods but `leave` belong to the loop's thread."""
 
@@ -75,14 +52,7 @@
         self._metrics = PoolerMetrics()
         self._log = EventLog(self._metrics)
         self._services = PoolServices(_LoopScheduler(self._loop), self._log.record)
-        self._opener = DatabaseOpener(
-            self._loop,
-            settings.name,
-            platform.new_database_codec,
-            self._find_database,
-            self._find_relay,
-        )
-        self._place = Place(settings.zone, settings.zones)
+        self._directory = Directory(self._loop, settings, platform, self._services)
         self._clients = ClientListener(
             self._loop,
             settings.client_address,
@@ -114,16 +84,21 @@
             self._loop,
             settings.peer_address,
             settings.name,
-            self._find_database,
+            self._directory.find,
             lambda record: self._succession.doubt(record.group, record.id),
             self._succession.take_answer,
             self._succession.take_leader,
         )
-        self._relays = RelayServer(self._loop, settings.peer_address, self._find_database)
+        self._relays = RelayServer(self._loop, settings.peer_address, self._directory.find)
         self._services.suspect = self._succession.doubt
+        self._directory.group_changed = self._succession.look_at
         self._watchers = [
-            self._watch(platform.configuration_table, self._configuration_rows),
-            self._watch(platform.database_table, self._database_rows, self._database_snapshot),
+            self._watch(platform.configuration_table, self._directory.take_configuration_rows),
+            self._watch(
+                platform.database_table,
+                self._directory.take_database_rows,
+                self._directory.take_database_snapshot,
+            ),
             self._watch(TABLE, self._coordination_rows),
         ]
         self._leaving_since: float | None = None
@@ -227,100 +202,12 @@
             self._platform.store, table, snapshot or changed, changed, self._loop.post
         )
 
-    # What the store tells.
-
-    def _configuration_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
-        for row in rows:
-            if row.key == self._platform.configuration_key and not row.gone:
-                self._take_configuration(row)
-
-    def _take_configuration(self, row: StoreRow) -> None:
-        try:
-            table = self._platform.parse_configuration(row.value)
-        except ProtocolError as error:
-            logger.bind(error=error.message, revision=row.version).error("configuration_refused")
-            return
-        if table.version <= self._services.routes.version:
-            return
-        self._services.routes = table
-        for name in table.groups:
-            self._group(name)
-        self._share_connections()
-        logger.bind(version=table.version, revision=row.version, routes=len(table.routes)).info(
-            "configuration_taken"
-        )
-        self._services.wake_if_configured()
-
     def _coordination_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
         if self._members.take_rows(rows):
             self._succession.members_changed()
-            self._share_connections()
+            self._directory.share_connections(self._members.count)
         self._succession.take_rows(rows)
 
-    def _database_snapshot(self, rows: tuple[StoreRow, ...], version: int) -> None:
-        present = {row.key for row in rows}
-        for group in self._services.groups.values():
-            for database_id in list(group.view.databases):
-                if database_id not in present:
-                    self._database_gone(group, database_id, version)
-        self._database_rows(rows, version)
-
-    def _database_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
-        for row in rows:
-            if row.gone:
-                for group in self._services.groups.values():
-                    self._database_gone(group, row.key, row.version)
-            else:
-                self._take_database(row)
-
-    def _take_database(self, row: StoreRow) -> None:
-        try:
-            record = self._platform.parse_database(row.key, row.value, row.version)
-        except ProtocolError as error:
-            logger.bind(error=error.message, database=row.key).error("database_entry_refused")
-            return
-        group = self._group(record.group)
-        group.change_view(group.view.with_record(record, self._loop.now()))
-        self._succession.look_at(record.group)
-        logger.bind(
-            database=record.id,
-            group=record.group,
-            zone=record.zone,
-            role=record.role,
-            draining=record.draining,
-            revision=row.version,
-        ).info("database_known")
-        self._services.wake_if_configured()
-
-    def _database_gone(self, group: Group, database_id: str, revision: int) -> None:
-        if database_id in group.view.databases:
-            view = group.view.with_departure(database_id, revision, self._loop.now())
-            group.change_view(view)
-            logger.bind(database=database_id, revision=revision).info("database_entry_gone")
-
-    def _find_database(self, database_id: str) -> DatabaseRecord | None:
-        for group in self._services.groups.values():
-            record = group.view.databases.get(database_id)
-            if record is not None:
-                return record
-        return None
-
-    def _find_relay(self, record: DatabaseRecord) -> str | None:
-        return self._group(record.group).relay_to(record.id)
-
-    def _group(self, name: str) -> Group:
-        group = self._services.groups.get(name)
-        if group is None:
-            bound = max(self._settings.timings.drain_bound - DRAIN_MARGIN_SECONDS, 1.0)
-            group = Group(name, self._place, self._opener, self._loop.now, bound)
-            self._services.groups[name] = group
-        return group
-
-    def _share_connections(self) -> None:
-        for name, policy in self._services.routes.groups.items():
-            limit = share_of_connections(policy.max_connections, self._members.count)
-            self._group(name).set_connection_limit(limit)
-
     # Time.
 
     def _sweep(self) -> None:
