--- a/tests/platform/test_pooler_process.py
+++ b/tests/platform/test_pooler_process.py
@@ -1,5 +1,7 @@
 """Whole pooler processes in threads, before stand-in databases and a stand-in store."""
 
+import contextlib
+import random
 import socket
 import threading
 import unittest
@@ -11,10 +13,17 @@
 from tests.platform.table_store import TableStore
 from tests.platform.wire_databases import WireClient, WireGroup, wait_until
 
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+"""Below the range from which the system takes ports of outgoing connections."""
+
 
 def free_address() -> str:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns an address that nobody listens at and that no outgoing connection will take."""
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return f"127.0.0.1:{port}"
 
 
 class PoolerCase(unittest.TestCase):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -109,7 +109,8 @@
         for number in range(POOLERS):
             self._start(number)
         for address in self.addresses:
-            self.assertTrue(wait_until(lambda a=address: _accepts(a), 10.0))  # type: ignore[misc]
+            accepts = wait_until(lambda a=address: _accepts(a), 10.0)  # type: ignore[misc]
+            self.assertTrue(accepts, self._logs())
 
     def _start(self, number: int) -> None:
         file = self.directory / f"node-{number}.toml"
@@ -133,6 +134,10 @@
         else:
             self.processes.append(process)
 
+    def _logs(self) -> str:
+        logs = sorted(self.directory.glob("*.log"))
+        return "\n".join(f"{log.name}: {log.read_text()[-2000:]}" for log in logs)
+
     def _fault(self) -> None:
         number = self.random.randrange(POOLERS)
         process = self.processes[number]
