Let a near primary serve reads under a floor

Change: the primary stands among the databases that may serve a read under a floor, as if it had two statements more before it.

--- a/src/dewledge/core/pooling/targets.py
+++ b/src/dewledge/core/pooling/targets.py
@@ -12,6 +12,8 @@
 
 LOAD_PER_ZONE_STEP = 2
 """A database of another zone is preferred when it has so many statements less before it."""
+LOAD_OF_LEADING = 2
+"""A primary serves a read that a replica could serve only if it has so many statements less."""
 
 
 class Proof(StrEnum):
@@ -62,19 +64,25 @@
     load: Callable[[DatabaseRecord], int],
     excluded: str | None = None,
 ) -> Sequence[Target]:
-    """Returns the targets of a read: replicas, near and unloaded first, then the primary.
+    """Returns the targets of a read: near and unloaded first, replicas before the primary.
 
+    The primary stands last once more, under proof of its lead, for a floor that none shows.
     excluded: a database that cannot be reached.
     """
     leading = [] if primary is None else [Target(primary, Proof.LEAD)]
     if floor is None:
         return leading
-    replicas = [
+    leader = None if primary is None else primary.id
+
+    def cost(record: DatabaseRecord) -> tuple[int, bool]:
+        leads = record.id == leader
+        penalty = LOAD_OF_LEADING if leads else 0
+        return (load(record) + LOAD_PER_ZONE_STEP * distance(record) + penalty, leads)
+
+    serving = [
         record
         for record in view.databases.values()
-        if not record.draining
-        and record.id != excluded
-        and (primary is None or record.id != primary.id)
+        if not record.draining and record.id != excluded
     ]
-    replicas.sort(key=lambda record: load(record) + LOAD_PER_ZONE_STEP * distance(record))
-    return [Target(record, Proof.FLOOR, floor) for record in replicas] + leading
+    serving.sort(key=cost)
+    return [Target(record, Proof.FLOOR, floor) for record in serving] + leading
