--- a/tests/platform/test_pooler_process.py
+++ b/tests/platform/test_pooler_process.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import threading
+import time
 import unittest
 import urllib.request
 
@@ -152,6 +153,58 @@
         self.assertTrue(client.ask("WRITE fish v2")[0].startswith("ERROR TIMEOUT"))
         self.assertEqual(client.ask("READ fish")[0], "DATAROW v2")
 
+    def test_a_lagging_replica_never_shows_less_than_the_session_wrote(self) -> None:
+        for database in self.group.databases.values():
+            database.lag_seconds = 0.4
+        client = self.client("lists")
+        for number in range(6):
+            client.ask(f"WRITE fish v{number}")
+            self.assertEqual(client.ask("READ fish")[0], f"DATAROW v{number}")
+
+    def test_a_full_database_is_told_at_once_and_nothing_is_kept(self) -> None:
+        client = self.client("orders")
+        client.ask("WRITE fish v1")
+        self.group.databases["north"].slots = 0
+        started = time.monotonic()
+        refused = client.ask("WRITE fish v2")
+        self.assertTrue(refused[0].startswith("ERROR BUSY"), refused)
+        self.assertIn("come back in", refused[0])
+        self.assertLess(time.monotonic() - started, 0.6)
+        self.group.databases["north"].slots = 3
+        self.assertEqual(client.ask("READ fish")[0], "DATAROW v1")
+
+    def test_a_late_answer_reaches_nobody_else(self) -> None:
+        late, other = self.client("orders"), self.client("orders")
+        late.ask("WRITE fish v1")
+        other.ask("WRITE soup hot")
+        self.group.databases["north"].late_answers = [2.6]
+        self.assertTrue(late.ask("WRITE fish v2")[0].startswith("ERROR TIMEOUT"))
+        for _ in range(30):
+            self.assertEqual(other.ask("READ soup")[0], "DATAROW hot")
+            self.assertEqual(late.ask("READ fish")[0], "DATAROW v2")
+            time.sleep(0.03)
+
+    def test_few_slots_are_shared_by_many_sessions(self) -> None:
+        for database in self.group.databases.values():
+            database.slots, database.work_seconds = 2, 0.01
+        clients = [self.client("lists", number % 2) for number in range(8)]
+        done: list[int] = []
+
+        def use(client: WireClient, number: int) -> None:
+            for turn in range(5):
+                if client.ask(f"WRITE thing{number} v{turn}")[0].startswith("DATAROW"):
+                    done.append(number)
+
+        threads = [
+            threading.Thread(target=use, args=(client, number))
+            for number, client in enumerate(clients)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(20.0)
+        self.assertEqual(len(done), 40)
+
     def test_a_planned_stop_answers_what_was_asked_and_closes_sessions_at_rest(self) -> None:
         client, busy = self.client("lists"), self.client("orders")
         busy.ask("BEGIN")
--- a/tests/platform/wire_databases.py
+++ b/tests/platform/wire_databases.py
@@ -23,6 +23,12 @@
         self.values: dict[str, str] = {}
         self.state = "ready"
         self.lose_answers = 0
+        self.late_answers: list[float] = []
+        """Seconds by which the next answers to clients' statements come late."""
+        self.slots = 1000
+        self.busy = 0
+        self.work_seconds = 0.0
+        self.lag_seconds = 0.0
         self.alive = True
         self.ran: list[str] = []
         self._sequence = 0
@@ -94,14 +100,37 @@
             self._send("ERROR WRONGNODE -" if wrong else self._ready())
             return not wrong
         statement_id, _, text = rest.partition(" ")
-        with self.database.group.lock:
-            lines = self._run(statement_id, text)
+        if not self._enter_slot(text):
+            self._send("ERROR BUSY -", self._ready())
+            return True
+        try:
+            with self.database.group.lock:
+                lines = self._run(statement_id, text)
+        finally:
+            self._leave_slot(text)
+        if statement_id != "-" and self.database.late_answers:
+            time.sleep(self.database.late_answers.pop(0))
         if statement_id != "-" and self.database.lose_answers:
             self.database.lose_answers -= 1
             return True
         self._send(*lines, self._ready())
         return True
 
+    def _enter_slot(self, text: str) -> bool:
+        if not _holds_slot(text):
+            return True
+        with self.database.group.lock:
+            if self.database.busy >= self.database.slots:
+                return False
+            self.database.busy += 1
+        time.sleep(self.database.work_seconds)
+        return True
+
+    def _leave_slot(self, text: str) -> None:
+        if _holds_slot(text):
+            with self.database.group.lock:
+                self.database.busy -= 1
+
     def _run(self, statement_id: str, text: str) -> list[str]:
         database = self.database
         if text.startswith("AFTER "):
@@ -160,8 +189,14 @@
         self.connection.sendall("".join(f"{line}\r\n" for line in lines).encode("latin-1"))
 
 
+def _holds_slot(text: str) -> bool:
+    words = text.split(" ")
+    word = words[2] if words[0] == "AFTER" else words[0]
+    return word in ("READ", "WRITE", "EXECUTE", "COMMIT")
+
+
 class WireGroup:
-    """Three databases; replicas have a commit as soon as the primary."""
+    """Three databases; replicas have a commit at once, or `lag_seconds` later."""
 
     def __init__(self, name: str, store: TableStore, promote_seconds: float = 0.1) -> None:
         self.name = name
@@ -180,11 +215,26 @@
         if not written:
             return
         for database in self.databases.values():
-            if database.alive:
-                database.applied = (database.applied[0], database.applied[1] + 1)
-                for each in written:
-                    thing, _, value = each.partition(" ")
-                    database.values[thing] = value
+            if not database.alive:
+                continue
+            if database.leads or not database.lag_seconds:
+                self._apply(database, written)
+            else:
+                timer = threading.Timer(
+                    database.lag_seconds, self._apply_later, (database, written)
+                )
+                timer.daemon = True
+                timer.start()
+
+    def _apply_later(self, database: WireDatabase, written: list[str]) -> None:
+        with self.lock:
+            self._apply(database, written)
+
+    def _apply(self, database: WireDatabase, written: list[str]) -> None:
+        database.applied = (database.applied[0], database.applied[1] + 1)
+        for each in written:
+            thing, _, value = each.partition(" ")
+            database.values[thing] = value
 
     def promote(self, name: str) -> bool:
         chosen = next(d for d in self.databases.values() if d.name == name)
