Take nothing new near the end of a planned stop

Change: from 0.55 of the stop's time on the listener is closed and new statements are refused at once, not run; those under way are answered. Test red before, green after.

--- a/src/dewledge/core/pooling/client_session.py
+++ b/src/dewledge/core/pooling/client_session.py
@@ -31,6 +31,7 @@
 STARTUP_HOLD_SECONDS = 1.6
 """A process that has no configuration yet lets a new session wait; clients leave after 2 s."""
 COME_BACK_STARTING_MS = 500
+COME_BACK_ENDING_MS = 100
 
 _ENDS = frozenset({StatementKind.COMMIT, StatementKind.ROLLBACK})
 _BEGINS = frozenset({StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY})
@@ -248,6 +249,10 @@
                 transaction.lost = False
             self._fail(statement.id, ErrorCode.UNKNOWN_STATEMENT, "no such name")
             return
+        if transaction is None and self._services.is_ending:
+            message = f"not run, come back in {COME_BACK_ENDING_MS} ms"
+            self._fail(statement.id, ErrorCode.OVERLOADED, message)
+            return
         route = transaction.route if transaction is not None else None
         route = route or self._services.routes.find(state.database)
         group = self._services.groups.get(route.group) if route is not None else None
--- a/src/dewledge/core/pooling/services.py
+++ b/src/dewledge/core/pooling/services.py
@@ -16,6 +16,8 @@
         self.record = record
         self.routes: RouteTable = EMPTY_ROUTE_TABLE
         self.groups: dict[str, Group] = {}
+        self.is_ending = False
+        """Set near the end of a planned stop: what begins now could not be answered in time."""
         self.suspect: Callable[[str, str], None] = lambda group, database: None
         """Called with a group and a database that left a statement without an answer."""
         self._configuration_waiters: list[Callable[[], None]] = []
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -27,6 +27,8 @@
 from dewledge.shell.pooling.witnesses import Witnesses
 
 SWEEP_SECONDS = 0.25
+TAKE_SHARE = 0.55
+"""Of a planned stop's time; what is taken later might be cut by the end of the process."""
 DRAIN_MARGIN_SECONDS = 2.0
 EXECUTOR_THREADS = 8
 PLAIN = "text/plain"
@@ -230,6 +232,9 @@
 
     def _continue_leaving(self, elapsed: float) -> None:
         bound = self._settings.timings.stop_bound
+        if elapsed > bound * TAKE_SHARE and not self._services.is_ending:
+            self._services.is_ending = True
+            self._clients.close()
         for connection in list(self._clients.connections):
             if elapsed > bound / 2:
                 connection.session.end_transaction("planned_stop")
--- a/tests/core/pooling/test_client_session.py
+++ b/tests/core/pooling/test_client_session.py
@@ -195,6 +195,18 @@
         probe.session.leave()
         self.assertTrue(probe.client.closed)
 
+    def test_near_the_end_a_new_statement_is_refused_at_once(self) -> None:
+        harness = PoolerHarness()
+        probe = harness.session()
+        running = probe.start(StatementKind.WRITE, argument="thing data")
+        harness.services.is_ending = True
+        late = harness.session().ask(StatementKind.WRITE, argument="thing data", wait=0.0)
+        self.assertEqual(late.failure.code, ErrorCode.OVERLOADED)  # type: ignore[union-attr]
+        self.assertIn("come back in", late.failure.message)  # type: ignore[union-attr]
+        harness.scheduler.advance(1.0)
+        self.assertIsNone(probe.reply(running).failure)
+        self.assertEqual(len(harness.model.commits), 1)
+
     def test_a_statement_is_answered_first(self) -> None:
         harness = PoolerHarness()
         probe = harness.session()
