--- a/src/dewledge/core/pooling/connection_pool.py
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -68,7 +68,6 @@
         self.database_id = database_id
         self.limit = limit
         self.in_use = 0
-        self.last_failure: float | None = None
         self.retired = False
         self._opener = opener
         self._clock = clock
@@ -77,6 +76,7 @@
         self._waiters: list[Waiter] = []
         self._orders = itertools.count()
         self._not_before = 0.0
+        self._generation = 0
 
     @property
     def size(self) -> int:
@@ -105,8 +105,7 @@
             return
         connection = self._take_idle(values)
         if connection is not None:
-            self.in_use += 1
-            waiter.given(connection)
+            self._give(connection, waiter)
             return
         if self.size == 0 and self.is_unreachable:
             waiter.denied(Denial.UNREACHABLE)
@@ -118,7 +117,7 @@
     def release(self, connection: DatabaseConnection) -> None:
         """Takes a connection back; one of unknown state is closed, never given out again."""
         self.in_use -= 1
-        if connection.closed or self.retired or connection.unanswered or self.size >= self.limit:
+        if self.retired or self.size >= self.limit or not self._is_reusable(connection):
             connection.close()
         else:
             self._put_idle(connection)
@@ -130,10 +129,11 @@
         while len(self._idle) > KEPT_IDLE and self._idle[0].idle_since < now - IDLE_SECONDS:
             self._idle[0].close()
 
-    def warm(self, count: int) -> None:
-        """Opens connections until there are `count`."""
-        while self.size < min(count, self.limit) and not self.is_unreachable and not self.retired:
-            self._open()
+    def renew(self) -> None:
+        """The way to the database is another one: connections of the old way are closed."""
+        self._generation += 1
+        self._not_before = 0.0
+        self.close_idle()
 
     def retire(self) -> None:
         """Gives out no more connections; those in use end when they come back."""
@@ -153,6 +153,11 @@
             connection.close()
         self._idle.clear()
 
+    def _is_reusable(self, connection: DatabaseConnection) -> bool:
+        if connection.closed or connection.unanswered or connection.is_retiring:
+            return False
+        return connection.generation == self._generation
+
     def _put_idle(self, connection: DatabaseConnection) -> None:
         connection.idle_since = self._clock()
         self._idle.append(connection)
@@ -164,8 +169,9 @@
                 if connection.values == values:
                     position = index
             connection = self._idle.pop(position)
-            if not connection.closed:
+            if not connection.closed and not connection.is_retiring:
                 return connection
+            connection.close()
         return None
 
     def _serve_waiters(self) -> None:
@@ -177,10 +183,14 @@
             if connection is None:
                 heapq.heappush(self._waiters, waiter)
                 break
-            self.in_use += 1
-            waiter.given(connection)
+            self._give(connection, waiter)
         self._open_if_useful()
 
+    def _give(self, connection: DatabaseConnection, waiter: Waiter) -> None:
+        self.in_use += 1
+        connection.priority = waiter.priority
+        waiter.given(connection)
+
     def _open_if_useful(self) -> None:
         wanted = self.waiting
         while self._opening < wanted and self.size < self.limit and not self.is_unreachable:
@@ -188,15 +198,21 @@
 
     def _open(self) -> None:
         self._opening += 1
-        self._opener.open(self.database_id, self._opened, self._failed, self._closed)
+        generation = self._generation
+
+        def opened(connection: DatabaseConnection) -> None:
+            connection.generation = generation
+            self._opened(connection)
+
+        self._opener.open(self.database_id, opened, self._failed, self._closed)
 
     def _opened(self, connection: DatabaseConnection) -> None:
         self._opening -= 1
-        if self.retired:
+        if self.retired or connection.generation != self._generation:
             connection.close()
+            self._open_if_useful()
             return
         self._not_before = 0.0
-        self.last_failure = None
         self._put_idle(connection)
         self._serve_waiters()
 
@@ -207,7 +223,6 @@
             self._not_before = now + LIMIT_BACKOFF_SECONDS
         else:
             self._not_before = now + OPEN_BACKOFF_SECONDS
-            self.last_failure = now
         if self.size == 0:
             self._deny_all(Denial.UNREACHABLE)
 
--- a/src/dewledge/core/pooling/connection_setup.py
+++ b/src/dewledge/core/pooling/connection_setup.py
@@ -34,10 +34,11 @@
 
 
 def plan_setup(
-    session: SessionState, connection: DatabaseConnection, statement: Statement
+    session: SessionState, connection: DatabaseConnection, statement: Statement, is_pinned: bool
 ) -> Sequence[SetupStep]:
     """Returns the steps that give `connection` the session's state, and notes them as taken.
 
+    is_pinned: whether the session's transaction has been on this connection already.
     A connection on which a step fails must be closed.
     """
     steps: list[SetupStep] = []
@@ -45,9 +46,8 @@
     if statement.kind is StatementKind.EXECUTE:
         shape = session.prepared[statement.name]
     foreign = connection.values.keys() - session.values.keys()
-    is_new_to_session = session.transaction is None or session.transaction.connection is None
     crowded = len(connection.prepared) > MAX_PREPARED_PER_CONNECTION
-    if is_new_to_session and (foreign or crowded):
+    if not is_pinned and (foreign or crowded):
         steps.append(SetupStep(StatementKind.DISCARD))
         connection.values.clear()
         connection.prepared.clear()
--- a/src/dewledge/core/pooling/database_connection.py
+++ b/src/dewledge/core/pooling/database_connection.py
@@ -30,6 +30,12 @@
         self.prepared: set[str] = set()
         self.closed = False
         self.idle_since = 0.0
+        self.generation = 0
+        """Of the pool's way to the database; connections of an older way are not used again."""
+        self.priority = 0
+        """Of the statement that holds the connection."""
+        self.is_retiring = False
+        """Whether what carries the connection ends soon: it is not given out again."""
         self._transport = transport
         self._waiting: deque[ReplyCallback] = deque()
 
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -18,8 +18,11 @@
     read_floor,
     read_targets,
 )
+from dewledge.core.sharing.holders import FALLBACK_CONNECTIONS, Holding
 
 ROLLBACK_LIMIT_SECONDS = 2.0
+CHANNELS_PER_DATABASE = 64
+"""How many statements may be under way through holders of one database; the queue is there."""
 UNREACHABLE_LOAD = 1000
 """Added to the load of a database that could not be reached a moment ago."""
 
@@ -31,10 +34,14 @@
     regions: dict[str, str]
 
     def distance(self, zone: str) -> int:
-        """Returns 0 for the own zone, 1 for another of the region, 2 for another region."""
-        if zone == self.zone:
+        """Returns the steps from the own zone to another."""
+        return self.steps_between(self.zone, zone)
+
+    def steps_between(self, zone: str, other: str) -> int:
+        """Returns 0 for the same zone, 1 for two of a region, 2 for two regions."""
+        if zone == other:
             return 0
-        return 1 if self.regions.get(zone) == self.regions.get(self.zone) else 2
+        return 1 if self.regions.get(zone) == self.regions.get(other) else 2
 
 
 class Group:
@@ -47,56 +54,96 @@
         opener: Opener,
         clock: Callable[[], float],
         drain_bound: float,
+        direct_opener: Opener | None = None,
     ) -> None:
+        """`direct_opener`: opens connections that other processes' statements may use."""
         self.view = GroupView(name)
         self.history = FreshnessHistory()
         self.pools: dict[str, ConnectionPool] = {}
         self._place = place
         self._opener = opener
+        self._direct_opener = direct_opener or opener
+        self._fallback_pools: dict[str, ConnectionPool] = {}
+        self._find_holding: Callable[[DatabaseRecord], Holding] | None = None
+        self._holdings: dict[str, Holding] = {}
         self._clock = clock
         self._drain_bound = drain_bound
-        self._connection_limit = 1
         self._primary_waiters: list[Callable[[], None]] = []
         self._doubted: str | None = None
         self.relay: str | None = None
         """The address of a process that reaches a database which this one does not."""
 
     def set_connection_limit(self, limit: int) -> None:
-        """Sets how many connections this process may hold to each database of the group."""
-        self._connection_limit = limit
-        for pool in self.pools.values():
-            pool.limit = limit
+        """Has this process hold up to `limit` connections to each database of the group itself."""
+        self.set_holdings(lambda _record: Holding(limit))
+
+    def set_holdings(self, find: Callable[[DatabaseRecord], Holding]) -> None:
+        """Sets by what rule this process reaches each database."""
+        self._find_holding = find
+        before, self._holdings = self._holdings, {}
+        for database_id, pool in self.pools.items():
+            holding = self.holding(database_id)
+            known = before.get(database_id)
+            pool.limit = _pool_limit(holding)
+            if known is not None and known.is_direct != holding.is_direct:
+                pool.renew()
+
+    def holding(self, database_id: str) -> Holding:
+        """Returns how this process reaches a database."""
+        known = self._holdings.get(database_id)
+        record = self.view.databases.get(database_id)
+        if known is None:
+            known = Holding(1)
+            if record is not None and self._find_holding is not None:
+                known = self._find_holding(record)
+                self._holdings[database_id] = known
+        return known
 
     def pool(self, database_id: str) -> ConnectionPool:
-        """Returns the pool before a database."""
+        """Returns the pool before a database, for the statements of this process's clients."""
         pool = self.pools.get(database_id)
         if pool is None:
-            pool = ConnectionPool(database_id, self._connection_limit, self._opener, self._clock)
+            limit = _pool_limit(self.holding(database_id))
+            pool = ConnectionPool(database_id, limit, self._opener, self._clock)
             self.pools[database_id] = pool
         return pool
 
+    def lending_pool(self, database_id: str) -> ConnectionPool:
+        """Returns the pool for other processes' statements: always of connections held here."""
+        if self.holding(database_id).is_direct:
+            return self.pool(database_id)
+        pool = self._fallback_pools.get(database_id)
+        if pool is None:
+            limit = FALLBACK_CONNECTIONS
+            pool = ConnectionPool(database_id, limit, self._direct_opener, self._clock)
+            self._fallback_pools[database_id] = pool
+        return pool
+
     def all_pools(self) -> Sequence[ConnectionPool]:
         """Returns the pools of all databases."""
-        return list(self.pools.values())
+        return [*self.pools.values(), *self._fallback_pools.values()]
 
     def trim_connections(self) -> None:
         """Closes connections that nobody has used for a while."""
-        for pool in self.pools.values():
+        for pool in self.all_pools():
             pool.trim()
 
     def change_view(self, view: GroupView) -> None:
         """Takes the next view, ends pools of databases that leave, wakes who waits."""
         self.view = view
-        now = self._clock()
-        for database_id, pool in list(self.pools.items()):
-            if database_id not in view.databases:
+        for pools in (self.pools, self._fallback_pools):
+            self._end_pools(pools)
+        if self.usable_primary is not None:
+            self._wake_waiters()
+
+    def _end_pools(self, pools: dict[str, ConnectionPool]) -> None:
+        for database_id, pool in list(pools.items()):
+            if database_id not in self.view.databases:
                 pool.retire()
                 if not pool.in_use:
-                    del self.pools[database_id]
-            elif not self._may_serve(database_id, now):
+                    del pools[database_id]
+            elif not self.may_serve(database_id):
                 pool.close_idle()
-        if self.usable_primary is not None:
-            self._wake_waiters()
 
     @property
     def usable_primary(self) -> DatabaseRecord | None:
@@ -145,7 +192,12 @@
 
     def roll_back(self, connection: DatabaseConnection, scheduler: Scheduler) -> None:
         """Ends a transaction on a connection, then takes the connection back into its pool."""
-        pool = self.pool(connection.database_id)
+        self.roll_back_on(connection, self.pool(connection.database_id), scheduler)
+
+    def roll_back_on(
+        self, connection: DatabaseConnection, pool: ConnectionPool, scheduler: Scheduler
+    ) -> None:
+        """Ends a transaction on a connection of `pool`, then gives the connection back."""
 
         def give_up() -> None:
             connection.close()
@@ -170,8 +222,9 @@
             return 0
         return pool.load + (UNREACHABLE_LOAD if pool.is_unreachable else 0)
 
-    def _may_serve(self, database_id: str, now: float) -> bool:
-        if not self.view.takes_work(database_id, now, self._drain_bound):
+    def may_serve(self, database_id: str) -> bool:
+        """Tells whether a database may be given new work."""
+        if not self.view.takes_work(database_id, self._clock(), self._drain_bound):
             return False
         return database_id not in self.view.draining_since or self._is_primary(database_id)
 
@@ -183,3 +236,7 @@
         waiters, self._primary_waiters = self._primary_waiters, []
         for callback in waiters:
             callback()
+
+
+def _pool_limit(holding: Holding) -> int:
+    return holding.connections if holding.is_direct else CHANNELS_PER_DATABASE
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -101,7 +101,7 @@
 
     def _given(self, connection: DatabaseConnection) -> None:
         self._held.take(connection)
-        steps = plan_setup(self._session, connection, self._statement)
+        steps = plan_setup(self._session, connection, self._statement, self._is_pinned)
         begin = self._begin_kind()
         self._proves_lead = begin is StatementKind.BEGIN
         if not steps and begin is None:
@@ -149,6 +149,8 @@
     ) -> None:
         if failure.code is ErrorCode.NOT_PRIMARY:
             self._held.refute_primary(self._statement.id)
+        if failure.code is ErrorCode.DATABASE_UNREACHABLE:
+            self._held.suspect()
         clean = reply.state is TransactionState.IDLE and not connection.unanswered
         if not self._is_pinned and clean and failure.code is not ErrorCode.WRONG_DATABASE:
             self._held.release()
@@ -248,6 +250,8 @@
     def _failed(self, failure: Failure) -> None:
         if failure.code is ErrorCode.NOT_PRIMARY:
             self._held.refute_primary(self._statement.id)
+        if failure.code is ErrorCode.DATABASE_UNREACHABLE:
+            self._held.suspect()
         connection = self._held.connection
         if failure.code is ErrorCode.UNKNOWN_STATEMENT and connection is not None:
             connection.prepared.clear()
--- a/src/dewledge/core/pooling/statements.py
+++ b/src/dewledge/core/pooling/statements.py
@@ -99,6 +99,7 @@
         ErrorCode.WRONG_DATABASE,
         ErrorCode.CONNECTION_LIMIT,
         ErrorCode.UNKNOWN_STATEMENT,
+        ErrorCode.DATABASE_UNREACHABLE,
     }
 )
-"""Failures of a database that promise that the statement did not run."""
+"""Failures of a database, or of a process before it: the statement did not run."""
--- /dev/null
+++ b/src/dewledge/core/sharing/channel_session.py
@@ -0,0 +1,270 @@
+"""The holder's end of a channel: one peer's statements on a shared database connection.
+
+To the peer a channel looks like a connection to the database of its own. Values and prepared names
+are kept here and given to whichever connection runs the next statement; a transaction keeps its
+connection until it ends. What was surely not sent is answered as refused; a connection lost after
+sending ends the channel, so that the peer, which knows what it sent, decides.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from dewledge.core.pooling.connection_pool import ConnectionPool, Denial, Waiter
+from dewledge.core.pooling.connection_setup import plan_setup, send_setup
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.group import Group
+from dewledge.core.pooling.scheduling import ScheduledCall
+from dewledge.core.pooling.services import PoolServices
+from dewledge.core.pooling.session_state import PreparedShape, SessionState
+from dewledge.core.pooling.statements import (
+    Failure,
+    Reply,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
+from dewledge.core.positions import LogPosition
+from dewledge.core.sharing.messages import ChannelStatement
+from dewledge.errors import ErrorCode
+
+QUEUE_LIMIT_SECONDS = 0.25
+"""A statement that gets no connection within this is refused; the peer may try elsewhere."""
+SETUP_LIMIT_SECONDS = 0.3
+MAX_PIPELINED = 300
+
+_KEPT_HERE = frozenset(
+    {
+        StatementKind.SET_VALUE,
+        StatementKind.PREPARE,
+        StatementKind.DEALLOCATE,
+        StatementKind.DISCARD,
+    }
+)
+
+
+class ChannelTransport(Protocol):
+    """Takes a channel's answers to the peer."""
+
+    def send_reply(self, reply: Reply) -> None:
+        """Answers the oldest statement that has no answer."""
+
+    def send_ended(self) -> None:
+        """Tells that the channel is over; what has no answer is in doubt."""
+
+
+class ChannelSession:
+    """The state machine of one channel. Statements run one after the other."""
+
+    def __init__(
+        self,
+        name: str,
+        services: PoolServices,
+        group: Group,
+        database_id: str,
+        transport: ChannelTransport,
+    ) -> None:
+        self._services = services
+        self._group = group
+        self._database_id = database_id
+        self._pool: ConnectionPool = group.lending_pool(database_id)
+        self._transport = transport
+        self._state = SessionState(name, "", "")
+        self._queue: deque[ChannelStatement] = deque()
+        self._current: ChannelStatement | None = None
+        self._connection: DatabaseConnection | None = None
+        self._waiter: Waiter | None = None
+        self._timer: ScheduledCall | None = None
+        self._is_open = False
+        self._ended = False
+
+    @property
+    def at_rest(self) -> bool:
+        """Whether nothing runs here and no transaction is open."""
+        return self._current is None and self._connection is None
+
+    def handle(self, message: ChannelStatement) -> None:
+        """Takes the next statement of the peer."""
+        if self._ended:
+            return
+        if len(self._queue) >= MAX_PIPELINED:
+            self._end_channel()
+            return
+        self._queue.append(message)
+        self._serve_queue()
+
+    def close(self) -> None:
+        """The peer gave the channel up, or its link is lost: rolls back what is open."""
+        if self._ended:
+            return
+        self._ended = True
+        self._queue.clear()
+        self._clear_timer()
+        if self._waiter is not None:
+            self._waiter.withdrawn = True
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        if self._current is not None:
+            connection.close()
+            self._pool.release(connection)
+        else:
+            self._group.roll_back_on(connection, self._pool, self._services.scheduler)
+
+    def _serve_queue(self) -> None:
+        while self._queue and self._current is None and not self._ended:
+            self._serve(self._queue.popleft())
+
+    def _serve(self, message: ChannelStatement) -> None:
+        statement = message.statement
+        if statement.kind in _KEPT_HERE:
+            self._change_session(statement)
+            self._transport.send_reply(Reply(self._transaction_state))
+            return
+        unknown = statement.kind is StatementKind.EXECUTE
+        if unknown and statement.name not in self._state.prepared:
+            self._refuse(ErrorCode.UNKNOWN_STATEMENT, "no such name")
+            return
+        self._current = message
+        if self._connection is not None:
+            self._prepare(self._connection)
+        else:
+            self._acquire(message)
+
+    def _change_session(self, statement: Statement) -> None:
+        state = self._state
+        if statement.kind is StatementKind.SET_VALUE:
+            state.values[statement.name] = statement.argument
+        elif statement.kind is StatementKind.PREPARE:
+            shape = PreparedShape(statement.writes, statement.argument)
+            state.prepared[statement.name] = shape
+        elif statement.kind is StatementKind.DEALLOCATE:
+            state.prepared.pop(statement.name, None)
+        else:
+            state.values.clear()
+            state.prepared.clear()
+
+    # Getting a connection.
+
+    def _acquire(self, message: ChannelStatement) -> None:
+        if self._services.is_ending or not self._group.may_serve(self._database_id):
+            self._refuse(ErrorCode.OVERLOADED, "not served here any more")
+            return
+        self._pool = self._group.lending_pool(self._database_id)
+        self._waiter = Waiter(message.priority, self._given, self._denied)
+        self._limit(QUEUE_LIMIT_SECONDS, self._waited_too_long)
+        self._pool.acquire(self._waiter, self._state.values)
+
+    def _given(self, connection: DatabaseConnection) -> None:
+        self._waiter = None
+        self._clear_timer()
+        self._connection = connection
+        self._prepare(connection)
+
+    def _denied(self, denial: Denial) -> None:
+        self._waiter = None
+        self._clear_timer()
+        if denial is Denial.UNREACHABLE:
+            self._services.suspect(self._group.view.name, self._database_id)
+            self._refuse(ErrorCode.DATABASE_UNREACHABLE, "no connection")
+        else:
+            self._refuse(ErrorCode.OVERLOADED, f"denied: {denial}")
+
+    def _waited_too_long(self) -> None:
+        if self._waiter is not None:
+            self._waiter.withdrawn = True
+            self._waiter = None
+            self._refuse(ErrorCode.OVERLOADED, "no connection in time")
+
+    # Running the statement.
+
+    def _prepare(self, connection: DatabaseConnection) -> None:
+        message = self._current
+        assert message is not None
+        steps = plan_setup(self._state, connection, message.statement, self._is_open)
+        if not steps:
+            self._send(connection, message.statement, message.floor)
+            return
+        self._limit(SETUP_LIMIT_SECONDS, self._setup_silent)
+        send_setup(connection, steps, None, None, self._set_up)
+
+    def _set_up(self, verdict: Reply | None | bool) -> None:
+        connection, message = self._connection, self._current
+        if self._ended or connection is None or message is None:
+            return
+        self._clear_timer()
+        if verdict is True:
+            self._send(connection, message.statement, message.floor)
+        else:
+            self._lose_before_sending(connection)
+
+    def _setup_silent(self) -> None:
+        if self._connection is not None:
+            self._services.suspect(self._group.view.name, self._database_id)
+            self._lose_before_sending(self._connection)
+
+    def _lose_before_sending(self, connection: DatabaseConnection) -> None:
+        self._drop(connection)
+        if self._is_open:
+            self._end_channel()
+        else:
+            self._refuse(ErrorCode.DATABASE_UNREACHABLE, "the connection was lost before")
+
+    def _send(
+        self, connection: DatabaseConnection, statement: Statement, floor: LogPosition | None
+    ) -> None:
+        connection.send(statement, self._answered, floor)
+
+    def _answered(self, reply: Reply | None) -> None:
+        connection = self._connection
+        if self._ended or connection is None:
+            return
+        if reply is None:
+            self._drop(connection)
+            self._end_channel()
+            return
+        self._learn(connection, reply)
+        self._is_open = reply.state is not TransactionState.IDLE
+        if not self._is_open:
+            self._connection = None
+            self._pool.release(connection)
+        self._answer(reply)
+
+    def _learn(self, connection: DatabaseConnection, reply: Reply) -> None:
+        code = None if reply.failure is None else reply.failure.code
+        if code is ErrorCode.NOT_PRIMARY:
+            self._group.refute_primary(connection.database_id)
+        elif code is ErrorCode.UNKNOWN_STATEMENT:
+            connection.prepared.clear()
+
+    # Ending.
+
+    @property
+    def _transaction_state(self) -> TransactionState:
+        return TransactionState.OPEN if self._is_open else TransactionState.IDLE
+
+    def _refuse(self, code: ErrorCode, message: str) -> None:
+        self._answer(Reply(self._transaction_state, failure=Failure(code, message)))
+
+    def _answer(self, reply: Reply) -> None:
+        self._current = None
+        self._transport.send_reply(reply)
+        self._serve_queue()
+
+    def _drop(self, connection: DatabaseConnection) -> None:
+        self._connection = None
+        connection.close()
+        self._pool.release(connection)
+
+    def _end_channel(self) -> None:
+        self.close()
+        self._transport.send_ended()
+
+    def _limit(self, seconds: float, callback: Callable[[], None]) -> None:
+        self._clear_timer()
+        self._timer = self._services.scheduler.call_later(seconds, callback)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- /dev/null
+++ b/src/dewledge/core/sharing/messages.py
@@ -0,0 +1,156 @@
+"""What two processes say to each other on a link. Typed; cbor2 arrays on the wire.
+
+A link is dialled by the process that needs something. It carries channels, each of which stands for
+one connection to a database that the other process holds.
+"""
+
+import cbor2
+import msgspec
+
+from dewledge.core.pooling.statements import (
+    Failure,
+    Reply,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
+from dewledge.core.positions import LogPosition
+from dewledge.errors import ErrorCode, ProtocolError
+
+
+class LinkMessage(msgspec.Struct, frozen=True, array_like=True):
+    """The root of all messages."""
+
+
+class LinkOpened(LinkMessage, frozen=True, tag="hello"):
+    """The first message of the process that dialled."""
+
+    name: str
+
+
+class Ping(LinkMessage, frozen=True, tag="ping"):
+    """Asks for a sign of life."""
+
+
+class Pong(LinkMessage, frozen=True, tag="pong"):
+    """The sign of life."""
+
+
+class Leaving(LinkMessage, frozen=True, tag="leaving"):
+    """The process that was dialled ends soon: nothing new should begin on this link."""
+
+
+class ChannelOpened(LinkMessage, frozen=True, tag="open"):
+    """A channel to a database. Its number is chosen by the process that dialled."""
+
+    channel: int
+    database: str
+
+
+class ChannelStatement(LinkMessage, frozen=True, tag="ask"):
+    """A statement on a channel; answers come in order. Fields as in Statement."""
+
+    channel: int
+    id: str
+    kind: StatementKind
+    text: str
+    name: str
+    argument: str
+    writes: bool
+    floor: LogPosition | None
+    priority: int
+
+    @property
+    def statement(self) -> Statement:
+        """The statement itself."""
+        return Statement(self.id, self.kind, self.text, self.name, self.argument, self.writes)
+
+
+class ChannelReply(LinkMessage, frozen=True, tag="reply"):
+    """The answer to the oldest statement on the channel that has none."""
+
+    channel: int
+    state: TransactionState
+    rows: tuple[str, ...]
+    signature: str
+    code: ErrorCode | None
+    message: str
+    position: LogPosition | None
+
+    @property
+    def reply(self) -> Reply:
+        """The answer as the database's connection would give it."""
+        failure = None if self.code is None else Failure(self.code, self.message)
+        return Reply(self.state, self.rows, self.signature, failure, self.position)
+
+
+class ChannelEnded(LinkMessage, frozen=True, tag="end"):
+    """The connection behind a channel is lost; what was not answered is in doubt."""
+
+    channel: int
+
+
+class ChannelClosed(LinkMessage, frozen=True, tag="close"):
+    """The process that dialled gives a channel up; what is open there is rolled back."""
+
+    channel: int
+
+
+PeerLinkMessage = (
+    LinkOpened
+    | Ping
+    | Pong
+    | Leaving
+    | ChannelOpened
+    | ChannelStatement
+    | ChannelReply
+    | ChannelEnded
+    | ChannelClosed
+)
+
+
+def channel_statement(
+    channel: int, statement: Statement, floor: LogPosition | None, priority: int
+) -> ChannelStatement:
+    """Returns the message of a statement."""
+    return ChannelStatement(
+        channel,
+        statement.id,
+        statement.kind,
+        statement.text,
+        statement.name,
+        statement.argument,
+        statement.writes,
+        floor,
+        priority,
+    )
+
+
+def channel_reply(channel: int, reply: Reply) -> ChannelReply:
+    """Returns the message of an answer."""
+    failure = reply.failure
+    return ChannelReply(
+        channel,
+        reply.state,
+        reply.rows,
+        reply.signature,
+        None if failure is None else failure.code,
+        "" if failure is None else failure.message,
+        reply.position,
+    )
+
+
+def encode(message: PeerLinkMessage) -> bytes:
+    """Returns a message as cbor2."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def decode(data: bytes) -> PeerLinkMessage:
+    """Returns the message of a frame. Raises ProtocolError."""
+    try:
+        message: PeerLinkMessage = msgspec.convert(
+            cbor2.loads(data), type=PeerLinkMessage, builtin_types=(bytes,)
+        )
+    except (cbor2.CBORError, ValueError, TypeError, OverflowError, RecursionError) as error:
+        raise ProtocolError(f"not a message of a link: {error}") from error
+    return message
--- a/src/dewledge/shell/frames.py
+++ b/src/dewledge/shell/frames.py
@@ -15,7 +15,11 @@
 
 def encode_frame(message: PeerMessage) -> bytes:
     """Returns the frame of one message."""
-    body = encode(message)
+    return frame_of(encode(message))
+
+
+def frame_of(body: bytes) -> bytes:
+    """Returns the frame of an encoded message."""
     return _LENGTH.pack(len(body)) + body
 
 
--- /dev/null
+++ b/src/dewledge/shell/pooling/channel_client.py
@@ -0,0 +1,146 @@
+"""Connections to databases that other processes hold: channels on links to them."""
+
+import itertools
+from collections.abc import Callable, Sequence
+
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.statements import Statement
+from dewledge.core.positions import LogPosition
+from dewledge.core.sharing.messages import (
+    ChannelClosed,
+    ChannelEnded,
+    ChannelOpened,
+    ChannelReply,
+    PeerLinkMessage,
+    channel_statement,
+)
+from dewledge.errors import ErrorCode
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.pooling.outgoing_link import OutgoingLink
+
+OpenedCallback = Callable[[DatabaseConnection], None]
+
+
+class ChannelClient:
+    """All channels of one process to others."""
+
+    def __init__(self, loop: EventLoop, own_name: str) -> None:
+        self._loop = loop
+        self._own_name = own_name
+        self._links: dict[str, OutgoingLink] = {}
+        self._channels: dict[OutgoingLink, dict[int, _Channel]] = {}
+        self._numbers = itertools.count(1)
+
+    @property
+    def link_count(self) -> int:
+        """The links that are open."""
+        return sum(link.is_open for link in self._links.values())
+
+    def close(self) -> None:
+        """Ends all links."""
+        for link in self._links.values():
+            link.close()
+
+    def open(
+        self,
+        database_id: str,
+        addresses: Sequence[str],
+        opened: OpenedCallback,
+        failed: Callable[[ErrorCode], None],
+        closed: OpenedCallback,
+    ) -> None:
+        """Opens a channel through the first process that can be reached; as Opener.open."""
+        usable = [address for address in addresses if self.link(address).is_usable]
+        if not usable:
+            self._loop.call_later(0.0, lambda: failed(ErrorCode.DATABASE_UNREACHABLE))
+            return
+        link = self.link(usable[0])
+
+        def go_on() -> None:
+            self.open(database_id, usable[1:], opened, failed, closed)
+
+        def reached() -> None:
+            channel = _Channel(link, next(self._numbers), database_id, closed, self._forget)
+            self._channels[link][channel.number] = channel
+            link.send(ChannelOpened(channel.number, database_id))
+            opened(channel.connection)
+
+        link.when_open(reached, go_on)
+
+    def link(self, address: str) -> OutgoingLink:
+        """Returns the link to an address, made if there is none."""
+        known = self._links.get(address)
+        if known is None:
+            known = OutgoingLink(
+                self._loop, self._own_name, address, self._received, self._lost, self._retire
+            )
+            self._links[address] = known
+            self._channels[known] = {}
+        return known
+
+    def _received(self, link: OutgoingLink, message: PeerLinkMessage) -> None:
+        if isinstance(message, ChannelReply):
+            channel = self._channels[link].get(message.channel)
+            if channel is not None:
+                channel.answer(message)
+        elif isinstance(message, ChannelEnded):
+            channel = self._channels[link].pop(message.channel, None)
+            if channel is not None:
+                channel.end()
+
+    def _lost(self, link: OutgoingLink) -> None:
+        channels, self._channels[link] = self._channels[link], {}
+        for channel in channels.values():
+            channel.end()
+
+    def _retire(self, link: OutgoingLink) -> None:
+        for channel in self._channels[link].values():
+            channel.connection.is_retiring = True
+
+    def _forget(self, link: OutgoingLink, number: int) -> None:
+        self._channels[link].pop(number, None)
+
+
+class _Channel:
+    """One channel: the transport of a connection that another process holds."""
+
+    def __init__(
+        self,
+        link: OutgoingLink,
+        number: int,
+        database_id: str,
+        closed: OpenedCallback,
+        forget: Callable[[OutgoingLink, int], None],
+    ) -> None:
+        self.number = number
+        self.connection = DatabaseConnection(database_id, self)
+        self._link = link
+        self._closed = closed
+        self._forget = forget
+        self._due = 0
+
+    def send(self, statement: Statement, floor: LogPosition | None) -> None:
+        """Sends one statement; its answer comes later, in order."""
+        self._due += 1
+        self._link.expect_answer()
+        message = channel_statement(self.number, statement, floor, self.connection.priority)
+        self._link.send(message)
+
+    def close(self) -> None:
+        """Gives the channel up; the holder rolls back what is open."""
+        self._link.send(ChannelClosed(self.number))
+        self._link.answer_came(self._due)
+        self._forget(self._link, self.number)
+        self._closed(self.connection)
+
+    def answer(self, message: ChannelReply) -> None:
+        """Takes the next answer."""
+        self._due -= 1
+        self._link.answer_came()
+        self.connection.on_reply(message.reply)
+
+    def end(self) -> None:
+        """The channel is lost."""
+        self._link.answer_came(self._due)
+        self.connection.on_closed()
+        self._closed(self.connection)
--- a/src/dewledge/shell/pooling/coordination_rows.py
+++ b/src/dewledge/shell/pooling/coordination_rows.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dewledge.core.coordination_store import StoreRow
+from dewledge.core.sharing.members import Member
 from dewledge.core.succession.messages import Claim
 
 TABLE = "dewledge"
@@ -15,12 +16,6 @@
 Value = TypeVar("Value")
 
 
-class MemberValue(msgspec.Struct, frozen=True):
-    """Where a process takes peers' datagrams."""
-
-    peer_address: str
-
-
 class ClaimValue(msgspec.Struct, frozen=True):
     """Who replaces a group's primary, and which."""
 
@@ -33,9 +28,9 @@
     return cbor2.dumps(msgspec.to_builtins(value))
 
 
-def read_member(row: StoreRow) -> MemberValue | None:
+def read_member(row: StoreRow) -> Member | None:
     """Returns a member's row, None if it cannot be read."""
-    return _decode(row, MemberValue)
+    return _decode(row, Member)
 
 
 def read_claim(row: StoreRow) -> Claim | None:
--- a/src/dewledge/shell/pooling/database_opener.py
+++ b/src/dewledge/shell/pooling/database_opener.py
@@ -1,23 +1,28 @@
-"""Opens connections to databases and carries statements and answers on them."""
+"""Opens connections to databases and carries statements and answers on them.
+
+A connection is one of this process's own, or a channel to a process that holds connections.
+"""
 
 import socket
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Sequence
 
 from dewledge.core.pooling.codec import DatabaseCodec
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.group_view import DatabaseRecord
 from dewledge.core.pooling.statements import Reply, Statement
 from dewledge.core.positions import LogPosition
+from dewledge.core.sharing.holders import FALLBACK_CONNECTIONS
 from dewledge.errors import ErrorCode, ProtocolError
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.pooling.byte_stream import ByteStream, Connecting
-from dewledge.shell.pooling.relay import open_through_relay
+from dewledge.shell.pooling.channel_client import ChannelClient
 
 CONNECT_LIMIT_SECONDS = 0.6
 STARTUP_LIMIT_SECONDS = 1.5
 
 
-class DatabaseOpener:
+class DirectOpener:
     """Opens connections to the databases that `find` knows."""
 
     def __init__(
@@ -26,11 +31,8 @@
         user: str,
         new_codec: Callable[[], DatabaseCodec],
         find: Callable[[str], DatabaseRecord | None],
-        find_relay: Callable[[DatabaseRecord], str | None],
     ) -> None:
-        """`find_relay`: the address of a process to go through, None for the direct way."""
         self._loop = loop
-        self._find_relay = find_relay
         self._user = user
         self._new_codec = new_codec
         self._find = find
@@ -57,11 +59,64 @@
         def refused() -> None:
             failed(ErrorCode.DATABASE_UNREACHABLE)
 
-        relay = self._find_relay(record)
-        if relay is None:
-            Connecting(self._loop, record.address, CONNECT_LIMIT_SECONDS, connected, refused)
-        else:
-            open_through_relay(self._loop, relay, record.id, connected, refused)
+        Connecting(self._loop, record.address, CONNECT_LIMIT_SECONDS, connected, refused)
+
+
+class SharingOpener:
+    """Opens connections directly or through holders, as `find_way` says."""
+
+    def __init__(
+        self,
+        direct: DirectOpener,
+        channels: ChannelClient,
+        find_way: Callable[[str], Sequence[str] | None],
+    ) -> None:
+        """`find_way`: the addresses of the processes to go through, None for the direct way."""
+        self._direct = direct
+        self._channels = channels
+        self._find_way = find_way
+        self._fallbacks: Counter[str] = Counter()
+
+    def open(
+        self,
+        database_id: str,
+        opened: Callable[[DatabaseConnection], None],
+        failed: Callable[[ErrorCode], None],
+        closed: Callable[[DatabaseConnection], None],
+    ) -> None:
+        """Calls `opened` or `failed` once; after `opened`, `closed` at the connection's end."""
+        way = self._find_way(database_id)
+        if way is None:
+            self._direct.open(database_id, opened, failed, closed)
+            return
+
+        def without_holders(_code: ErrorCode) -> None:
+            self._open_fallback(database_id, opened, failed, closed)
+
+        self._channels.open(database_id, way, opened, without_holders, closed)
+
+    def _open_fallback(
+        self,
+        database_id: str,
+        opened: Callable[[DatabaseConnection], None],
+        failed: Callable[[ErrorCode], None],
+        closed: Callable[[DatabaseConnection], None],
+    ) -> None:
+        """No holder can be reached: a few connections are opened without them."""
+        if self._fallbacks[database_id] >= FALLBACK_CONNECTIONS:
+            failed(ErrorCode.CONNECTION_LIMIT)
+            return
+        self._fallbacks[database_id] += 1
+
+        def ended(connection: DatabaseConnection) -> None:
+            self._fallbacks[database_id] -= 1
+            closed(connection)
+
+        def refused(code: ErrorCode) -> None:
+            self._fallbacks[database_id] -= 1
+            failed(code)
+
+        self._direct.open(database_id, opened, refused, ended)
 
 
 class _DatabaseLink:
--- a/src/dewledge/shell/pooling/directory.py
+++ b/src/dewledge/shell/pooling/directory.py
@@ -1,19 +1,20 @@
 """What the store's rows tell of routes and databases, kept as groups."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from loguru import logger
 
 from dewledge.core.coordination_store import StoreRow
-from dewledge.core.pooling.connection_share import share_of_connections
 from dewledge.core.pooling.group import Group, Place
 from dewledge.core.pooling.group_view import DatabaseRecord
 from dewledge.core.pooling.services import PoolServices
+from dewledge.core.sharing.holders import Holding, holding_of, share_of_connections
 from dewledge.errors import ProtocolError
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.event_loop import EventLoop
-from dewledge.shell.pooling.database_opener import DatabaseOpener
-from dewledge.shell.pooling.member_table import ASSUMED_MEMBERS
+from dewledge.shell.pooling.channel_client import ChannelClient
+from dewledge.shell.pooling.database_opener import DirectOpener, SharingOpener
+from dewledge.shell.pooling.member_table import ASSUMED_MEMBERS, MemberTable
 from dewledge.shell.pooling.platform_adapter import PlatformAdapter
 
 DRAIN_MARGIN_SECONDS = 2.0
@@ -28,16 +29,17 @@
         settings: PoolerSettings,
         platform: PlatformAdapter,
         services: PoolServices,
+        members: MemberTable,
+        channels: ChannelClient,
     ) -> None:
         self._loop = loop
         self._settings = settings
         self._platform = platform
         self._services = services
         self._place = Place(settings.zone, settings.zones)
-        self._opener = DatabaseOpener(
-            loop, settings.name, platform.new_database_codec, self.find, self._find_relay
-        )
-        self._members = ASSUMED_MEMBERS
+        self._members = members
+        self._direct = DirectOpener(loop, settings.name, platform.new_database_codec, self.find)
+        self._opener = SharingOpener(self._direct, channels, self._find_way)
         self.group_changed: Callable[[str], None] = lambda group: None
         """Called with the name of a group whose view has changed."""
 
@@ -58,7 +60,7 @@
         self._services.routes = table
         for name in table.groups:
             self._group(name)
-        self.share_connections(self._members)
+        self.share_connections()
         logger.bind(version=table.version, revision=row.version, routes=len(table.routes)).info(
             "configuration_taken"
         )
@@ -115,20 +117,50 @@
                 return record
         return None
 
-    def _find_relay(self, record: DatabaseRecord) -> str | None:
-        return self._group(record.group).relay_to(record.id)
+    def group_of(self, database_id: str) -> Group | None:
+        """Returns the group of a database, None if no group has it."""
+        record = self.find(database_id)
+        return None if record is None else self._group(record.group)
+
+    def _find_way(self, database_id: str) -> Sequence[str] | None:
+        """Returns the addresses of the processes to go through, None for the direct way."""
+        group = self.group_of(database_id)
+        if group is None:
+            return None
+        relay = group.relay_to(database_id)
+        if relay is not None:
+            return [relay]
+        holding = group.holding(database_id)
+        if holding.is_direct:
+            return None
+        return [
+            self._members.members[name].peer_address
+            for name in holding.holders
+            if name in self._members.members
+        ]
 
     def _group(self, name: str) -> Group:
         group = self._services.groups.get(name)
         if group is None:
             bound = max(self._settings.timings.drain_bound - DRAIN_MARGIN_SECONDS, 1.0)
-            group = Group(name, self._place, self._opener, self._loop.now, bound)
+            group = Group(name, self._place, self._opener, self._loop.now, bound, self._direct)
             self._services.groups[name] = group
         return group
 
-    def share_connections(self, members: int) -> None:
-        """Sets this process's share of each database's connections among `members`."""
-        self._members = members
-        for name, policy in self._services.routes.groups.items():
-            limit = share_of_connections(policy.max_connections, members)
-            self._group(name).set_connection_limit(limit)
+    def share_connections(self) -> None:
+        """Has each group find anew how this process reaches its databases."""
+        for name in self._services.routes.groups:
+            self._group(name).set_holdings(self._find_holding)
+
+    def _find_holding(self, record: DatabaseRecord) -> Holding:
+        policy = self._services.routes.groups.get(record.group)
+        if policy is None:
+            return Holding(1)
+        if not self._members.is_known:
+            return Holding(max(share_of_connections(policy.max_connections, ASSUMED_MEMBERS), 1))
+
+        def distance(zone: str) -> int:
+            return self._place.steps_between(zone, record.zone)
+
+        name = self._settings.name
+        return holding_of(name, record.id, policy.max_connections, self._members.members, distance)
--- /dev/null
+++ b/src/dewledge/shell/pooling/framed_stream.py
@@ -0,0 +1,55 @@
+"""Messages of a link over one TCP connection."""
+
+import socket
+from collections.abc import Callable
+
+from loguru import logger
+
+from dewledge.core.sharing.messages import PeerLinkMessage, decode, encode
+from dewledge.errors import ProtocolError
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.frames import FrameReader, frame_of
+from dewledge.shell.pooling.byte_stream import ByteStream
+
+
+class FramedStream:
+    """One end of a link. `received` and `ended` are called on the loop's thread."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        sock: socket.socket,
+        received: Callable[[PeerLinkMessage], None],
+        ended: Callable[[], None],
+    ) -> None:
+        self._loop = loop
+        self._received = received
+        self._ended = ended
+        self._reader = FrameReader()
+        self._stream = ByteStream(loop, sock, self._take_bytes, ended)
+        self.last_received = loop.now()
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is over."""
+        return self._stream.closed
+
+    def send(self, message: PeerLinkMessage) -> None:
+        """Sends a message now or as the other end takes it."""
+        self._stream.send(frame_of(encode(message)))
+
+    def close(self) -> None:
+        """Closes at once, without a call of `ended`."""
+        self._stream.close()
+
+    def _take_bytes(self, data: bytes) -> None:
+        self.last_received = self._loop.now()
+        try:
+            for body in self._reader.feed(data):
+                if not self._stream.closed:
+                    self._received(decode(body))
+        except ProtocolError as error:
+            logger.bind(error=error.message).warning("link_refused")
+            if not self._stream.closed:
+                self._stream.close()
+                self._ended()
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -8,11 +8,14 @@
 
 from dewledge.core.coordination_store import StoreRow
 from dewledge.core.pooling.services import PoolServices
+from dewledge.core.sharing.members import Member
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.http_messages import Exchange, HttpLimits, HttpResponse
 from dewledge.shell.http_server import HttpServer
 from dewledge.shell.metrics import CONTENT_TYPE as METRICS_TYPE
+from dewledge.shell.pooling.channel_client import ChannelClient
+from dewledge.shell.pooling.channel_server import ChannelServer
 from dewledge.shell.pooling.client_listener import ClientListener
 from dewledge.shell.pooling.coordination_rows import TABLE
 from dewledge.shell.pooling.directory import Directory
@@ -20,7 +23,6 @@
 from dewledge.shell.pooling.member_table import MemberTable
 from dewledge.shell.pooling.platform_adapter import PlatformAdapter
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
-from dewledge.shell.pooling.relay import RelayServer
 from dewledge.shell.pooling.settings_file import SettingsFile
 from dewledge.shell.pooling.succession_driver import SuccessionDriver
 from dewledge.shell.pooling.table_watcher import TableWatcher
@@ -29,7 +31,6 @@
 SWEEP_SECONDS = 0.25
 TAKE_SHARE = 0.55
 """Of a planned stop's time; what is taken later might be cut by the end of the process."""
-DRAIN_MARGIN_SECONDS = 2.0
 EXECUTOR_THREADS = 8
 PLAIN = "text/plain"
 
@@ -54,7 +55,12 @@
         self._metrics = PoolerMetrics()
         self._log = EventLog(self._metrics)
         self._services = PoolServices(_LoopScheduler(self._loop), self._log.record)
-        self._directory = Directory(self._loop, settings, platform, self._services)
+        own = Member(settings.peer_address, settings.zone)
+        self._members = MemberTable(settings.name, own, platform.store)
+        self._channels = ChannelClient(self._loop, settings.name)
+        self._directory = Directory(
+            self._loop, settings, platform, self._services, self._members, self._channels
+        )
         self._clients = ClientListener(
             self._loop,
             settings.client_address,
@@ -70,7 +76,6 @@
         )
         self._add_gauges()
         self._executor = ThreadPoolExecutor(max_workers=EXECUTOR_THREADS)
-        self._members = MemberTable(settings.name, settings.peer_address, platform.store)
         self._succession = SuccessionDriver(
             self._loop,
             settings.name,
@@ -91,7 +96,9 @@
             self._succession.take_answer,
             self._succession.take_leader,
         )
-        self._relays = RelayServer(self._loop, settings.peer_address, self._directory.find)
+        self._lending = ChannelServer(
+            self._loop, settings.peer_address, self._services, self._directory.group_of
+        )
         self._services.suspect = self._succession.doubt
         self._directory.group_changed = self._succession.look_at
         self._watchers = [
@@ -118,7 +125,7 @@
             self._executor.submit(watcher.run)
         self._executor.submit(self._members.register, lambda: self._leaving_since is not None)
         self._witnesses.start()
-        self._relays.start()
+        self._lending.start()
         self._succession.start(self._witnesses)
         self._clients.start()
         self._ready.start()
@@ -149,7 +156,10 @@
         if self._leaving_since is not None:
             return
         self._leaving_since = self._loop.now()
-        logger.bind(sessions=len(self._clients.connections)).info("pooler_leaving")
+        self._lending.leave()
+        logger.bind(
+            sessions=len(self._clients.connections), channels=self._lending.channel_count
+        ).info("pooler_leaving")
 
     def _answer_ready(self, exchange: Exchange) -> None:
         status = 200 if self.is_ready else 503
@@ -175,12 +185,20 @@
                 ),
             ),
             ("members", "Processes that registered.", lambda: self._members.count),
+            ("links", "Links to processes that hold connections.", self._count_links),
+            ("channels_lent", "Channels of other processes.", self._count_channels),
             ("configuration_version", "In force.", lambda: self._services.routes.version),
             ("ready", "1 while new sessions are taken.", lambda: float(self.is_ready)),
         )
         for name, description, read in gauges:
             self._metrics.add_gauge(name, description, read)
 
+    def _count_links(self) -> float:
+        return self._channels.link_count
+
+    def _count_channels(self) -> float:
+        return self._lending.channel_count
+
     def _count_sessions(self) -> float:
         return len(self._clients.connections)
 
@@ -207,7 +225,7 @@
     def _coordination_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
         if self._members.take_rows(rows):
             self._succession.members_changed()
-            self._directory.share_connections(self._members.count)
+            self._directory.share_connections()
         self._succession.take_rows(rows)
 
     # Time.
@@ -239,7 +257,8 @@
             if elapsed > bound / 2:
                 connection.session.end_transaction("planned_stop")
             connection.session.leave()
-        if elapsed > bound / 2 and not self._clients.connections or elapsed > bound * 0.9:
+        is_done = not self._clients.connections and self._lending.at_rest
+        if (elapsed > bound / 2 and is_done) or elapsed > bound * 0.9:
             self._finish()
 
     def _finish(self) -> None:
@@ -251,7 +270,8 @@
         self._ready.close()
         self._metrics_server.close()
         self._witnesses.close()
-        self._relays.close()
+        self._lending.close()
+        self._channels.close()
         self._loop.stop()
 
 
--- a/tests/core/pooling/harness.py
+++ b/tests/core/pooling/harness.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from dewledge.core.pooling.client_session import ClientSession
+from dewledge.core.pooling.connection_pool import Opener
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.events import PoolingEvent, StatementAnswered
 from dewledge.core.pooling.group import Group, Place
@@ -366,6 +367,7 @@
         configured: bool = True,
         scheduler: ModelScheduler | None = None,
         model: ModelGroup | None = None,
+        opener: Opener | None = None,
     ) -> None:
         self.scheduler = scheduler or ModelScheduler()
         self.model = model or ModelGroup(self.scheduler)
@@ -374,7 +376,7 @@
         self.services = PoolServices(self.scheduler, self.events.append)
         self.services.suspect = lambda group, database: self.suspected.append(database)
         place = Place("b", {"a": "north", "b": "north", "c": "south"})
-        self.group = Group(GROUP, place, self.model, self.scheduler.now, 5.0)
+        self.group = Group(GROUP, place, opener or self.model, self.scheduler.now, 5.0)
         self.group.set_connection_limit(limit)
         self.services.groups[GROUP] = self.group
         self._revision = 0
--- a/tests/core/pooling/random_day.py
+++ b/tests/core/pooling/random_day.py
@@ -15,10 +15,24 @@
     PoolerHarness,
     SessionProbe,
 )
+from tests.core.sharing.model_channels import SharingHarness
 
 POOLERS = 3
 SESSIONS = 9
 STEP_SECONDS = 0.02
+FAULTS = (
+    "lose",
+    "break",
+    "busy",
+    "lag",
+    "deaf",
+    "deaf",
+    "heal",
+    "promote",
+    "crash",
+    "fail",
+    "doubt",
+)
 BOUND_SECONDS = 1.5
 PROMISES = frozenset(
     {
@@ -144,13 +158,18 @@
 
 
 class RandomDay:
-    """Plays a day from a seed; `violations` tells what did not hold."""
+    """Plays a day from a seed; `violations` tells what did not hold.
+
+    is_shared: all but the first pooler go through the connections of the first.
+    """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, is_shared: bool = False) -> None:
         self.random = random.Random(seed)
+        self.faults = (*FAULTS, "link") if is_shared else FAULTS
         self.scheduler = ModelScheduler()
         self.group = LaggingGroup(self.scheduler)
-        self.poolers = [PoolerHarness(4, True, self.scheduler, self.group) for _ in range(POOLERS)]
+        holder = PoolerHarness(4, True, self.scheduler, self.group)
+        self.poolers = [holder, *(self._pooler(holder, is_shared) for _ in range(1, POOLERS))]
         self.acknowledged: dict[str, float] = {}
         self.statements: dict[str, tuple[RandomClient, Asked]] = {}
         self.transactions = 0
@@ -159,6 +178,11 @@
             self._client(n, kinds[(n // POOLERS) % len(kinds)]) for n in range(SESSIONS)
         ]
 
+    def _pooler(self, holder: PoolerHarness, is_shared: bool) -> PoolerHarness:
+        if is_shared:
+            return SharingHarness(holder)
+        return PoolerHarness(4, True, self.scheduler, self.group)
+
     def _client(self, number: int, consistency: Consistency) -> RandomClient:
         session = self.poolers[number % POOLERS].session(consistency)
         return RandomClient(self, session, consistency)
@@ -202,21 +226,7 @@
         ]
 
     def _fault(self) -> None:
-        fault = self.random.choice(
-            (
-                "lose",
-                "break",
-                "busy",
-                "lag",
-                "deaf",
-                "deaf",
-                "heal",
-                "promote",
-                "crash",
-                "fail",
-                "doubt",
-            )
-        )
+        fault = self.random.choice(self.faults)
         database = self.random.choice(list(self.group.databases.values()))
         if fault == "lose":
             database.lose_answers += self.random.randrange(1, 4)
@@ -233,11 +243,18 @@
             self._heal()
         elif fault == "crash":
             self._silence(database)
+        elif fault == "link":
+            self._lose_link()
         elif fault == "doubt":
             self.random.choice(self.poolers).group.set_doubt(database.id, None)
         else:
             self._promote()
 
+    def _lose_link(self) -> None:
+        pooler = self.random.choice(self.poolers)
+        if isinstance(pooler, SharingHarness):
+            pooler.channels.lose_all()
+
     def _heal(self) -> None:
         position = self.group.primary.applied
         for name, database in self.group.databases.items():
--- a/tests/core/pooling/test_connection_pool.py
+++ b/tests/core/pooling/test_connection_pool.py
@@ -3,7 +3,6 @@
 import unittest
 
 from dewledge.core.pooling.connection_pool import ConnectionPool, Denial, Waiter
-from dewledge.core.pooling.connection_share import share_of_connections
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from tests.core.pooling.harness import ModelGroup, ModelScheduler
 
@@ -122,14 +121,33 @@
         self.assertEqual(self.model.databases["p"].open_connections, 2)
 
 
-class ShareTest(unittest.TestCase):
-    def test_the_shares_of_all_members_stay_within_the_limit(self) -> None:
-        for limit in (1, 4, 36, 50, 100):
-            for members in range(1, max(limit - limit // 10, 2)):
-                share = share_of_connections(limit, members)
-                self.assertGreaterEqual(share, 1)
-                if members <= limit - max(limit // 10, 1):
-                    self.assertLessEqual(share * members, limit)
+class RenewTest(PoolCase):
+    def test_connections_of_an_older_way_are_not_given_out_again(self) -> None:
+        self.acquire("a")
+        self.acquire("b")
+        self.pool.release(self.given[0][1])
+        self.pool.renew()
+        self.pool.release(self.given[1][1])
+        self.assertEqual(self.model.databases["p"].open_connections, 0)
+        self.acquire("c")
+        self.assertNotIn(self.given[2][1], [given for _, given in self.given[:2]])
+
+    def test_one_that_was_being_opened_is_closed_and_another_opened(self) -> None:
+        self.acquire("a", wait=0.0)
+        self.pool.renew()
+        self.scheduler.advance(0.1)
+        self.assertEqual([name for name, _ in self.given], ["a"])
+        self.assertEqual(self.model.databases["p"].open_connections, 1)
+
+    def test_one_that_retires_is_closed_when_it_comes_back_or_would_be_given(self) -> None:
+        self.acquire("a")
+        self.given[0][1].is_retiring = True
+        self.pool.release(self.given[0][1])
+        self.acquire("b")
+        self.pool.release(self.given[1][1])
+        self.given[1][1].is_retiring = True
+        self.acquire("c")
+        self.assertEqual(len({id(connection) for _, connection in self.given}), 3)
 
 
 if __name__ == "__main__":
--- a/tests/core/pooling/test_random_days.py
+++ b/tests/core/pooling/test_random_days.py
@@ -26,6 +26,16 @@
         self.assertGreater(answered, DAYS * 200)
 
 
+class SharedDaysTest(unittest.TestCase):
+    def test_nothing_is_broken_when_statements_go_through_a_holder(self) -> None:
+        answered = 0
+        for seed in range(DAYS):
+            day = RandomDay(seed, is_shared=True).play(SECONDS)
+            self.assertEqual(day.violations(), [], f"seed {seed}")
+            answered += len(day.group.ran)
+        self.assertGreater(answered, DAYS * 200)
+
+
 class CheckersTest(unittest.TestCase):
     """Each checker is seen red once, with one guard of the code switched off."""
 
--- /dev/null
+++ b/tests/core/sharing/model_channels.py
@@ -0,0 +1,108 @@
+"""Channels to a holder in memory, for tests of sharing without sockets."""
+
+from collections.abc import Callable
+
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.statements import Reply, Statement
+from dewledge.core.positions import LogPosition
+from dewledge.core.sharing.channel_session import ChannelSession
+from dewledge.core.sharing.messages import channel_reply, channel_statement, decode, encode
+from dewledge.errors import ErrorCode
+from tests.core.pooling.harness import GROUP, ROUND_TRIP, ModelGroup, PoolerHarness
+
+
+class ModelChannels:
+    """Opens channels to one holder; `lose_all` is the end of the link to it."""
+
+    def __init__(self, holder: PoolerHarness) -> None:
+        self.holder = holder
+        self.channels: list[ModelChannel] = []
+        self.is_reachable = True
+
+    def open(
+        self,
+        database_id: str,
+        opened: Callable[[DatabaseConnection], None],
+        failed: Callable[[ErrorCode], None],
+        closed: Callable[[DatabaseConnection], None],
+    ) -> None:
+        def finish() -> None:
+            if not self.is_reachable:
+                failed(ErrorCode.DATABASE_UNREACHABLE)
+                return
+            channel = ModelChannel(self, database_id, closed)
+            self.channels.append(channel)
+            opened(channel.connection)
+
+        self.holder.scheduler.call_later(0.0, finish)
+
+    def lose_all(self) -> None:
+        channels, self.channels = self.channels, []
+        for channel in channels:
+            channel.session.close()
+            channel.lose()
+
+
+class ModelChannel:
+    """Both ends of one channel; messages pass through the codec and arrive in order."""
+
+    def __init__(
+        self,
+        channels: ModelChannels,
+        database_id: str,
+        closed: Callable[[DatabaseConnection], None],
+    ) -> None:
+        self.channels = channels
+        self.scheduler = channels.holder.scheduler
+        self.connection = DatabaseConnection(database_id, self)
+        self.is_over = False
+        self._closed = closed
+        holder = channels.holder
+        self.session = ChannelSession("peer/1", holder.services, holder.group, database_id, self)
+
+    # As the transport of the peer's connection.
+
+    def send(self, statement: Statement, floor: LogPosition | None) -> None:
+        data = encode(channel_statement(1, statement, floor, self.connection.priority))
+
+        def arrive() -> None:
+            self.session.handle(decode(data))  # type: ignore[arg-type]
+
+        self.scheduler.call_later(ROUND_TRIP / 2, arrive)
+
+    def close(self) -> None:
+        self.is_over = True
+        self.scheduler.call_later(ROUND_TRIP / 2, self.session.close)
+        self._closed(self.connection)
+
+    # As the transport of the holder's session.
+
+    def send_reply(self, reply: Reply) -> None:
+        data = encode(channel_reply(1, reply))
+
+        def arrive() -> None:
+            if not self.is_over:
+                self.connection.on_reply(decode(data).reply)  # type: ignore[union-attr]
+
+        self.scheduler.call_later(ROUND_TRIP / 2, arrive)
+
+    def send_ended(self) -> None:
+        self.scheduler.call_later(ROUND_TRIP / 2, self.lose)
+
+    def lose(self) -> None:
+        if not self.is_over:
+            self.is_over = True
+            self.connection.on_closed()
+            self._closed(self.connection)
+
+
+class SharingHarness(PoolerHarness):
+    """A pooler whose statements go through a holder."""
+
+    def __init__(self, holder: PoolerHarness, model: ModelGroup | None = None) -> None:
+        self.channels = ModelChannels(holder)
+        shared = model or holder.model
+        super().__init__(64, True, holder.scheduler, shared, self.channels)
+
+
+__all__ = ["GROUP", "ModelChannel", "ModelChannels", "SharingHarness"]
--- /dev/null
+++ b/tests/core/sharing/test_channel_session.py
@@ -0,0 +1,149 @@
+"""A pooler whose statements run on another's connections: sessions, transactions, each loss."""
+
+import unittest
+
+from dewledge.core.pooling.routes import Consistency
+from dewledge.core.pooling.statements import StatementKind, TransactionState
+from dewledge.errors import ErrorCode
+from tests.core.pooling.harness import PoolerHarness
+from tests.core.sharing.model_channels import SharingHarness
+
+
+class SharingCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.holder = PoolerHarness(limit=2)
+        self.scheduler = self.holder.scheduler
+        self.model = self.holder.model
+        self.pooler = SharingHarness(self.holder)
+
+    def open_connections(self) -> int:
+        return sum(database.open_connections for database in self.model.databases.values())
+
+
+class StatementTest(SharingCase):
+    def test_a_write_and_a_read_run_on_the_holders_connection(self) -> None:
+        session = self.pooler.session()
+        self.assertIsNone(session.write().failure)
+        reply = session.read()
+        self.assertEqual(reply.rows, ("row",))
+        self.assertTrue(reply.signature.startswith("signed-"))
+
+    def test_many_sessions_share_the_holders_limit(self) -> None:
+        sessions = [self.pooler.session(Consistency.PRIMARY) for _ in range(12)]
+        ids = [session.start(StatementKind.WRITE, argument="t d") for session in sessions]
+        self.scheduler.advance(0.4)
+        replies = [s.reply(known) for s, known in zip(sessions, ids, strict=True)]
+        self.assertEqual([reply.failure for reply in replies], [None] * 12)
+        self.assertLessEqual(self.model.databases["p"].open_connections, 2)
+
+    def test_values_and_prepared_names_follow_the_session(self) -> None:
+        first, second = self.pooler.session(), self.pooler.session()
+        for session, value in ((first, "1"), (second, "2"), (first, "1"), (second, "2")):
+            session.ask(StatementKind.SET_VALUE, "zone", value)
+            session.ask(StatementKind.PREPARE, "q", f"shape{value}", writes=False)
+            reply = session.ask(StatementKind.EXECUTE, "q", "thing")
+            self.assertIsNone(reply.failure)
+            self.assertEqual(self.model.ran[-1].values, {"zone": value})
+            self.assertEqual(self.model.ran[-1].prepared, f"False shape{value}")
+
+    def test_a_transaction_keeps_one_connection(self) -> None:
+        session, other = self.pooler.session(), self.pooler.session()
+        session.ask(StatementKind.BEGIN)
+        session.write()
+        other.write()
+        session.write()
+        self.assertIsNone(session.ask(StatementKind.COMMIT).failure)
+        inside = [ran.connection for ran in self.model.ran if ran.in_transaction]
+        self.assertEqual(len(inside), 3)
+        self.assertEqual(len(set(inside)), 1)
+
+    def test_a_read_of_the_primary_proves_the_lead_through_the_holder(self) -> None:
+        session = self.pooler.session(Consistency.PRIMARY)
+        self.assertIsNone(session.read().failure)
+        self.assertIn(StatementKind.BEGIN, self.model.own)
+        self.model.promote("r1")
+        self.scheduler.advance(0.1)
+        self.assertEqual(session.read(wait=1.0).failure.code, ErrorCode.OVERLOADED)
+
+
+class LossTest(SharingCase):
+    def test_no_connection_in_time_is_not_run(self) -> None:
+        for _ in range(2):
+            session = self.pooler.session()
+            session.ask(StatementKind.BEGIN)
+            session.write()
+        ran = len(self.model.ran)
+        reply = self.pooler.session(Consistency.PRIMARY).write(wait=0.8)
+        self.assertEqual(reply.failure.code, ErrorCode.OVERLOADED)
+        self.scheduler.advance(2.0)
+        self.assertEqual(len(self.model.ran), ran)
+
+    def test_a_database_that_the_holder_cannot_reach_is_doubted_by_both(self) -> None:
+        self.model.databases["p"].refuse_connections = True
+        reply = self.pooler.session().write(wait=0.8)
+        self.assertEqual(reply.failure.code, ErrorCode.OVERLOADED)
+        self.assertIn("p", self.holder.suspected)
+        self.assertIn("p", self.pooler.suspected)
+
+    def test_a_link_lost_after_sending_leaves_a_write_in_doubt(self) -> None:
+        session = self.pooler.session()
+        known = session.start(StatementKind.WRITE, argument="t d")
+        self.scheduler.advance(0.006)
+        self.pooler.channels.lose_all()
+        self.scheduler.advance(1.0)
+        self.assertEqual(session.reply(known).failure.code, ErrorCode.CONNECTION_LOST)
+        self.assertIsNone(session.write().failure)
+
+    def test_a_link_lost_after_sending_has_a_read_run_again(self) -> None:
+        session = self.pooler.session()
+        known = session.start(StatementKind.READ, argument="t")
+        self.scheduler.advance(0.008)
+        self.pooler.channels.lose_all()
+        self.scheduler.advance(0.5)
+        self.assertIsNone(session.reply(known).failure)
+
+    def test_a_link_lost_in_a_transaction_rolls_it_back(self) -> None:
+        session = self.pooler.session()
+        session.ask(StatementKind.BEGIN)
+        session.write()
+        self.pooler.channels.lose_all()
+        self.scheduler.advance(0.1)
+        reply = session.write()
+        self.assertEqual(reply.failure.code, ErrorCode.TRANSACTION_LOST)
+        self.assertEqual(reply.state, TransactionState.FAILED)
+        self.assertEqual(self.model.commits, [])
+        self.scheduler.advance(1.0)
+        other = self.pooler.session()
+        self.assertIsNone(other.write().failure)
+
+    def test_a_connection_lost_behind_the_holder_ends_the_channel(self) -> None:
+        session = self.pooler.session()
+        self.model.databases["p"].break_answers = 1
+        self.assertEqual(session.write().failure.code, ErrorCode.CONNECTION_LOST)
+        self.assertIsNone(session.write().failure)
+
+    def test_a_client_that_leaves_gives_the_connection_back(self) -> None:
+        for _ in range(4):
+            session = self.pooler.session()
+            session.ask(StatementKind.BEGIN)
+            session.write()
+            session.session.end()
+            self.scheduler.advance(0.1)
+        self.assertIsNone(self.pooler.session().write().failure)
+        self.assertEqual(len(self.model.commits), 1)
+
+    def test_a_holder_that_ends_refuses_what_begins(self) -> None:
+        self.holder.services.is_ending = True
+        self.assertEqual(self.pooler.session().write().failure.code, ErrorCode.OVERLOADED)
+        self.assertEqual(self.model.ran, [])
+
+    def test_no_other_process_gets_work_to_a_database_that_left(self) -> None:
+        self.holder.announce("p", draining=True)
+        self.scheduler.advance(6.0)
+        ran = len(self.model.ran)
+        self.pooler.session(Consistency.PRIMARY).write(wait=1.0)
+        self.assertEqual(len(self.model.ran), ran)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_member_table.py
+++ b/tests/platform/test_member_table.py
@@ -3,14 +3,15 @@
 import unittest
 
 from dewledge.core.coordination_store import StoreRow
+from dewledge.core.sharing.members import Member
 from dewledge.platform.store_client import PlatformStore
-from dewledge.shell.pooling.coordination_rows import TABLE, MemberValue, encode_value
+from dewledge.shell.pooling.coordination_rows import TABLE, encode_value
 from dewledge.shell.pooling.member_table import ASSUMED_MEMBERS, MemberTable
 from tests.platform.table_store import TableStore
 
 
 def row(name: str, address: str, version: int = 1, gone: bool = False) -> StoreRow:
-    value = b"" if gone else encode_value(MemberValue(address))
+    value = b"" if gone else encode_value(Member(address))
     return StoreRow(f"member/{name}", value, version, gone)
 
 
@@ -18,7 +19,7 @@
     def setUp(self) -> None:
         self.stand_in = TableStore()
         self.addCleanup(self.stand_in.close)
-        self.members = MemberTable("a", "10.0.0.1:1", PlatformStore(self.stand_in.address))
+        self.members = MemberTable("a", Member("10.0.0.1:1"), PlatformStore(self.stand_in.address))
 
     def test_before_the_table_is_known_many_are_assumed(self) -> None:
         self.assertEqual(self.members.count, ASSUMED_MEMBERS)
@@ -31,7 +32,7 @@
         self.assertEqual(self.members.addresses, {"a": "10.0.0.1:1", "b": "10.0.0.9:1"})
 
     def test_rows_that_cannot_be_read_change_nothing(self) -> None:
-        for value in (b"", b"\xff", b"\x00", encode_value(MemberValue("x"))[:3]):
+        for value in (b"", b"\xff", b"\x00", encode_value(Member("x"))[:3]):
             self.members.take_rows([StoreRow("member/b", value, 1)])
         self.assertEqual(set(self.members.addresses), {"a"})
 
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_sharing_links.py
@@ -5,10 +5,10 @@
 import unittest
 
 import cbor2
+from dewledge.shell.pooling.relay import RelayServer, open_through_relay
 
 from dewledge.core.pooling.group_view import DatabaseRecord, DatabaseRole
 from dewledge.shell.event_loop import EventLoop
-from dewledge.shell.pooling.relay import RelayServer, open_through_relay
 from tests.platform.table_store import TableStore
 from tests.platform.wire_databases import WireGroup
 
