Have two processes read the store's tables, and the others follow them

Change: core/sharing/readers (who reads, a tree of followers, two steps at 850), table_cache, and in the shell a follower and a publisher over the links that carry channels. An answer tells how old the source's word is; counted from the sending of the question it is never younger than the truth, so a cut, a frozen or a slow source is noticed and left, and at last the store is read by the process itself. Up to twelve processes read for themselves as before. The own row is written from the watched table, without a read. Ruled out: longer feed calls (a silent store swallows one, and the configuration's bound is 4 s).

--- a/src/dewledge/core/sharing/messages.py
+++ b/src/dewledge/core/sharing/messages.py
@@ -1,7 +1,7 @@
 """What two processes say to each other on a link. Typed; cbor2 arrays on the wire.
 
 A link is dialled by the process that needs something. It carries channels, each of which stands for
-one connection to a database that the other process holds.
+one connection to a database that the other process holds, and questions for the store's tables.
 """
 
 import cbor2
@@ -15,6 +15,7 @@
     TransactionState,
 )
 from dewledge.core.positions import LogPosition
+from dewledge.core.sharing.table_cache import TableDelta
 from dewledge.errors import ErrorCode, ProtocolError
 
 
@@ -96,6 +97,39 @@
     channel: int
 
 
+class TablePosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far a follower is in one table."""
+
+    table: str
+    version: int
+
+
+class FollowTables(LinkMessage, frozen=True, tag="follow"):
+    """Asks for what has changed; answered when something has, or after a moment."""
+
+    number: int
+    positions: tuple[TablePosition, ...]
+
+
+class TableNews(msgspec.Struct, frozen=True, array_like=True):
+    """One table's part of an answer.
+
+    age_seconds: when it was sent, so long ago the table was surely the store's newest; negative
+    where the sender has never read it.
+    """
+
+    table: str
+    delta: TableDelta
+    age_seconds: float
+
+
+class TablesAnswered(LinkMessage, frozen=True, tag="tables"):
+    """The answer to FollowTables of the same number."""
+
+    number: int
+    news: tuple[TableNews, ...]
+
+
 PeerLinkMessage = (
     LinkOpened
     | Ping
@@ -106,6 +140,8 @@
     | ChannelReply
     | ChannelEnded
     | ChannelClosed
+    | FollowTables
+    | TablesAnswered
 )
 
 
--- a/src/dewledge/shell/pooling/channel_client.py
+++ b/src/dewledge/shell/pooling/channel_client.py
@@ -17,6 +17,7 @@
 from dewledge.errors import ErrorCode
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.pooling.outgoing_link import OutgoingLink
+from dewledge.shell.pooling.outgoing_links import OutgoingLinks
 
 OpenedCallback = Callable[[DatabaseConnection], None]
 
@@ -24,22 +25,12 @@
 class ChannelClient:
     """All channels of one process to others."""
 
-    def __init__(self, loop: EventLoop, own_name: str) -> None:
+    def __init__(self, loop: EventLoop, links: OutgoingLinks) -> None:
         self._loop = loop
-        self._own_name = own_name
-        self._links: dict[str, OutgoingLink] = {}
+        self._links = links
         self._channels: dict[OutgoingLink, dict[int, _Channel]] = {}
         self._numbers = itertools.count(1)
-
-    @property
-    def link_count(self) -> int:
-        """The links that are open."""
-        return sum(link.is_open for link in self._links.values())
-
-    def close(self) -> None:
-        """Ends all links."""
-        for link in self._links.values():
-            link.close()
+        links.add_user(self)
 
     def open(
         self,
@@ -50,55 +41,47 @@
         closed: OpenedCallback,
     ) -> None:
         """Opens a channel through the first process that can be reached; as Opener.open."""
-        usable = [address for address in addresses if self.link(address).is_usable]
+        usable = [address for address in addresses if self._links.to(address).is_usable]
         if not usable:
             self._loop.call_later(0.0, lambda: failed(ErrorCode.DATABASE_UNREACHABLE))
             return
-        link = self.link(usable[0])
+        link = self._links.to(usable[0])
 
         def go_on() -> None:
             self.open(database_id, usable[1:], opened, failed, closed)
 
         def reached() -> None:
             channel = _Channel(link, next(self._numbers), database_id, closed, self._forget)
-            self._channels[link][channel.number] = channel
+            self._channels.setdefault(link, {})[channel.number] = channel
             link.send(ChannelOpened(channel.number, database_id))
             opened(channel.connection)
 
         link.when_open(reached, go_on)
 
-    def link(self, address: str) -> OutgoingLink:
-        """Returns the link to an address, made if there is none."""
-        known = self._links.get(address)
-        if known is None:
-            known = OutgoingLink(
-                self._loop, self._own_name, address, self._received, self._lost, self._retire
-            )
-            self._links[address] = known
-            self._channels[known] = {}
-        return known
-
-    def _received(self, link: OutgoingLink, message: PeerLinkMessage) -> None:
+    def link_received(self, link: OutgoingLink, message: PeerLinkMessage) -> None:
+        """Takes a message of a link."""
+        channels = self._channels.get(link, {})
         if isinstance(message, ChannelReply):
-            channel = self._channels[link].get(message.channel)
+            channel = channels.get(message.channel)
             if channel is not None:
                 channel.answer(message)
         elif isinstance(message, ChannelEnded):
-            channel = self._channels[link].pop(message.channel, None)
+            channel = channels.pop(message.channel, None)
             if channel is not None:
                 channel.end()
 
-    def _lost(self, link: OutgoingLink) -> None:
-        channels, self._channels[link] = self._channels[link], {}
-        for channel in channels.values():
+    def link_lost(self, link: OutgoingLink) -> None:
+        """A link ended: so do its channels."""
+        for channel in self._channels.pop(link, {}).values():
             channel.end()
 
-    def _retire(self, link: OutgoingLink) -> None:
-        for channel in self._channels[link].values():
+    def link_retiring(self, link: OutgoingLink) -> None:
+        """Nothing new should begin on a link's channels."""
+        for channel in self._channels.get(link, {}).values():
             channel.connection.is_retiring = True
 
     def _forget(self, link: OutgoingLink, number: int) -> None:
-        self._channels[link].pop(number, None)
+        self._channels.get(link, {}).pop(number, None)
 
 
 class _Channel:
--- a/src/dewledge/shell/pooling/channel_server.py
+++ b/src/dewledge/shell/pooling/channel_server.py
@@ -14,6 +14,7 @@
     ChannelEnded,
     ChannelOpened,
     ChannelStatement,
+    FollowTables,
     Leaving,
     LinkOpened,
     PeerLinkMessage,
@@ -29,6 +30,9 @@
 MAX_CHANNELS = 2048
 
 
+FollowCallback = Callable[["IncomingLink", FollowTables], None]
+
+
 class ChannelServer:
     """The listener of one process for others' links."""
 
@@ -38,11 +42,16 @@
         address: str,
         services: PoolServices,
         find: Callable[[str], Group | None],
+        followed: FollowCallback,
     ) -> None:
-        """Binds `address`. Raises OSError if it cannot. `find`: the group of a database."""
+        """Binds `address`. Raises OSError if it cannot.
+
+        find: the group of a database. followed: called with who asks for the store's tables.
+        """
         self._loop = loop
         self._services = services
         self._find = find
+        self._followed = followed
         self._listener, self.address = listen_tcp(address)
         self._links: set[IncomingLink] = set()
 
@@ -78,7 +87,14 @@
                 sock, _ = self._listener.accept()
             except OSError:
                 return
-            link = IncomingLink(self._loop, sock, self._services, self._find, self._links.discard)
+            link = IncomingLink(
+                self._loop,
+                sock,
+                self._services,
+                self._find,
+                self._followed,
+                self._links.discard,
+            )
             self._links.add(link)
 
 
@@ -91,15 +107,22 @@
         sock: socket.socket,
         services: PoolServices,
         find: Callable[[str], Group | None],
+        followed: FollowCallback,
         gone: Callable[["IncomingLink"], None],
     ) -> None:
         self._services = services
         self._find = find
+        self._followed = followed
         self._gone = gone
         self._peer = ""
         self._channels: dict[int, ChannelSession] = {}
         self._stream = FramedStream(loop, sock, self._received, self.close)
 
+    @property
+    def closed(self) -> bool:
+        """Whether the link is over."""
+        return self._stream.closed
+
     @property
     def channel_count(self) -> int:
         """The channels that are open."""
@@ -135,6 +158,8 @@
             closed = self._channels.pop(message.channel, None)
             if closed is not None:
                 closed.close()
+        elif isinstance(message, FollowTables):
+            self._followed(self, message)
         elif isinstance(message, Ping):
             self.send(Pong())
         elif isinstance(message, LinkOpened):
--- a/src/dewledge/shell/pooling/member_table.py
+++ b/src/dewledge/shell/pooling/member_table.py
@@ -1,13 +1,15 @@
 """The processes that registered themselves in the store, and the own registration."""
 
+import random
 import time
 from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
 
 from loguru import logger
 
 from dewledge.core.coordination_store import CoordinationStore, StoreRow, StoreWrite
 from dewledge.core.sharing.members import Member
-from dewledge.errors import StoreConditionFailed, StoreError
+from dewledge.errors import StoreError
 from dewledge.shell.pooling.coordination_rows import (
     MEMBER_PREFIX,
     TABLE,
@@ -28,6 +30,10 @@
         self._own = own
         self._store = store
         self.members: dict[str, Member] = {own_name: own}
+        self._key = MEMBER_PREFIX + own_name
+        self._value = encode_value(own)
+        self._own_row: StoreRow | None = None
+        self._is_registering = False
         self.is_known = False
         """Whether the table was read; before, ASSUMED_MEMBERS share the databases."""
 
@@ -52,6 +58,9 @@
         for row in rows:
             if not row.key.startswith(MEMBER_PREFIX):
                 continue
+            if row.key == self._key:
+                self._own_row = None if row.gone else row
+                self._is_registering = False
             name = row.key.removeprefix(MEMBER_PREFIX)
             member = None if row.gone else read_member(row)
             if member is not None:
@@ -59,20 +68,44 @@
             elif name != self._own_name:
                 self.members.pop(name, None)
 
-    def register(self, is_stopped: Callable[[], bool]) -> None:
-        """Writes the own row unless it is there already. Runs on the executor."""
-        key = MEMBER_PREFIX + self._own_name
-        value = encode_value(self._own)
-        while not is_stopped():
-            try:
-                known = [row for row in self._store.read_table(TABLE).rows if row.key == key]
-                if known and known[0].value == value:
-                    return
-                expected = known[0].version if known else 0
-                self._store.write(StoreWrite(TABLE, key, value, expected))
-                logger.bind(name=self._own_name).info("member_registered")
-                return
-            except StoreConditionFailed:
-                continue
-            except StoreError:
-                time.sleep(RETRY_SECONDS)
+    def forget_all(self) -> None:
+        """The whole table follows: who is not in it has gone."""
+        self.members = {self._own_name: self._own}
+        self._own_row = None
+
+    def register_if_missing(self, executor: Executor, is_stopped: Callable[[], bool]) -> None:
+        """Has the own row written unless the table holds it, or it is being written."""
+        if self._is_registering or (
+            self._own_row is not None and self._own_row.value == self._value
+        ):
+            return
+        self._is_registering = True
+        expected = 0 if self._own_row is None else self._own_row.version
+        executor.submit(self._register, expected, is_stopped)
+
+    def _register(self, expected: int, is_stopped: Callable[[], bool]) -> None:
+        """Writes the own row. Runs on the executor."""
+        while not is_stopped() and not self._try_to_register(expected):
+            time.sleep(RETRY_SECONDS * random.uniform(0.7, 1.3))
+            expected = self._read_back(expected)
+            if expected < 0:
+                break
+        # The row itself, once it is seen, tells whether there is anything left to do.
+
+    def _try_to_register(self, expected: int) -> bool:
+        try:
+            self._store.write(StoreWrite(TABLE, self._key, self._value, expected))
+        except StoreError:
+            return False
+        logger.bind(name=self._own_name).info("member_registered")
+        return True
+
+    def _read_back(self, expected: int) -> int:
+        """Returns the version of the own row, -1 if it holds what it should."""
+        try:
+            rows = [row for row in self._store.read_table(TABLE).rows if row.key == self._key]
+        except StoreError:
+            return expected
+        if not rows:
+            return 0
+        return -1 if rows[0].value == self._value else rows[0].version
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -21,11 +21,12 @@
 from dewledge.shell.pooling.directory import Directory
 from dewledge.shell.pooling.event_log import EventLog
 from dewledge.shell.pooling.member_table import MemberTable
+from dewledge.shell.pooling.outgoing_links import OutgoingLinks
 from dewledge.shell.pooling.platform_adapter import PlatformAdapter
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
 from dewledge.shell.pooling.settings_file import SettingsFile
 from dewledge.shell.pooling.succession_driver import SuccessionDriver
-from dewledge.shell.pooling.table_watcher import TableWatcher
+from dewledge.shell.pooling.table_reading import TableReading
 from dewledge.shell.pooling.witnesses import Witnesses
 
 SWEEP_SECONDS = 0.25
@@ -57,7 +58,8 @@
         self._services = PoolServices(_LoopScheduler(self._loop), self._log.record)
         own = Member(settings.peer_address, settings.zone)
         self._members = MemberTable(settings.name, own, platform.store)
-        self._channels = ChannelClient(self._loop, settings.name)
+        self._links = OutgoingLinks(self._loop, settings.name)
+        self._channels = ChannelClient(self._loop, self._links)
         self._directory = Directory(
             self._loop, settings, platform, self._services, self._members, self._channels
         )
@@ -96,20 +98,29 @@
             self._succession.take_answer,
             self._succession.take_leader,
         )
+        self._tables = TableReading(
+            self._loop, settings, platform, self._links, self._members, self._executor
+        )
+        self._tables.add(
+            platform.configuration_table,
+            self._directory.take_configuration_rows,
+            self._directory.take_configuration_rows,
+        )
+        self._tables.add(
+            platform.database_table,
+            self._directory.take_database_snapshot,
+            self._directory.take_database_rows,
+        )
+        self._tables.add(TABLE, self._coordination_snapshot, self._coordination_rows)
         self._lending = ChannelServer(
-            self._loop, settings.peer_address, self._services, self._directory.group_of
+            self._loop,
+            settings.peer_address,
+            self._services,
+            self._directory.group_of,
+            self._tables.take_question,
         )
         self._services.suspect = self._succession.doubt
         self._directory.group_changed = self._succession.look_at
-        self._watchers = [
-            self._watch(platform.configuration_table, self._directory.take_configuration_rows),
-            self._watch(
-                platform.database_table,
-                self._directory.take_database_rows,
-                self._directory.take_database_snapshot,
-            ),
-            self._watch(TABLE, self._coordination_rows),
-        ]
         self._leaving_since: float | None = None
 
     def run(self) -> None:
@@ -121,9 +132,7 @@
             peers=self._settings.peer_address,
             store=self._settings.store_address,
         ).info("pooler_started")
-        for watcher in self._watchers:
-            self._executor.submit(watcher.run)
-        self._executor.submit(self._members.register, lambda: self._leaving_since is not None)
+        self._tables.start()
         self._witnesses.start()
         self._lending.start()
         self._succession.start(self._witnesses)
@@ -194,7 +203,7 @@
             self._metrics.add_gauge(name, description, read)
 
     def _count_links(self) -> float:
-        return self._channels.link_count
+        return self._links.open_count
 
     def _count_channels(self) -> float:
         return self._lending.channel_count
@@ -212,20 +221,16 @@
             self._settings = changed
             self._platform.store.change_address(changed.store_address)
 
-    def _watch(
-        self,
-        table: str,
-        changed: Callable[[tuple[StoreRow, ...], int], None],
-        snapshot: Callable[[tuple[StoreRow, ...], int], None] | None = None,
-    ) -> TableWatcher:
-        return TableWatcher(
-            self._platform.store, table, snapshot or changed, changed, self._loop.post
-        )
+    def _coordination_snapshot(self, rows: tuple[StoreRow, ...], version: int) -> None:
+        self._members.forget_all()
+        self._coordination_rows(rows, version)
 
     def _coordination_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
         if self._members.take_rows(rows):
             self._succession.members_changed()
             self._directory.share_connections()
+            self._tables.members_changed()
+        self._members.register_if_missing(self._executor, lambda: self._leaving_since is not None)
         self._succession.take_rows(rows)
 
     # Time.
@@ -264,14 +269,13 @@
     def _finish(self) -> None:
         self._succession.stop()
         logger.bind(unfinished=len(self._clients.connections)).info("pooler_stopped")
-        for watcher in self._watchers:
-            watcher.stop()
+        self._tables.stop()
         self._clients.close()
         self._ready.close()
         self._metrics_server.close()
         self._witnesses.close()
         self._lending.close()
-        self._channels.close()
+        self._links.close()
         self._loop.stop()
 
 
--- /dev/null
+++ b/src/dewledge/shell/pooling/table_follower.py
@@ -0,0 +1,163 @@
+"""Learns the store's tables from another process, and doubts it in time.
+
+One question at a time goes to a source; its answer says how long ago the tables were surely the
+newest. What this process knows is at most as old as that, counted from the sending of its question.
+A source that is silent, or whose own word is too old, is left for the next; when none has sure
+word, the store is read by this process itself.
+"""
+
+import itertools
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from loguru import logger
+
+from dewledge.core.sharing.messages import (
+    FollowTables,
+    PeerLinkMessage,
+    TablePosition,
+    TablesAnswered,
+)
+from dewledge.shell.event_loop import EventLoop, Timer
+from dewledge.shell.pooling.followed_table import FollowedTable
+from dewledge.shell.pooling.outgoing_link import OutgoingLink
+from dewledge.shell.pooling.outgoing_links import OutgoingLinks
+
+ANSWER_LIMIT_SECONDS = 1.1
+"""A source holds a question for half a second; a silent one is given up after this."""
+PAUSE_SECONDS = 0.3
+OWN_READ_SECONDS = 0.8
+LONGEST_OWN_READ_SECONDS = 3.0
+
+
+class TableFollower:
+    """All methods belong to the loop's thread."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        links: OutgoingLinks,
+        tables: Mapping[str, FollowedTable],
+        read_store: Callable[[str], None],
+        changed: Callable[[], None],
+    ) -> None:
+        """`read_store`: has a table read from the store once. `changed`: told after news."""
+        self._loop = loop
+        self._links = links
+        self._tables = tables
+        self._read_store = read_store
+        self._changed = changed
+        self._sources: Sequence[str] = ()
+        self._numbers = itertools.count(1)
+        self._number = 0
+        self._asked_at = 0.0
+        self._asked: OutgoingLink | None = None
+        self._timer: Timer | None = None
+        self._not_before = 0.0
+        self._own_reads = 0
+        links.add_user(self)
+
+    @property
+    def source(self) -> str:
+        """The address of the process that is followed, empty for none."""
+        return self._sources[0] if self._sources else ""
+
+    def follow(self, sources: Sequence[str]) -> None:
+        """Follows the processes at these addresses, the first that has sure word; none ends it."""
+        if set(sources) == set(self._sources):
+            return
+        self._sources = tuple(sources)
+        self._number = 0
+        logger.bind(source=self.source, sources=len(self._sources)).info("tables_followed")
+        self._schedule(0.0)
+
+    def link_received(self, link: OutgoingLink, message: PeerLinkMessage) -> None:
+        """Takes a message of a link."""
+        if isinstance(message, TablesAnswered) and message.number == self._number:
+            self._number = 0
+            self._take(message)
+
+    def link_lost(self, link: OutgoingLink) -> None:
+        """A link ended."""
+        if self._number and link is self._asked:
+            self._leave_source("link_lost")
+
+    def link_retiring(self, link: OutgoingLink) -> None:
+        """Nothing new should begin on a link; the time limit of the question sees to it."""
+
+    def _schedule(self, delay: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._sources:
+            self._timer = self._loop.call_later(delay, self._ask)
+
+    def _ask(self) -> None:
+        self._timer = None
+        self._read_if_doubtful()
+        link = self._links.to(self.source)
+        if not link.is_usable:
+            self._next_source("not_usable")
+            return
+        number = next(self._numbers)
+        self._number = number
+        self._asked = link
+        self._timer = self._loop.call_later(ANSWER_LIMIT_SECONDS, self._unanswered)
+
+        def send() -> None:
+            if self._number == number:
+                self._asked_at = self._loop.now()
+                link.send(FollowTables(number, self._positions()))
+
+        def fail() -> None:
+            if self._number == number:
+                self._leave_source("unreachable")
+
+        link.when_open(send, fail)
+
+    def _positions(self) -> tuple[TablePosition, ...]:
+        return tuple(TablePosition(name, table.version) for name, table in self._tables.items())
+
+    def _take(self, answer: TablesAnswered) -> None:
+        is_news = False
+        for news in answer.news:
+            table = self._tables.get(news.table)
+            if table is not None and news.age_seconds >= 0:
+                is_news |= table.take(news.delta, self._asked_at - news.age_seconds)
+        if is_news:
+            self._changed()
+        if self._is_doubtful():
+            self._next_source("word_too_old")
+        else:
+            self._own_reads = 0
+            self._schedule(0.0)
+
+    def _is_doubtful(self) -> bool:
+        now = self._loop.now()
+        return any(table.is_doubtful(now) for table in self._tables.values())
+
+    def _unanswered(self) -> None:
+        self._leave_source("silent")
+
+    def _leave_source(self, reason: str) -> None:
+        self._number = 0
+        self._next_source(reason)
+
+    def _next_source(self, reason: str) -> None:
+        before = self.source
+        self._sources = (*self._sources[1:], *self._sources[:1])
+        logger.bind(source=before, next=self.source, reason=reason).info("source_left")
+        self._schedule(PAUSE_SECONDS * random.uniform(0.5, 1.0))
+        self._read_if_doubtful()
+
+    def _read_if_doubtful(self) -> None:
+        """Reads the store, less and less often while that does not help either."""
+        now = self._loop.now()
+        doubtful = [name for name, table in self._tables.items() if table.is_doubtful(now)]
+        if not doubtful or now < self._not_before:
+            return
+        self._own_reads += 1
+        wait = min(OWN_READ_SECONDS * self._own_reads, LONGEST_OWN_READ_SECONDS)
+        self._not_before = now + wait * random.uniform(0.7, 1.3)
+        for name in doubtful:
+            self._read_store(name)
--- /dev/null
+++ b/src/dewledge/shell/pooling/table_reading.py
@@ -0,0 +1,98 @@
+"""How this process learns the store's tables: by reading, or by following who reads."""
+
+from concurrent.futures import Executor
+
+from loguru import logger
+
+from dewledge.core.sharing.messages import FollowTables
+from dewledge.core.sharing.readers import MOST_READING_ALL, ReadingPlan, reading_plan
+from dewledge.core.sharing.table_cache import TableDelta
+from dewledge.pooler_settings import PoolerSettings
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.pooling.channel_server import IncomingLink
+from dewledge.shell.pooling.followed_table import FollowedTable, RowsCallback
+from dewledge.shell.pooling.member_table import MemberTable
+from dewledge.shell.pooling.outgoing_links import OutgoingLinks
+from dewledge.shell.pooling.platform_adapter import PlatformAdapter
+from dewledge.shell.pooling.table_follower import TableFollower
+from dewledge.shell.pooling.table_publisher import TablePublisher
+from dewledge.shell.pooling.table_watcher import TableWatcher
+
+READ_BY_ALL_WAIT_SECONDS = 2.0
+READ_FOR_OTHERS_WAIT_SECONDS = 1.0
+"""A reader that others follow looks more often: what they know is older by their question."""
+
+
+class TableReading:
+    """The tables of one process. All methods belong to the loop's thread."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        settings: PoolerSettings,
+        platform: PlatformAdapter,
+        links: OutgoingLinks,
+        members: MemberTable,
+        executor: Executor,
+    ) -> None:
+        self._loop = loop
+        self._own_name = settings.name
+        self._platform = platform
+        self._members = members
+        self._executor = executor
+        self._tables: dict[str, FollowedTable] = {}
+        self._watchers: dict[str, TableWatcher] = {}
+        self._publisher = TablePublisher(loop, self._tables)
+        self._follower = TableFollower(
+            loop, links, self._tables, self._read_store, self._publisher.tell_followers
+        )
+        self._plan = ReadingPlan(True)
+
+    def add(self, name: str, snapshot: RowsCallback, changed: RowsCallback) -> None:
+        """Adds a table; `snapshot` gets it whole, `changed` later rows."""
+        table = FollowedTable(name, READ_FOR_OTHERS_WAIT_SECONDS, snapshot, changed)
+
+        def taken(delta: TableDelta, sent_at: float) -> None:
+            if table.take(delta, sent_at):
+                self._publisher.tell_followers()
+
+        self._tables[name] = table
+        self._watchers[name] = TableWatcher(
+            self._platform.store, name, lambda: table.version, taken, self._loop.post
+        )
+
+    def start(self) -> None:
+        """Starts to read: who does not know the members yet cannot follow one."""
+        for watcher in self._watchers.values():
+            self._executor.submit(watcher.run)
+
+    def stop(self) -> None:
+        """Ends reading and following."""
+        self._follower.follow(())
+        for watcher in self._watchers.values():
+            watcher.stop()
+
+    def take_question(self, link: IncomingLink, question: FollowTables) -> None:
+        """Answers a process that follows this one."""
+        self._publisher.take_question(link, question)
+
+    def members_changed(self) -> None:
+        """Works out anew whether this process reads, and whom it follows."""
+        members = self._members.members
+        plan = reading_plan(self._own_name, members)
+        if plan != self._plan:
+            self._plan = plan
+            logger.bind(reads=plan.is_reader, sources=",".join(plan.sources)).info(
+                "reading_planned"
+            )
+        addresses = [members[name].peer_address for name in plan.sources if name in members]
+        is_read_by_all = len(members) <= MOST_READING_ALL
+        wait = READ_BY_ALL_WAIT_SECONDS if is_read_by_all else READ_FOR_OTHERS_WAIT_SECONDS
+        is_alone = plan.is_reader or not addresses
+        for watcher in self._watchers.values():
+            watcher.wait_seconds = wait
+            watcher.set_reader(is_alone)
+        self._follower.follow([] if is_alone else addresses)
+
+    def _read_store(self, table: str) -> None:
+        self._watchers[table].read_once()
--- a/src/dewledge/shell/pooling/table_watcher.py
+++ b/src/dewledge/shell/pooling/table_watcher.py
@@ -1,4 +1,8 @@
-"""Follows one table of the store on a thread of its own, and hands changes to the loop."""
+"""Reads one table of the store on a thread of its own, and hands what it finds to the loop.
+
+A reader follows the table's changes without end; a process that follows others reads only when it
+is asked to, because none of those it follows has sure word.
+"""
 
 import random
 import threading
@@ -7,18 +11,22 @@
 
 from loguru import logger
 
-from dewledge.core.coordination_store import CoordinationStore, HistoryLost, StoreRow
+from dewledge.core.coordination_store import CoordinationStore, HistoryLost
+from dewledge.core.sharing.table_cache import TableDelta
 from dewledge.errors import StoreError
 
-WAIT_SECONDS = 2.0
-"""Short: a store that swallows a call is noticed within this and the time-out of a call."""
 RETRY_SECONDS = 0.4
 LONGEST_RETRY_SECONDS = 1.5
 STALE_PAUSE_SECONDS = 0.2
+SPACING_SECONDS = 0.1
+"""Between two calls of a feed: many changes at once are taken together."""
+
+TakenCallback = Callable[[TableDelta, float], None]
+"""Gets what was read, and when the call was sent (steady clock)."""
 
 
 class TableWatcher:
-    """Calls `snapshot` with a whole table, then `changed` with later rows, until it is stopped.
+    """Calls `taken` with a whole table, then with later rows.
 
     A read that shows an older version than one seen before is read again: the store may answer
     from a copy that lags behind.
@@ -28,63 +36,101 @@
         self,
         store: CoordinationStore,
         table: str,
-        snapshot: Callable[[tuple[StoreRow, ...], int], None],
-        changed: Callable[[tuple[StoreRow, ...], int], None],
+        known_version: Callable[[], int],
+        taken: TakenCallback,
         post: Callable[[Callable[[], None]], None],
     ) -> None:
+        """`known_version`: what the process knows already, be it through others; -1 for nothing."""
+        self.wait_seconds = 2.0
+        """Short: a store that swallows a call is noticed within this and a call's time-out."""
         self._store = store
         self._table = table
-        self._snapshot = snapshot
-        self._changed = changed
+        self._known_version = known_version
+        self._taken = taken
         self._post = post
         self._stopped = threading.Event()
-        self._newest = 0
+        self._wanted = threading.Event()
+        self._is_reader = True
+        self._newest = -1
         self._failures = 0
+        self._wanted.set()
+
+    def set_reader(self, is_reader: bool) -> None:
+        """Follows the table from now on, or reads only when asked to."""
+        self._is_reader = is_reader
+        if is_reader:
+            self._wanted.set()
+
+    def read_once(self) -> None:
+        """Has the table's changes read once, soon."""
+        self._wanted.set()
 
     def stop(self) -> None:
         """Ends the watch after the call at hand."""
         self._stopped.set()
+        self._wanted.set()
 
     def run(self) -> None:
         """Follows the table. Runs on a thread of an executor."""
         while not self._stopped.is_set():
-            try:
-                self._read()
-                self._follow()
-            except HistoryLost:
-                logger.bind(table=self._table, after=self._newest).info("store_history_lost")
-            except StoreError as error:
-                self._pause_after(error)
+            self._wanted.wait()
+            if self._stopped.is_set():
+                return
+            if not self._is_reader:
+                self._wanted.clear()
+            self._read()
 
     def _read(self) -> None:
+        self._newest = max(self._newest, self._known_version())
+        try:
+            if self._newest < 0:
+                self._read_whole()
+            else:
+                self._read_changes()
+            self._regained()
+        except HistoryLost:
+            logger.bind(table=self._table, after=self._newest).info("store_history_lost")
+            self._read_whole_after_loss()
+        except StoreError as error:
+            self._pause_after(error)
+
+    def _read_whole_after_loss(self) -> None:
+        try:
+            self._read_whole()
+            self._regained()
+        except StoreError as error:
+            self._pause_after(error)
+
+    def _read_whole(self) -> None:
+        sent_at = time.monotonic()
         answer = self._store.read_table(self._table)
         while answer.version < self._newest and not self._stopped.is_set():
             time.sleep(STALE_PAUSE_SECONDS)
+            sent_at = time.monotonic()
             answer = self._store.read_table(self._table)
-        self._regained()
         self._newest = answer.version
-        self._post(lambda: self._snapshot(answer.rows, answer.version))
+        self._hand_over(TableDelta(answer.rows, answer.version, True), sent_at)
 
-    def _follow(self) -> None:
-        while not self._stopped.is_set():
-            try:
-                wait = 0.0 if self._failures else WAIT_SECONDS
-                answer = self._store.watch_table(self._table, self._newest, wait)
-            except HistoryLost:
-                raise
-            except StoreError as error:
-                self._pause_after(error)
-                continue
-            self._regained()
-            rows, version = answer.rows, answer.version
-            self._newest = max(self._newest, version)
-            if rows:
-                self._post(lambda rows=rows, version=version: self._changed(rows, version))  # type: ignore[misc]
+    def _read_changes(self) -> None:
+        is_quick = self._failures > 0 or not self._is_reader
+        wait = 0.0 if is_quick else self.wait_seconds
+        sent_at = time.monotonic()
+        answer = self._store.watch_table(self._table, self._newest, wait)
+        self._newest = max(self._newest, answer.version)
+        self._hand_over(TableDelta(answer.rows, self._newest, False), sent_at)
+        if answer.rows:
+            self._stopped.wait(SPACING_SECONDS)
+
+    def _hand_over(self, delta: TableDelta, sent_at: float) -> None:
+        self._post(lambda: self._taken(delta, sent_at))
 
     def _pause_after(self, error: StoreError) -> None:
         self._failures += 1
         if self._failures == 1:
             logger.bind(table=self._table, error=error.message).warning("store_lost")
+        if not self._is_reader and self._newest >= 0:
+            return
+        self._wanted.set()
         longest = min(RETRY_SECONDS * self._failures, LONGEST_RETRY_SECONDS)
         self._stopped.wait(longest * random.uniform(0.5, 1.0))
 
--- a/tests/platform/test_member_table.py
+++ b/tests/platform/test_member_table.py
@@ -1,11 +1,14 @@
 """Members as the store's rows tell, and the own registration under each fault."""
 
+import threading
 import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from dewledge.core.coordination_store import StoreRow
 from dewledge.core.sharing.members import Member
 from dewledge.platform.store_client import PlatformStore
-from dewledge.shell.pooling.coordination_rows import TABLE, encode_value
+from dewledge.shell.pooling.coordination_rows import TABLE, encode_value, read_member
 from dewledge.shell.pooling.member_table import ASSUMED_MEMBERS, MemberTable
 from tests.platform.table_store import TableStore
 
@@ -36,24 +39,56 @@
             self.members.take_rows([StoreRow("member/b", value, 1)])
         self.assertEqual(set(self.members.addresses), {"a"})
 
+    def own_rows(self) -> list[StoreRow]:
+        rows = PlatformStore(self.stand_in.address).read_table(TABLE).rows
+        return [row for row in rows if row.key == "member/a"]
+
+    def register(self, is_stopped: Callable[[], bool] = lambda: False) -> None:
+        with ThreadPoolExecutor(max_workers=2) as executor:
+            self.members.register_if_missing(executor, is_stopped)
+
     def test_registration(self) -> None:
-        self.members.register(lambda: False)
-        self.members.register(lambda: False)
+        self.register()
+        self.register()
+        self.assertEqual(self.stand_in.version, 1)
+        self.members.take_rows(self.own_rows())
+        self.register()
         self.assertEqual(self.stand_in.version, 1)
-        self.assertIn((TABLE, "member/a"), self.stand_in.rows)
 
-    def test_registration_whose_answer_is_lost_is_written_once(self) -> None:
-        self.stand_in.lose_answers = True
-        tries = iter([False, True])
+    def test_a_row_of_another_address_is_replaced(self) -> None:
+        self.stand_in.put(TABLE, "member/a", encode_value(Member("10.0.0.9:1")))
+        self.members.take_rows(self.own_rows())
+        self.register()
+        self.assertEqual(read_member(self.own_rows()[0]), Member("10.0.0.1:1"))
 
-        def is_stopped() -> bool:
-            return next(tries)
+    def test_a_row_that_was_taken_away_is_written_again(self) -> None:
+        self.register()
+        own = self.own_rows()
+        self.members.take_rows(own)
+        self.members.take_rows([StoreRow("member/a", b"", own[0].version + 1, gone=True)])
+        del self.stand_in.rows[TABLE, "member/a"]
+        self.register()
+        self.assertEqual(len(self.own_rows()), 1)
 
-        self.members.register(is_stopped)
-        self.stand_in.lose_answers = False
-        self.members.register(lambda: False)
+    def test_a_whole_table_forgets_who_is_not_in_it(self) -> None:
+        self.members.take_rows([row("b", "10.0.0.2:1")])
+        self.members.forget_all()
+        self.members.take_rows([row("c", "10.0.0.3:1")])
+        self.assertEqual(set(self.members.members), {"a", "c"})
+
+    def test_registration_whose_answer_is_lost_is_written_once(self) -> None:
+        self.stand_in.lose_answers = True
+        healer = threading.Timer(0.2, setattr, (self.stand_in, "lose_answers", False))
+        healer.start()
+        self.register()
         self.assertEqual(self.stand_in.version, 1)
 
+    def test_it_ends_with_the_process(self) -> None:
+        self.stand_in.refuse_status = 503
+        tries = iter([False, True])
+        self.register(lambda: next(tries))
+        self.assertEqual(self.stand_in.version, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,6 +1,7 @@
 """The store's client against a stand-in: reads, feed, conditional writes, and each fault."""
 
 import threading
+import time
 import unittest
 from collections.abc import Callable
 
@@ -14,6 +15,7 @@
 )
 from dewledge.platform.operator_records import parse_configuration, parse_database
 from dewledge.platform.store_client import PlatformDuties, PlatformStore
+from dewledge.shell.pooling.followed_table import FollowedTable
 from dewledge.shell.pooling.table_watcher import TableWatcher
 from tests.platform.table_store import TableStore
 from tests.platform.wire_databases import wait_until
@@ -98,8 +100,9 @@
         super().setUp()
         self.seen: dict[str, bytes] = {}
         self.snapshots: list[int] = []
+        self.table = FollowedTable("op", 1.0, self._snapshot, self._changed)
         self.watcher = TableWatcher(
-            self.store, "op", self._snapshot, self._changed, lambda call: call()
+            self.store, "op", lambda: self.table.version, self.table.take, lambda call: call()
         )
         thread = threading.Thread(target=self.watcher.run, daemon=True)
         self.addCleanup(thread.join, 5.0)
@@ -137,6 +140,26 @@
                 self.stand_in.put("op", "config", f"{name}{version}".encode())
                 self.wait_for(lambda n=name, v=version: self.seen["config"] == f"{n}{v}".encode())  # type: ignore[misc]
 
+    def test_one_that_is_no_reader_reads_only_when_asked(self) -> None:
+        self.watcher.set_reader(False)
+        threading.Event().wait(2.5)
+        calls = self.stand_in.calls
+        self.stand_in.put("op", "config", b"2")
+        threading.Event().wait(0.5)
+        self.assertEqual(self.stand_in.calls, calls)
+        self.watcher.read_once()
+        self.wait_for(lambda: self.seen["config"] == b"2")
+        self.stand_in.put("op", "config", b"3")
+        self.watcher.set_reader(True)
+        self.wait_for(lambda: self.seen["config"] == b"3")
+
+    def test_what_it_knows_is_as_old_as_the_sending_of_the_call(self) -> None:
+        before = time.monotonic()
+        self.stand_in.put("op", "config", b"2")
+        self.wait_for(lambda: self.seen["config"] == b"2")
+        self.wait_for(lambda: self.table.confirmed_at >= before)
+        self.assertLessEqual(self.table.confirmed_at, time.monotonic())
+
     def test_after_lost_history_the_table_is_read_anew_and_never_an_older_one(self) -> None:
         self.stand_in.stale_by = 2
         self.stand_in.put("op", "config", b"2")
