Count an empty answer of the feed as true at the end of its wait

Cause: followers left their sources every second or two (word_too_old): a reader's word is counted from the sending of its last answered call, so it was up to two waits old, over the bound. Each time three tables were read from the store. Change: an answer without rows was given when the wait was over, so it holds for that time. The tables of databases and members wait 2 s, the operator's configuration 1 s. Ruled out: a wider bound (it has to stay within the configuration's).

--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -105,6 +105,7 @@
             platform.configuration_table,
             self._directory.take_configuration_rows,
             self._directory.take_configuration_rows,
+            is_urgent=True,
         )
         self._tables.add(
             platform.database_table,
--- a/src/dewledge/shell/pooling/table_reading.py
+++ b/src/dewledge/shell/pooling/table_reading.py
@@ -19,7 +19,7 @@
 from dewledge.shell.pooling.table_watcher import TableWatcher
 
 READ_BY_ALL_WAIT_SECONDS = 2.0
-READ_FOR_OTHERS_WAIT_SECONDS = 1.0
+URGENT_WAIT_SECONDS = 1.0
 """A reader that others follow looks more often: what they know is older by their question."""
 
 
@@ -48,12 +48,18 @@
         )
         self._plan = ReadingPlan(True)
 
-    def add(self, name: str, snapshot: RowsCallback, changed: RowsCallback) -> None:
-        """Adds a table; `snapshot` gets it whole, `changed` later rows."""
-        table = FollowedTable(name, READ_FOR_OTHERS_WAIT_SECONDS, snapshot, changed)
+    def add(
+        self, name: str, snapshot: RowsCallback, changed: RowsCallback, is_urgent: bool = False
+    ) -> None:
+        """Adds a table; `snapshot` gets it whole, `changed` later rows.
+
+        is_urgent: its changes are to be in force everywhere within a bound.
+        """
+        wait = URGENT_WAIT_SECONDS if is_urgent else READ_BY_ALL_WAIT_SECONDS
+        table = FollowedTable(name, wait, snapshot, changed)
 
-        def taken(delta: TableDelta, sent_at: float) -> None:
-            if table.take(delta, sent_at):
+        def taken(delta: TableDelta, true_at: float) -> None:
+            if table.take(delta, true_at):
                 self._publisher.tell_followers()
 
         self._tables[name] = table
@@ -87,10 +93,10 @@
             )
         addresses = [members[name].peer_address for name in plan.sources if name in members]
         is_read_by_all = len(members) <= MOST_READING_ALL
-        wait = READ_BY_ALL_WAIT_SECONDS if is_read_by_all else READ_FOR_OTHERS_WAIT_SECONDS
         is_alone = plan.is_reader or not addresses
-        for watcher in self._watchers.values():
-            watcher.wait_seconds = wait
+        for name, watcher in self._watchers.items():
+            shared_wait = self._tables[name].wait_seconds
+            watcher.wait_seconds = READ_BY_ALL_WAIT_SECONDS if is_read_by_all else shared_wait
             watcher.set_reader(is_alone)
         self._follower.follow([] if is_alone else addresses)
 
--- a/src/dewledge/shell/pooling/table_watcher.py
+++ b/src/dewledge/shell/pooling/table_watcher.py
@@ -22,7 +22,7 @@
 """Between two calls of a feed: many changes at once are taken together."""
 
 TakenCallback = Callable[[TableDelta, float], None]
-"""Gets what was read, and when the call was sent (steady clock)."""
+"""Gets what was read, and a time at which it was surely the newest (steady clock)."""
 
 
 class TableWatcher:
@@ -117,12 +117,14 @@
         sent_at = time.monotonic()
         answer = self._store.watch_table(self._table, self._newest, wait)
         self._newest = max(self._newest, answer.version)
-        self._hand_over(TableDelta(answer.rows, self._newest, False), sent_at)
+        # An answer without rows was given when the wait was over, so it holds for that time.
+        true_at = sent_at if answer.rows else sent_at + min(wait, time.monotonic() - sent_at)
+        self._hand_over(TableDelta(answer.rows, self._newest, False), true_at)
         if answer.rows:
             self._stopped.wait(SPACING_SECONDS)
 
-    def _hand_over(self, delta: TableDelta, sent_at: float) -> None:
-        self._post(lambda: self._taken(delta, sent_at))
+    def _hand_over(self, delta: TableDelta, true_at: float) -> None:
+        self._post(lambda: self._taken(delta, true_at))
 
     def _pause_after(self, error: StoreError) -> None:
         self._failures += 1
