Have one read seek a floor at the primary and the others wait for it; holders tell what they have proven

Change: a read that lacks a floor waits for one that is already at the primary (100 ms at most, then another may go). A holder's answers carry the newest position it has proven and its age, which counts from the sending of the statement, so processes that see few statements need the primary less. Ruled out: more connections after a start (the databases still count the dead machines' for 3 s).

--- a/src/dewledge/core/pooling/database_search.py
+++ b/src/dewledge/core/pooling/database_search.py
@@ -4,8 +4,8 @@
 
 from dewledge.core.pooling.connection_pool import Denial, Waiter
 from dewledge.core.pooling.database_connection import DatabaseConnection
-from dewledge.core.pooling.group import Group
-from dewledge.core.pooling.routes import Route
+from dewledge.core.pooling.group import SEEK_AGAIN_SECONDS, Group
+from dewledge.core.pooling.routes import Consistency, Route
 from dewledge.core.pooling.run_record import RunRecord
 from dewledge.core.pooling.run_timers import RunTimers
 from dewledge.core.pooling.services import PoolServices
@@ -50,6 +50,7 @@
         self._targets: list[Target] = []
         self._waiter: Waiter | None = None
         self._waits_for_primary = False
+        self._is_seeking_proof = False
         self._is_searching = False
         self.give_up_at = self._arrived + route.target_latency * QUEUE_SHARE_OF_TARGET
         self.target: Target | None = None
@@ -73,14 +74,32 @@
     def end(self) -> None:
         """Withdraws from queues."""
         self._is_searching = False
+        if self._is_seeking_proof:
+            self._is_seeking_proof = False
+            self._group.end_seeking()
         if self._waiter is not None:
             self._waiter.withdrawn = True
             self._waiter = None
 
     def _plan(self) -> None:
         self._targets = list(self._find_targets(self._session.transaction))
+        if self._lacks_floor() and not self._is_seeking_proof:
+            if not self._group.may_seek_proof():
+                self._group.wait_for_proof(self._resume)
+                self._timers.pause(SEEK_AGAIN_SECONDS, self._resume)
+                return
+            self._is_seeking_proof = True
+            self._group.begin_seeking()
         self._try_next()
 
+    def _lacks_floor(self) -> bool:
+        """Tells whether a replica could serve the read if only a floor were known."""
+        is_replica_read = self._route.consistency is not Consistency.PRIMARY and not self._writes
+        transaction = self._session.transaction
+        if not is_replica_read or (transaction is not None and not transaction.read_only):
+            return False
+        return all(target.proof is Proof.LEAD for target in self._targets) and bool(self._targets)
+
     def _find_targets(self, transaction: OpenTransaction | None) -> Sequence[Target]:
         need = ReadNeed(self._arrived, self._session.floor)
         if transaction is None:
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -7,7 +7,7 @@
 from dewledge.core.pooling.connection_pool import ConnectionPool, Opener
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.freshness import FreshnessHistory
-from dewledge.core.pooling.group_view import DatabaseRecord, GroupView
+from dewledge.core.pooling.group_view import LONG_AGO, DatabaseRecord, GroupView
 from dewledge.core.pooling.routes import Route
 from dewledge.core.pooling.scheduling import Scheduler
 from dewledge.core.pooling.statements import Reply, StatementKind, TransactionState
@@ -18,11 +18,14 @@
     read_floor,
     read_targets,
 )
+from dewledge.core.positions import LogPosition
 from dewledge.core.sharing.holders import FALLBACK_CONNECTIONS, Holding
 
 ROLLBACK_LIMIT_SECONDS = 2.0
 CHANNELS_PER_DATABASE = 64
 """How many statements may be under way through holders of one database; the queue is there."""
+SEEK_AGAIN_SECONDS = 0.1
+"""A read that seeks a floor at the primary has others wait for its answer for so long."""
 UNREACHABLE_LOAD = 1000
 """Added to the load of a database that could not be reached a moment ago."""
 
@@ -69,6 +72,8 @@
         self._clock = clock
         self._drain_bound = drain_bound
         self._primary_waiters: list[Callable[[], None]] = []
+        self._proof_waiters: list[Callable[[], None]] = []
+        self._seeking_since = LONG_AGO
         self._doubted: str | None = None
         self.relay: str | None = None
         """The address of a process that reaches a database which this one does not."""
@@ -173,6 +178,36 @@
         """Returns the address of the process through which a database is reached, if any."""
         return self.relay if database_id == self._doubted else None
 
+    def record_proof(self, sent_at: float, position: LogPosition) -> None:
+        """Notes that every commit acknowledged before `sent_at` is within `position`."""
+        self.history.record(sent_at, position)
+        self._wake_proof_waiters()
+
+    def may_seek_proof(self) -> bool:
+        """Tells whether a read without a floor should go to the primary to get one.
+
+        While another is on its way there, its answer will serve both.
+        """
+        return self._clock() >= self._seeking_since + SEEK_AGAIN_SECONDS
+
+    def begin_seeking(self) -> None:
+        """A read goes to the primary, and its answer will be a floor for others."""
+        self._seeking_since = self._clock()
+
+    def end_seeking(self) -> None:
+        """That read has ended, with an answer or without."""
+        self._seeking_since = LONG_AGO
+        self._wake_proof_waiters()
+
+    def wait_for_proof(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` once when a floor is known, or when one should be sought anew."""
+        self._proof_waiters.append(callback)
+
+    def _wake_proof_waiters(self) -> None:
+        waiters, self._proof_waiters = self._proof_waiters, []
+        for callback in waiters:
+            callback()
+
     def wait_for_primary(self, callback: Callable[[], None]) -> None:
         """Calls `callback` once when a primary is known."""
         self._primary_waiters.append(callback)
--- a/src/dewledge/core/pooling/position_learning.py
+++ b/src/dewledge/core/pooling/position_learning.py
@@ -19,7 +19,7 @@
         if writes:
             self._session.raise_floor(position)
         if writes or proved_lead:
-            self._group.history.record(sent_at, position)
+            self._group.record_proof(sent_at, position)
             self._forget_old_lineage(position)
 
     def take_in_transaction(
@@ -29,7 +29,7 @@
         if is_commit and transaction.wrote:
             self._session.raise_floor(position)
         if (is_commit and transaction.wrote) or (not is_commit and transaction.leads):
-            self._group.history.record(sent_at, position)
+            self._group.record_proof(sent_at, position)
 
     def _forget_old_lineage(self, position: LogPosition) -> None:
         """A proven primary of a later term holds all that is left of an earlier one."""
--- a/src/dewledge/core/sharing/channel_session.py
+++ b/src/dewledge/core/sharing/channel_session.py
@@ -25,7 +25,8 @@
     TransactionState,
 )
 from dewledge.core.positions import LogPosition
-from dewledge.core.sharing.messages import ChannelStatement
+from dewledge.core.sharing.lead_proof import LeadProof
+from dewledge.core.sharing.messages import ChannelStatement, ProvenAge
 from dewledge.errors import ErrorCode
 
 QUEUE_LIMIT_SECONDS = 0.25
@@ -46,8 +47,8 @@
 class ChannelTransport(Protocol):
     """Takes a channel's answers to the peer."""
 
-    def send_reply(self, reply: Reply) -> None:
-        """Answers the oldest statement that has no answer."""
+    def send_reply(self, reply: Reply, proof: ProvenAge | None) -> None:
+        """Answers the oldest statement that has no answer; with what is proven of the log."""
 
     def send_ended(self) -> None:
         """Tells that the channel is over; what has no answer is in doubt."""
@@ -76,6 +77,8 @@
         self._waiter: Waiter | None = None
         self._timer: ScheduledCall | None = None
         self._is_open = False
+        self._sent_at = 0.0
+        self._lead = LeadProof()
         self._ended = False
 
     @property
@@ -119,7 +122,7 @@
         statement = message.statement
         if statement.kind in _KEPT_HERE:
             self._change_session(statement)
-            self._transport.send_reply(Reply(self._transaction_state))
+            self._transport.send_reply(Reply(self._transaction_state), self._proven())
             return
         unknown = statement.kind is StatementKind.EXECUTE
         if unknown and statement.name not in self._state.prepared:
@@ -213,6 +216,7 @@
     def _send(
         self, connection: DatabaseConnection, statement: Statement, floor: LogPosition | None
     ) -> None:
+        self._sent_at = self._services.scheduler.now()
         connection.send(statement, self._answered, floor)
 
     def _answered(self, reply: Reply | None) -> None:
@@ -232,11 +236,26 @@
 
     def _learn(self, connection: DatabaseConnection, reply: Reply) -> None:
         code = None if reply.failure is None else reply.failure.code
+        if code is None and self._current is not None and reply.position is not None:
+            statement = self._current.statement
+            writes = statement.kind is StatementKind.WRITE or self._shape_writes(statement)
+            if self._lead.proves(statement.kind, writes):
+                self._group.record_proof(self._sent_at, reply.position)
         if code is ErrorCode.NOT_PRIMARY:
             self._group.refute_primary(connection.database_id)
         elif code is ErrorCode.UNKNOWN_STATEMENT:
             connection.prepared.clear()
 
+    def _shape_writes(self, statement: Statement) -> bool:
+        shape = self._state.prepared.get(statement.name)
+        return statement.kind is StatementKind.EXECUTE and shape is not None and shape.writes
+
+    def _proven(self) -> ProvenAge | None:
+        newest = self._group.history.newest
+        if newest is None:
+            return None
+        return ProvenAge(newest.position, self._services.scheduler.now() - newest.sent_at)
+
     # Ending.
 
     @property
@@ -248,7 +267,7 @@
 
     def _answer(self, reply: Reply) -> None:
         self._current = None
-        self._transport.send_reply(reply)
+        self._transport.send_reply(reply, self._proven())
         self._serve_queue()
 
     def _drop(self, connection: DatabaseConnection) -> None:
--- a/src/dewledge/core/sharing/messages.py
+++ b/src/dewledge/core/sharing/messages.py
@@ -67,6 +67,13 @@
         return Statement(self.id, self.kind, self.text, self.name, self.argument, self.writes)
 
 
+class ProvenAge(msgspec.Struct, frozen=True, array_like=True):
+    """Every commit acknowledged `age_seconds` before the message was sent is within `position`."""
+
+    position: LogPosition
+    age_seconds: float
+
+
 class ChannelReply(LinkMessage, frozen=True, tag="reply"):
     """The answer to the oldest statement on the channel that has none."""
 
@@ -77,6 +84,7 @@
     code: ErrorCode | None
     message: str
     position: LogPosition | None
+    proof: ProvenAge | None = None
 
     @property
     def reply(self) -> Reply:
@@ -162,7 +170,7 @@
     )
 
 
-def channel_reply(channel: int, reply: Reply) -> ChannelReply:
+def channel_reply(channel: int, reply: Reply, proof: ProvenAge | None = None) -> ChannelReply:
     """Returns the message of an answer."""
     failure = reply.failure
     return ChannelReply(
@@ -173,6 +181,7 @@
         None if failure is None else failure.code,
         "" if failure is None else failure.message,
         reply.position,
+        proof,
     )
 
 
--- a/src/dewledge/shell/pooling/channel_client.py
+++ b/src/dewledge/shell/pooling/channel_client.py
@@ -1,6 +1,7 @@
 """Connections to databases that other processes hold: channels on links to them."""
 
 import itertools
+from collections import deque
 from collections.abc import Callable, Sequence
 
 from dewledge.core.pooling.database_connection import DatabaseConnection
@@ -20,6 +21,8 @@
 from dewledge.shell.pooling.outgoing_links import OutgoingLinks
 
 OpenedCallback = Callable[[DatabaseConnection], None]
+ProofCallback = Callable[[str, float, LogPosition], None]
+"""Takes a database, a time (steady clock) and a position: see Group.record_proof."""
 
 
 class ChannelClient:
@@ -30,6 +33,8 @@
         self._links = links
         self._channels: dict[OutgoingLink, dict[int, _Channel]] = {}
         self._numbers = itertools.count(1)
+        self.proof_told: ProofCallback = lambda database_id, sent_at, position: None
+        """Called with what an answer tells of a database's group, besides the answer itself."""
         links.add_user(self)
 
     def open(
@@ -51,7 +56,8 @@
             self.open(database_id, usable[1:], opened, failed, closed)
 
         def reached() -> None:
-            channel = _Channel(link, next(self._numbers), database_id, closed, self._forget)
+            number = next(self._numbers)
+            channel = _Channel(link, number, database_id, closed, self._forget, self._loop.now)
             self._channels.setdefault(link, {})[channel.number] = channel
             link.send(ChannelOpened(channel.number, database_id))
             opened(channel.connection)
@@ -64,12 +70,19 @@
         if isinstance(message, ChannelReply):
             channel = channels.get(message.channel)
             if channel is not None:
+                self._learn(channel, message)
                 channel.answer(message)
         elif isinstance(message, ChannelEnded):
             channel = channels.pop(message.channel, None)
             if channel is not None:
                 channel.end()
 
+    def _learn(self, channel: "_Channel", message: ChannelReply) -> None:
+        """The holder answered after the statement was sent: what it knew then is as old at most."""
+        if message.proof is not None and channel.sent_at:
+            true_at = channel.sent_at[0] - message.proof.age_seconds
+            self.proof_told(channel.connection.database_id, true_at, message.proof.position)
+
     def link_lost(self, link: OutgoingLink) -> None:
         """A link ended: so do its channels."""
         for channel in self._channels.pop(link, {}).values():
@@ -94,17 +107,20 @@
         database_id: str,
         closed: OpenedCallback,
         forget: Callable[[OutgoingLink, int], None],
+        now: Callable[[], float],
     ) -> None:
         self.number = number
         self.connection = DatabaseConnection(database_id, self)
         self._link = link
         self._closed = closed
         self._forget = forget
-        self._due = 0
+        self._now = now
+        self.sent_at: deque[float] = deque()
+        """When each statement without an answer was sent."""
 
     def send(self, statement: Statement, floor: LogPosition | None) -> None:
         """Sends one statement; its answer comes later, in order."""
-        self._due += 1
+        self.sent_at.append(self._now())
         self._link.expect_answer()
         message = channel_statement(self.number, statement, floor, self.connection.priority)
         self._link.send(message)
@@ -112,18 +128,19 @@
     def close(self) -> None:
         """Gives the channel up; the holder rolls back what is open."""
         self._link.send(ChannelClosed(self.number))
-        self._link.answer_came(self._due)
+        self._link.answer_came(len(self.sent_at))
         self._forget(self._link, self.number)
         self._closed(self.connection)
 
     def answer(self, message: ChannelReply) -> None:
         """Takes the next answer."""
-        self._due -= 1
+        if self.sent_at:
+            self.sent_at.popleft()
         self._link.answer_came()
         self.connection.on_reply(message.reply)
 
     def end(self) -> None:
         """The channel is lost."""
-        self._link.answer_came(self._due)
+        self._link.answer_came(len(self.sent_at))
         self.connection.on_closed()
         self._closed(self.connection)
--- a/src/dewledge/shell/pooling/channel_server.py
+++ b/src/dewledge/shell/pooling/channel_server.py
@@ -20,6 +20,7 @@
     PeerLinkMessage,
     Ping,
     Pong,
+    ProvenAge,
     channel_reply,
 )
 from dewledge.shell.event_loop import READABLE, EventLoop
@@ -192,9 +193,9 @@
         self._link = link
         self._channel = channel
 
-    def send_reply(self, reply: Reply) -> None:
+    def send_reply(self, reply: Reply, proof: ProvenAge | None) -> None:
         """Answers the oldest statement that has no answer."""
-        self._link.send(channel_reply(self._channel, reply))
+        self._link.send(channel_reply(self._channel, reply, proof))
 
     def send_ended(self) -> None:
         """Tells that the channel is over."""
--- a/src/dewledge/shell/pooling/directory.py
+++ b/src/dewledge/shell/pooling/directory.py
@@ -8,6 +8,7 @@
 from dewledge.core.pooling.group import Group, Place
 from dewledge.core.pooling.group_view import DatabaseRecord
 from dewledge.core.pooling.services import PoolServices
+from dewledge.core.positions import LogPosition
 from dewledge.core.sharing.holders import Holding, holding_of, share_of_connections
 from dewledge.errors import ProtocolError
 from dewledge.pooler_settings import PoolerSettings
@@ -40,6 +41,7 @@
         self._members = members
         self._direct = DirectOpener(loop, settings.name, platform.new_database_codec, self.find)
         self._opener = SharingOpener(self._direct, channels, self._find_way)
+        channels.proof_told = self._take_proof
         self.group_changed: Callable[[str], None] = lambda group: None
         """Called with the name of a group whose view has changed."""
 
@@ -122,6 +124,11 @@
         record = self.find(database_id)
         return None if record is None else self._group(record.group)
 
+    def _take_proof(self, database_id: str, true_at: float, position: LogPosition) -> None:
+        group = self.group_of(database_id)
+        if group is not None:
+            group.record_proof(true_at, position)
+
     def _find_way(self, database_id: str) -> Sequence[str] | None:
         """Returns the addresses of the processes to go through, None for the direct way."""
         group = self.group_of(database_id)
--- a/tests/core/sharing/model_channels.py
+++ b/tests/core/sharing/model_channels.py
@@ -1,12 +1,20 @@
 """Channels to a holder in memory, for tests of sharing without sockets."""
 
+from collections import deque
 from collections.abc import Callable
 
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.statements import Reply, Statement
 from dewledge.core.positions import LogPosition
 from dewledge.core.sharing.channel_session import ChannelSession
-from dewledge.core.sharing.messages import channel_reply, channel_statement, decode, encode
+from dewledge.core.sharing.messages import (
+    ChannelReply,
+    ProvenAge,
+    channel_reply,
+    channel_statement,
+    decode,
+    encode,
+)
 from dewledge.errors import ErrorCode
 from tests.core.pooling.harness import GROUP, ROUND_TRIP, ModelGroup, PoolerHarness
 
@@ -18,6 +26,7 @@
         self.holder = holder
         self.channels: list[ModelChannel] = []
         self.is_reachable = True
+        self.pooler: PoolerHarness = holder
 
     def open(
         self,
@@ -56,6 +65,7 @@
         self.scheduler = channels.holder.scheduler
         self.connection = DatabaseConnection(database_id, self)
         self.is_over = False
+        self.sent_at: deque[float] = deque()
         self._closed = closed
         holder = channels.holder
         self.session = ChannelSession("peer/1", holder.services, holder.group, database_id, self)
@@ -63,6 +73,7 @@
     # As the transport of the peer's connection.
 
     def send(self, statement: Statement, floor: LogPosition | None) -> None:
+        self.sent_at.append(self.scheduler.now())
         data = encode(channel_statement(1, statement, floor, self.connection.priority))
 
         def arrive() -> None:
@@ -77,15 +88,22 @@
 
     # As the transport of the holder's session.
 
-    def send_reply(self, reply: Reply) -> None:
-        data = encode(channel_reply(1, reply))
+    def send_reply(self, reply: Reply, proof: ProvenAge | None) -> None:
+        data = encode(channel_reply(1, reply, proof))
 
         def arrive() -> None:
             if not self.is_over:
-                self.connection.on_reply(decode(data).reply)  # type: ignore[union-attr]
+                self._take(decode(data))  # type: ignore[arg-type]
 
         self.scheduler.call_later(ROUND_TRIP / 2, arrive)
 
+    def _take(self, message: ChannelReply) -> None:
+        sent_at = self.sent_at.popleft()
+        if message.proof is not None:
+            true_at = sent_at - message.proof.age_seconds
+            self.channels.pooler.group.record_proof(true_at, message.proof.position)
+        self.connection.on_reply(message.reply)
+
     def send_ended(self) -> None:
         self.scheduler.call_later(ROUND_TRIP / 2, self.lose)
 
@@ -103,6 +121,7 @@
         self.channels = ModelChannels(holder)
         shared = model or holder.model
         super().__init__(64, True, holder.scheduler, shared, self.channels)
+        self.channels.pooler = self
 
 
 __all__ = ["GROUP", "ModelChannel", "ModelChannels", "SharingHarness"]
