--- a/src/dewledge/core/coordination_store.py
+++ b/src/dewledge/core/coordination_store.py
@@ -6,6 +6,8 @@
 
 from dewledge.errors import ErrorCode, StoreError
 
+CALL_LIMIT_SECONDS = 1.0
+
 
 class HistoryLost(StoreError):
     """The feed cannot go on from the version asked for; the table must be read anew."""
@@ -52,8 +54,8 @@
     def change_address(self, address: str) -> None:
         """Sends later calls to another "ip:port"."""
 
-    def read_table(self, table: str) -> TableRows:
-        """Returns all rows of a table."""
+    def read_table(self, table: str, limit: float = CALL_LIMIT_SECONDS) -> TableRows:
+        """Returns all rows of a table. `limit`: seconds for each call that it takes."""
 
     def watch_table(self, table: str, after: int, wait: float) -> FeedAnswer:
         """Returns changes after a version, waiting `wait` seconds. Raises HistoryLost."""
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from dewledge.core.coordination_store import (
+    CALL_LIMIT_SECONDS,
     FeedAnswer,
     HistoryLost,
     StoreRow,
@@ -25,7 +26,6 @@
 )
 
 CONNECT_SECONDS = 0.7
-CALL_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 0.5
 PAGE_ROWS = 500
 ACCEPTED = 200
@@ -66,13 +66,13 @@
         """Sends later calls to another "ip:port"."""
         self._base = f"http://{address}"
 
-    def read_table(self, table: str) -> TableRows:
+    def read_table(self, table: str, limit: float = CALL_LIMIT_SECONDS) -> TableRows:
         """Returns all rows of a table's empty part."""
         rows: list[StoreRow] = []
         start = ""
         while True:
             query = {"table": table, "part": "", "startRev": start, "limit": str(PAGE_ROWS)}
-            answer = self._get("/dewledge/rows-get", query, CALL_SECONDS)
+            answer = self._get("/dewledge/rows-get", query, limit)
             rows += [_store_row(row) for row in answer.rows]
             if not answer.has_more or not answer.rows:
                 return TableRows(tuple(rows), answer.ver, answer.now_ms / 1000)
@@ -81,7 +81,7 @@
     def watch_table(self, table: str, after: int, wait: float) -> FeedAnswer:
         """Returns the rows of a table that changed after a version, waiting `wait` seconds."""
         query = {"table": table, "after": str(after), "waitMs": str(int(wait * 1000))}
-        answer = self._get("/dewledge/rows-feed", query, wait + CALL_SECONDS)
+        answer = self._get("/dewledge/rows-feed", query, wait + CALL_LIMIT_SECONDS)
         return FeedAnswer(tuple(_store_row(row) for row in answer.rows), answer.ver)
 
     def write(self, write: StoreWrite) -> int:
@@ -93,7 +93,7 @@
             "put": [{**address, "value": value}],
             "remove": [],
         }
-        return self._request("POST", "/dewledge/rows-tx", {}, CALL_SECONDS, body).ver
+        return self._request("POST", "/dewledge/rows-tx", {}, CALL_LIMIT_SECONDS, body).ver
 
     def _get(self, path: str, query: dict[str, str], timeout: float) -> _Answer:
         return self._request("GET", path, query, timeout, None)
@@ -101,7 +101,7 @@
     def _request(
         self, method: str, path: str, query: dict[str, str], timeout: float, body: object | None
     ) -> _Answer:
-        limits = urllib3.Timeout(connect=CONNECT_SECONDS, read=timeout)
+        limits = urllib3.Timeout(connect=min(CONNECT_SECONDS, timeout), read=timeout)
         try:
             response = self._http.request(
                 method,
@@ -137,7 +137,7 @@
             "Dewledge-Fencing-Token": str(fencing_token),
         }
         body = json.dumps({"service": group, "id": database_id}).encode()
-        limits = urllib3.Timeout(connect=CONNECT_SECONDS, read=CALL_SECONDS)
+        limits = urllib3.Timeout(connect=CONNECT_SECONDS, read=CALL_LIMIT_SECONDS)
         try:
             response = self._http.request(
                 "POST", self._base + "/promote", body=body, headers=headers, timeout=limits
--- a/src/dewledge/shell/pooling/table_watcher.py
+++ b/src/dewledge/shell/pooling/table_watcher.py
@@ -11,13 +11,20 @@
 
 from loguru import logger
 
-from dewledge.core.coordination_store import CoordinationStore, HistoryLost
+from dewledge.core.coordination_store import (
+    CALL_LIMIT_SECONDS,
+    CoordinationStore,
+    HistoryLost,
+)
 from dewledge.core.sharing.table_cache import TableDelta
 from dewledge.errors import StoreError
 
 RETRY_SECONDS = 0.4
 LONGEST_RETRY_SECONDS = 1.5
 STALE_PAUSE_SECONDS = 0.2
+FIRST_READ_LIMIT_SECONDS = 0.5
+FIRST_READ_PAUSE_SECONDS = 0.15
+"""A process that knows nothing serves nobody, so it asks again soon."""
 SPACING_SECONDS = 0.1
 """Between two calls of a feed: many changes at once are taken together."""
 
@@ -102,8 +109,9 @@
             self._pause_after(error)
 
     def _read_whole(self) -> None:
+        limit = FIRST_READ_LIMIT_SECONDS if self._newest < 0 else CALL_LIMIT_SECONDS
         sent_at = time.monotonic()
-        answer = self._store.read_table(self._table)
+        answer = self._store.read_table(self._table, limit)
         while answer.version < self._newest and not self._stopped.is_set():
             time.sleep(STALE_PAUSE_SECONDS)
             sent_at = time.monotonic()
@@ -134,6 +142,8 @@
             return
         self._wanted.set()
         longest = min(RETRY_SECONDS * self._failures, LONGEST_RETRY_SECONDS)
+        if self._newest < 0:
+            longest = FIRST_READ_PAUSE_SECONDS
         self._stopped.wait(longest * random.uniform(0.5, 1.0))
 
     def _regained(self) -> None:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -172,6 +172,23 @@
         self.assertEqual(self.snapshots, sorted(self.snapshots))
 
 
+class FirstReadTest(StoreCase):
+    def test_a_process_that_knows_nothing_asks_a_silent_store_again_soon(self) -> None:
+        self.stand_in.silent = True
+        table = FollowedTable("op", 1.0, lambda *_: None, lambda *_: None)
+        watcher = TableWatcher(
+            self.store, "op", lambda: table.version, table.take, lambda call: call()
+        )
+        thread = threading.Thread(target=watcher.run, daemon=True)
+        self.addCleanup(thread.join, 5.0)
+        self.addCleanup(watcher.stop)
+        thread.start()
+        threading.Event().wait(2.4)
+        self.assertGreaterEqual(self.stand_in.calls, 4)
+        self.stand_in.silent = False
+        self.assertTrue(wait_until(lambda: table.version >= 0))
+
+
 class RecordsTest(unittest.TestCase):
     def test_entries_that_cannot_be_read(self) -> None:
         for value in (
