Give up a token that the platform refused for two databases

Change: after two refusals the token is spent; the duty is taken again only under a later row. Ruled out: giving up at the first refusal, which a database that is not running gives too. Test: test_a_token_refused_for_two_databases_is_not_used_again, failed before.

--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -82,6 +82,8 @@
         self._claim: Claim | None = None
         self._standing_at = 0.0
         self._own_token = 0
+        self._spent_token = 0
+        """A token that the platform refused; the duty is taken again only under a later one."""
         self._reach: ReachTested | None = None
         self._witnesses: dict[str, bool] = {}
         self._statuses: dict[str, DatabaseStatus] = {}
@@ -153,6 +155,11 @@
             return
         if event.fenced and self._own_token < self._newest_token:
             self._move(Phase.FOLLOWING, "token_too_old", now)
+        elif event.fenced and self._refused:
+            # Two databases refused: more likely another holds a later token, unknown here.
+            self._spent_token = self._own_token
+            self._own_token = 0
+            self._move(Phase.FOLLOWING, "token_refused", now)
         elif event.fenced:
             self._refused = self._refused | {event.database}
             self._statuses.pop(event.database, None)
@@ -309,6 +316,8 @@
         write = WriteClaim(self._replaced, self._newest_token)
         if self._claim is None or self._claim.holder != self._own_name:
             return [write]
+        if self._claim.token <= self._spent_token:
+            return [write]
         # The last holder need not wait for the row, which tells the others to follow.
         self._own_token = self._claim.token
         self._move(Phase.CHOOSING, "held_before", now)
--- a/tests/core/succession/test_succession.py
+++ b/tests/core/succession/test_succession.py
@@ -226,6 +226,29 @@
         self.assertGreaterEqual(len(promotions), 2)
         self.assertEqual(set(promotions), {Promote("r1", 7)})
 
+    def test_a_token_refused_for_two_databases_is_not_used_again(self) -> None:
+        self.handle(ClaimSeen(Claim("a", "", 7)))
+        self.lose_primary()
+        self.confirm()
+        for _ in range(2):
+            self.wait(1.0)
+            (*_, promote) = self.of(Promote)
+            self.handle(PromotionAnswered(promote.database, False, True))
+        self.assertIs(self.succession.phase, Phase.FOLLOWING)
+        calls = len(self.of(Promote))
+        self.effects.clear()
+        for _ in range(5):
+            self.handle(PrimaryDoubted("p"))
+            self.handle(ReachTested("p", False))
+            self.confirm()
+            self.wait(2.0)
+        self.assertGreaterEqual(calls, 2)
+        self.assertEqual(self.of(Promote), [])
+        self.assertIn(WriteClaim("p", 7), self.of(WriteClaim))
+        self.handle(ClaimSeen(Claim("a", "p", 9)))
+        self.wait(3.0)
+        self.assertEqual({each.token for each in self.of(Promote)}, {9})
+
     def test_a_refused_candidate_is_not_asked_for_again(self) -> None:
         self.claim()
         for name in ("r1", "r2"):
