--- a/tests/platform/test_pooler_page.py
+++ b/tests/platform/test_pooler_page.py
@@ -19,6 +19,8 @@
 GAUGES = {
     "dewledge_client_sessions",
     "dewledge_database_connections",
+    "dewledge_links",
+    "dewledge_channels_lent",
     "dewledge_statements_waiting",
     "dewledge_members",
     "dewledge_configuration_version",
