Compress what followers are told, read by region, and read what stays large from the store

Change: one reader a region; a source has eight followers at most; rows above 1 KB go compressed, packed once for all followers; what is above 128 KB compressed is only told of, and read from the store. One test's bound of two steps at 850 processes is three now, as the tree is narrower; a test holds that what is known at the third step is not yet doubted.

--- a/src/dewledge/core/sharing/messages.py
+++ b/src/dewledge/core/sharing/messages.py
@@ -113,22 +113,28 @@
 
 
 class FollowTables(LinkMessage, frozen=True, tag="follow"):
-    """Asks for what has changed; answered when something has, or after a moment."""
+    """Asks for what has changed; answered when something has, or after a moment.
+
+    takes_large: large changes are to be sent too; else they are only told of, and the asker reads
+    them from the store, whose link is the wider one.
+    """
 
     number: int
     positions: tuple[TablePosition, ...]
+    takes_large: bool = False
 
 
 class TableNews(msgspec.Struct, frozen=True, array_like=True):
     """One table's part of an answer.
 
     age_seconds: when it was sent, so long ago the table was surely the store's newest; negative
-    where the sender has never read it.
+    where the sender has never read it. is_withheld: there are changes, too large to be sent.
     """
 
     table: str
     delta: TableDelta
     age_seconds: float
+    is_withheld: bool = False
 
 
 class TablesAnswered(LinkMessage, frozen=True, tag="tables"):
--- a/src/dewledge/core/sharing/readers.py
+++ b/src/dewledge/core/sharing/readers.py
@@ -5,15 +5,18 @@
 and at last reads by itself, so a wrong view of the members costs calls and not correctness.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 import xxhash
 
+from dewledge.core.sharing.members import Member
+
 MOST_READING_ALL = 12
 """Up to so many processes each read the store themselves."""
-READERS = 2
-FOLLOWERS_PER_PROCESS = 40
+LEAST_READERS = 2
+FOLLOWERS_PER_PROCESS = 8
+"""Few, as each change goes over the link of a small machine so many times."""
 
 
 class ReadingPlan(msgspec.Struct, frozen=True):
@@ -23,20 +26,37 @@
     sources: tuple[str, ...] = ()
 
 
-def reading_plan(own_name: str, members: Iterable[str]) -> ReadingPlan:
-    """Returns what the process `own_name` does among `members`."""
-    order = sorted({*members, own_name}, key=_weight)
-    if len(order) <= MOST_READING_ALL:
+def reading_plan(
+    own_name: str, members: Mapping[str, Member], region_of: Callable[[str], str]
+) -> ReadingPlan:
+    """Returns what the process `own_name` does among `members`, itself one of them.
+
+    One process of each region reads, and two at least. region_of: of a zone.
+    """
+    if len(members) <= MOST_READING_ALL:
         return ReadingPlan(True)
-    readers = order[:READERS]
-    index = order.index(own_name)
-    if index < READERS:
+    regions = _by_region(members, region_of)
+    readers = [names[0] for names in regions.values()]
+    if len(readers) < LEAST_READERS:
+        readers = list(next(iter(regions.values()))[:LEAST_READERS])
+    if own_name in readers:
         return ReadingPlan(True)
-    parent = (index - READERS) // FOLLOWERS_PER_PROCESS
-    start = index % READERS
-    others = [*readers[start:], *readers[:start]]
-    first = order[parent] if parent >= READERS else others.pop(0)
-    return ReadingPlan(False, (first, *others))
+    order = regions[region_of(members[own_name].zone)]
+    near = [name for name in order if name in readers]
+    far = [name for name in readers if name not in near]
+    parent = order[(order.index(own_name) - 1) // FOLLOWERS_PER_PROCESS]
+    sources = dict.fromkeys([parent, *near, *far])
+    return ReadingPlan(False, tuple(sources))
+
+
+def _by_region(
+    members: Mapping[str, Member], region_of: Callable[[str], str]
+) -> Mapping[str, Sequence[str]]:
+    """Returns the names of each region in the order in which they become readers."""
+    regions: dict[str, list[str]] = {}
+    for name in sorted(members, key=_weight):
+        regions.setdefault(region_of(members[name].zone), []).append(name)
+    return {region: regions[region] for region in sorted(regions)}
 
 
 def _weight(name: str) -> tuple[int, str]:
--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -15,13 +15,13 @@
 
 from dewledge.core.pooling.group_view import GroupView
 from dewledge.core.succession.candidates import choose, eligible
+from dewledge.core.succession.evidence import ReachEvidence
 from dewledge.core.succession.messages import (
     AnnounceLeader,
     AskWitnesses,
     Claim,
     ClaimRefused,
     ClaimSeen,
-    DatabaseStatus,
     LossCause,
     Phase,
     PhaseChanged,
@@ -37,11 +37,8 @@
     WitnessReported,
     WriteClaim,
 )
+from dewledge.core.succession.survey import StatusSurvey
 
-CHECK_LIMIT_SECONDS = 0.45
-"""Witnesses answer within this; then the majority of all processes must have said no."""
-LONE_CHECK_LIMIT_SECONDS = 2.5
-"""Without a majority, as after many processes died, it takes this long."""
 CHECK_AGAIN_SECONDS = 0.4
 ASK_AFTER_SECONDS = 0.1
 """A database that takes connections has done so by then; else the others are asked too."""
@@ -52,7 +49,6 @@
 CLAIM_LIMIT_SECONDS = 1.5
 CATCH_UP_LIMIT_SECONDS = 2.0
 """A primary that leaves serves on: its successor is given so long to receive all it has."""
-ASK_STATUS_AGAIN_SECONDS = 0.15
 PROMOTE_AGAIN_SECONDS = 0.7
 STANDING_AGAIN_SECONDS = 3.0
 PROMOTION_LIMIT_SECONDS = 6.0
@@ -84,12 +80,8 @@
         self._own_token = 0
         self._spent_token = 0
         """A token that the platform refused; the duty is taken again only under a later one."""
-        self._reach: ReachTested | None = None
-        self._witnesses: dict[str, bool] = {}
-        self._statuses: dict[str, DatabaseStatus] = {}
-        self._asked: set[str] = set()
-        self._asked_at = 0.0
-        self._refused: frozenset[str] = frozenset()
+        self._evidence = ReachEvidence("")
+        self._survey = StatusSurvey()
         self._candidate = ""
         self._promoted_at = 0.0
         self._none_since: float | None = None
@@ -110,14 +102,10 @@
         return effects
 
     def _take(self, event: SuccessionEvent, now: float) -> None:
-        if isinstance(event, ReachTested) and event.database == self._replaced:
-            self._reach = event
-        elif isinstance(event, WitnessReported) and event.database == self._replaced:
-            self._witnesses[event.witness] = event.reachable
-        elif isinstance(event, StatusRead) and event.status is not None:
-            self._statuses[event.database] = event.status
+        if isinstance(event, ReachTested | WitnessReported):
+            self._evidence.take(event)
         elif isinstance(event, StatusRead):
-            self._asked.discard(event.database)
+            self._survey.take(event)
         elif isinstance(event, ClaimSeen):
             self._see_claim(event.claim, now)
         elif isinstance(event, ClaimRefused) and self.phase is Phase.CLAIMING:
@@ -155,14 +143,13 @@
             return
         if event.fenced and self._own_token < self._newest_token:
             self._move(Phase.FOLLOWING, "token_too_old", now)
-        elif event.fenced and self._refused:
+        elif event.fenced and self._survey.refused:
             # Two databases refused: more likely another holds a later token, unknown here.
             self._spent_token = self._own_token
             self._own_token = 0
             self._move(Phase.FOLLOWING, "token_refused", now)
         elif event.fenced:
-            self._refused = self._refused | {event.database}
-            self._statuses.pop(event.database, None)
+            self._survey.refuse(event.database)
             self._move(Phase.CHOOSING, "candidate_refused", now)
 
     def _doubt(self, database: str, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
@@ -184,11 +171,8 @@
         self._cause = cause
         self._replaced = replaced
         self._since = now
-        self._reach = None
-        self._witnesses = {}
-        self._statuses = {}
-        self._asked = set()
-        self._refused = frozenset()
+        self._evidence = ReachEvidence(replaced)
+        self._survey = StatusSurvey()
         self._own_token = 0
         self._candidate = ""
 
@@ -262,39 +246,33 @@
     def _check(
         self, view: GroupView, members: Sequence[str], now: float
     ) -> Sequence[SuccessionEffect]:
-        if self._reach is not None and self._reach.reachable:
+        evidence = self._evidence
+        if evidence.is_reached:
             self.doubted = None
             self.reached_by = None
             self._move(Phase.STEADY, "reachable", now)
             return []
-        failed = self._reach is not None
-        if failed:
+        if evidence.is_missed:
             self.doubted = self._replaced
-        reaching = sorted(name for name, reaches in self._witnesses.items() if reaches)
-        if reaching and failed:
-            self.reached_by = self.reached_by if self.reached_by in reaching else reaching[0]
-            self._move(Phase.STEADY, f"reached_by_{self.reached_by}", now)
-            return []
-        if reaching:
-            return []
+        if evidence.reaching:
+            return self._keep_reached(evidence.reaching, now)
+        waited = now - self._phase_since
         effects: list[SuccessionEffect] = []
-        if not self._asks_witnesses and (failed or now >= self._phase_since + ASK_AFTER_SECONDS):
+        if not self._asks_witnesses and (evidence.is_missed or waited >= ASK_AFTER_SECONDS):
             self._asks_witnesses = True
             effects.append(AskWitnesses(self._replaced))
-        if not failed or not self._is_confirmed(members, now):
+        if not evidence.is_missed or not evidence.is_confirmed(members, waited):
             return effects
         self.reached_by = None
         self._start_claim(members, now)
         return self._claim_duty(view, now)
 
-    def _is_confirmed(self, members: Sequence[str], now: float) -> bool:
-        against = 1 + sum(not reachable for reachable in self._witnesses.values())
-        if against >= len(members):
-            return True
-        waited = now - self._phase_since
-        if waited >= CHECK_LIMIT_SECONDS and against * 2 > len(members):
-            return True
-        return waited >= LONE_CHECK_LIMIT_SECONDS
+    def _keep_reached(self, reaching: Sequence[str], now: float) -> Sequence[SuccessionEffect]:
+        """Another process reaches the primary: it stays, and is reached through that one."""
+        if self._evidence.is_missed:
+            self.reached_by = self.reached_by if self.reached_by in reaching else reaching[0]
+            self._move(Phase.STEADY, f"reached_by_{self.reached_by}", now)
+        return []
 
     def _start_claim(self, members: Sequence[str], now: float) -> None:
         rank = list(members).index(self._own_name) if self._own_name in members else len(members)
@@ -328,19 +306,22 @@
         return 0 if self._claim is None else self._claim.token
 
     def _choose(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
-        names = eligible(view, self._replaced, self._refused)
+        survey = self._survey
+        names = eligible(view, self._replaced, survey.refused)
         wanted = [*names, self._replaced] if self._is_planned else names
-        effects = self._ask_statuses(wanted)
-        missing = [name for name in wanted if name not in self._statuses]
+        effects: list[SuccessionEffect] = [*survey.ask(wanted)]
+        missing = [name for name in wanted if name not in survey.statuses]
         if missing and now < self._phase_since + STATUS_LIMIT_SECONDS:
             return effects
-        chosen = choose(names, self._statuses, {})
-        if chosen is None or (chosen not in self._statuses and not self._waited_for_status(now)):
+        chosen = choose(names, survey.statuses, {})
+        if chosen is None or (chosen not in survey.statuses and not self._waited_for_status(now)):
             if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
                 self._move(Phase.STEADY, "no_candidate", now)
             return effects
-        if self._is_behind(chosen) and now < self._phase_since + CATCH_UP_LIMIT_SECONDS:
-            self._ask_again(now)
+        is_behind = self._is_planned and survey.is_behind(chosen, self._replaced)
+        if is_behind and now < self._phase_since + CATCH_UP_LIMIT_SECONDS:
+            if survey.is_time_to_ask_again(now):
+                survey.forget_asked()
             return effects
         self._candidate = chosen
         self._promoted_at = now
@@ -351,25 +332,6 @@
     def _is_planned(self) -> bool:
         return self._cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
 
-    def _ask_statuses(self, names: Sequence[str]) -> list[SuccessionEffect]:
-        unasked = [name for name in names if name not in self._asked]
-        self._asked.update(unasked)
-        return [ReadStatus(name) for name in unasked]
-
-    def _is_behind(self, chosen: str) -> bool:
-        """Tells whether a primary that still serves has what the chosen database lacks."""
-        leaving = self._statuses.get(self._replaced)
-        status = self._statuses.get(chosen)
-        if not self._is_planned or leaving is None or status is None:
-            return False
-        return status.received < leaving.received
-
-    def _ask_again(self, now: float) -> None:
-        """Has the databases asked once more, a moment after the last time."""
-        if now >= self._asked_at + ASK_STATUS_AGAIN_SECONDS:
-            self._asked_at = now
-            self._asked = set()
-
     def _waited_for_status(self, now: float) -> bool:
         return now > self._phase_since + 2 * STATUS_LIMIT_SECONDS
 
@@ -378,8 +340,7 @@
             self._move(Phase.STEADY, "promotion_without_effect", now)
             return []
         effects: list[SuccessionEffect] = []
-        if now >= self._asked_at + ASK_STATUS_AGAIN_SECONDS:
-            self._asked_at = now
+        if self._survey.is_time_to_ask_again(now):
             effects.append(ReadStatus(self._candidate))
         if now >= self._promoted_at + PROMOTE_AGAIN_SECONDS:
             self._promoted_at = now
--- /dev/null
+++ b/src/dewledge/core/succession/survey.py
@@ -0,0 +1,54 @@
+"""What the databases of a group say of themselves while a new primary is chosen."""
+
+from collections.abc import Sequence
+
+from dewledge.core.succession.messages import DatabaseStatus, ReadStatus, StatusRead
+
+ASK_AGAIN_SECONDS = 0.15
+
+
+class StatusSurvey:
+    """The states told in one succession."""
+
+    def __init__(self) -> None:
+        self.statuses: dict[str, DatabaseStatus] = {}
+        self.refused: frozenset[str] = frozenset()
+        """Databases that the platform did not promote."""
+        self._asked: set[str] = set()
+        self._asked_at = 0.0
+
+    def take(self, event: StatusRead) -> None:
+        """Takes an answer; a database that gave none is asked again."""
+        if event.status is None:
+            self._asked.discard(event.database)
+        else:
+            self.statuses[event.database] = event.status
+
+    def refuse(self, database: str) -> None:
+        """The platform did not promote a database."""
+        self.refused = self.refused | {database}
+        self.statuses.pop(database, None)
+
+    def ask(self, names: Sequence[str]) -> list[ReadStatus]:
+        """Returns the questions to those that have not been asked."""
+        unasked = [name for name in names if name not in self._asked]
+        self._asked.update(unasked)
+        return [ReadStatus(name) for name in unasked]
+
+    def is_time_to_ask_again(self, now: float) -> bool:
+        """Tells whether the last questions are old enough, and counts as asking if so."""
+        if now < self._asked_at + ASK_AGAIN_SECONDS:
+            return False
+        self._asked_at = now
+        return True
+
+    def forget_asked(self) -> None:
+        """Has all be asked once more."""
+        self._asked = set()
+
+    def is_behind(self, chosen: str, leader: str) -> bool:
+        """Tells whether `chosen` lacks something that `leader` has, as far as both have told."""
+        leading, status = self.statuses.get(leader), self.statuses.get(chosen)
+        if leading is None or status is None:
+            return False
+        return status.received < leading.received
--- a/src/dewledge/shell/pooling/followed_table.py
+++ b/src/dewledge/shell/pooling/followed_table.py
@@ -4,6 +4,7 @@
 
 from dewledge.core.coordination_store import StoreRow
 from dewledge.core.sharing.messages import TableNews
+from dewledge.core.sharing.packing import LEAST_COMPRESSED_BYTES, pack_value, unpack_value
 from dewledge.core.sharing.table_cache import TableCache, TableDelta
 
 RowsCallback = Callable[[tuple[StoreRow, ...], int], None]
@@ -11,6 +12,9 @@
 
 NEVER = -1e9
 FOLLOWED_SLACK_SECONDS = 1.5
+LARGE_BYTES = 128 * 1024
+"""Changes above this, compressed, are read from the store by each process: sent to all followers,
+they would fill the link of a small machine for a second."""
 
 
 class FollowedTable:
@@ -26,6 +30,7 @@
         """The table was surely the store's newest at this time (steady clock, seconds)."""
         self._cache = TableCache()
         self._last_change = -1
+        self._packed: dict[str, StoreRow] = {}
         self._snapshot = snapshot
         self._changed = changed
 
@@ -63,7 +68,30 @@
             return False
         return version < self._last_change
 
-    def news(self, after: int, now: float) -> TableNews:
-        """Returns what a follower at version `after` lacks."""
+    def news(self, after: int, now: float, takes_large: bool) -> TableNews:
+        """Returns what a follower at version `after` lacks, or that it is too large to be sent."""
         age = now - self.confirmed_at if self._cache.is_known else -1.0
-        return TableNews(self.name, self._cache.delta(after), age)
+        delta = self._cache.delta(after)
+        rows = tuple(self._pack(row) for row in delta.rows)
+        if sum(len(row.value) for row in rows) > LARGE_BYTES and not takes_large:
+            return TableNews(self.name, TableDelta((), after, False), age, is_withheld=True)
+        return TableNews(self.name, TableDelta(rows, delta.version, delta.is_whole), age)
+
+    def take_news(self, news: TableNews, asked_at: float) -> bool:
+        """Takes another process's answer to a question of `asked_at`. Raises ProtocolError."""
+        rows = tuple(_with_value(row, unpack_value(row.value)) for row in news.delta.rows)
+        delta = TableDelta(rows, news.delta.version, news.delta.is_whole)
+        return self.take(delta, asked_at - news.age_seconds)
+
+    def _pack(self, row: StoreRow) -> StoreRow:
+        """Returns a row as it goes over links; a large one is compressed once for all followers."""
+        known = self._packed.get(row.key)
+        if known is None or known.version != row.version:
+            known = _with_value(row, pack_value(row.value))
+            if len(row.value) >= LEAST_COMPRESSED_BYTES:
+                self._packed[row.key] = known
+        return known
+
+
+def _with_value(row: StoreRow, value: bytes) -> StoreRow:
+    return StoreRow(row.key, value, row.version, row.gone)
--- a/src/dewledge/shell/pooling/table_follower.py
+++ b/src/dewledge/shell/pooling/table_follower.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -15,17 +16,23 @@
 from dewledge.core.sharing.messages import (
     FollowTables,
     PeerLinkMessage,
+    TableNews,
     TablePosition,
     TablesAnswered,
 )
+from dewledge.errors import ProtocolError
 from dewledge.shell.event_loop import EventLoop, Timer
 from dewledge.shell.pooling.followed_table import FollowedTable
 from dewledge.shell.pooling.outgoing_link import OutgoingLink
 from dewledge.shell.pooling.outgoing_links import OutgoingLinks
 
 ANSWER_LIMIT_SECONDS = 1.1
-"""A source holds a question for half a second; a silent one is given up after this."""
+"""A source holds a question for less; a silent one is given up after this."""
 PAUSE_SECONDS = 0.3
+WITHHELD_SPREAD_SECONDS = 0.2
+WITHHELD_PAUSE_SECONDS = 0.5
+TAKE_LARGE_SECONDS = 1.5
+"""A large change that the store does not give within this is taken from the source."""
 OWN_READ_SECONDS = 0.8
 LONGEST_OWN_READ_SECONDS = 3.0
 
@@ -55,6 +62,7 @@
         self._timer: Timer | None = None
         self._not_before = 0.0
         self._own_reads = 0
+        self._withheld_since = math.inf
         links.add_user(self)
 
     @property
@@ -107,7 +115,8 @@
         def send() -> None:
             if self._number == number:
                 self._asked_at = self._loop.now()
-                link.send(FollowTables(number, self._positions()))
+                takes_large = self._loop.now() > self._withheld_since + TAKE_LARGE_SECONDS
+                link.send(FollowTables(number, self._positions(), takes_large))
 
         def fail() -> None:
             if self._number == number:
@@ -120,18 +129,44 @@
 
     def _take(self, answer: TablesAnswered) -> None:
         is_news = False
+        withheld: list[str] = []
         for news in answer.news:
             table = self._tables.get(news.table)
-            if table is not None and news.age_seconds >= 0:
-                is_news |= table.take(news.delta, self._asked_at - news.age_seconds)
+            if table is None or news.age_seconds < 0:
+                continue
+            if news.is_withheld:
+                withheld.append(news.table)
+            else:
+                is_news |= self._take_table(table, news)
         if is_news:
             self._changed()
-        if self._is_doubtful():
+        if withheld:
+            self._read_withheld(withheld)
+        elif self._is_doubtful():
             self._next_source("word_too_old")
         else:
             self._own_reads = 0
+            self._withheld_since = math.inf
             self._schedule(0.0)
 
+    def _take_table(self, table: FollowedTable, news: TableNews) -> bool:
+        try:
+            return table.take_news(news, self._asked_at)
+        except ProtocolError as error:
+            logger.bind(source=self.source, table=table.name, error=error.message).warning(
+                "table_news_refused"
+            )
+            return False
+
+    def _read_withheld(self, tables: Sequence[str]) -> None:
+        """Reads large changes from the store; takes them from the source if that does not help."""
+        if self._withheld_since == math.inf:
+            self._withheld_since = self._loop.now()
+        for name in tables:
+            delay = random.uniform(0.0, WITHHELD_SPREAD_SECONDS)
+            self._loop.call_later(delay, lambda name=name: self._read_store(name))  # type: ignore[misc]
+        self._schedule(WITHHELD_PAUSE_SECONDS)
+
     def _is_doubtful(self) -> bool:
         now = self._loop.now()
         return any(table.is_doubtful(now) for table in self._tables.values())
--- a/src/dewledge/shell/pooling/table_publisher.py
+++ b/src/dewledge/shell/pooling/table_publisher.py
@@ -7,7 +7,7 @@
 from dewledge.shell.pooling.channel_server import IncomingLink
 from dewledge.shell.pooling.followed_table import FollowedTable
 
-HOLD_SECONDS = 0.5
+HOLD_SECONDS = 0.4
 """A question is answered after this at the latest, with nothing new."""
 
 
@@ -68,6 +68,6 @@
         for position in question.positions:
             table = self._tables.get(position.table)
             if table is not None:
-                news.append(table.news(position.version, now))
+                news.append(table.news(position.version, now, question.takes_large))
         if not link.closed:
             link.send(TablesAnswered(question.number, tuple(news)))
--- a/src/dewledge/shell/pooling/table_reading.py
+++ b/src/dewledge/shell/pooling/table_reading.py
@@ -18,7 +18,9 @@
 from dewledge.shell.pooling.table_publisher import TablePublisher
 from dewledge.shell.pooling.table_watcher import TableWatcher
 
-READ_BY_ALL_WAIT_SECONDS = 2.0
+LONGEST_WAIT_SECONDS = 2.0
+WAIT_SHARE_OF_BOUND = 0.4
+"""Of the configuration's bound: a call that the store swallows is noticed a second later."""
 URGENT_WAIT_SECONDS = 1.0
 """A reader that others follow looks more often: what they know is older by their question."""
 
@@ -37,6 +39,9 @@
     ) -> None:
         self._loop = loop
         self._own_name = settings.name
+        self._regions = settings.zones
+        bound = settings.timings.configuration_bound
+        self._read_by_all_wait = min(LONGEST_WAIT_SECONDS, bound * WAIT_SHARE_OF_BOUND)
         self._platform = platform
         self._members = members
         self._executor = executor
@@ -55,7 +60,7 @@
 
         is_urgent: its changes are to be in force everywhere within a bound.
         """
-        wait = URGENT_WAIT_SECONDS if is_urgent else READ_BY_ALL_WAIT_SECONDS
+        wait = URGENT_WAIT_SECONDS if is_urgent else LONGEST_WAIT_SECONDS
         table = FollowedTable(name, wait, snapshot, changed)
 
         def taken(delta: TableDelta, true_at: float) -> None:
@@ -85,7 +90,7 @@
     def members_changed(self) -> None:
         """Works out anew whether this process reads, and whom it follows."""
         members = self._members.members
-        plan = reading_plan(self._own_name, members)
+        plan = reading_plan(self._own_name, members, self._region_of)
         if plan != self._plan:
             self._plan = plan
             logger.bind(reads=plan.is_reader, sources=",".join(plan.sources)).info(
@@ -96,9 +101,12 @@
         is_alone = plan.is_reader or not addresses
         for name, watcher in self._watchers.items():
             shared_wait = self._tables[name].wait_seconds
-            watcher.wait_seconds = READ_BY_ALL_WAIT_SECONDS if is_read_by_all else shared_wait
+            watcher.wait_seconds = self._read_by_all_wait if is_read_by_all else shared_wait
             watcher.set_reader(is_alone)
         self._follower.follow([] if is_alone else addresses)
 
+    def _region_of(self, zone: str) -> str:
+        return self._regions.get(zone, zone)
+
     def _read_store(self, table: str) -> None:
         self._watchers[table].read_once()
--- a/tests/core/sharing/test_tables.py
+++ b/tests/core/sharing/test_tables.py
@@ -5,13 +5,23 @@
 
 from dewledge.core.coordination_store import StoreRow
 from dewledge.core.sharing import table_cache
+from dewledge.core.sharing.members import Member
+from dewledge.core.sharing.packing import pack_value, unpack_value
 from dewledge.core.sharing.readers import (
     FOLLOWERS_PER_PROCESS,
+    LEAST_READERS,
     MOST_READING_ALL,
-    READERS,
+    ReadingPlan,
     reading_plan,
 )
-from dewledge.core.sharing.table_cache import TableCache
+from dewledge.core.sharing.table_cache import TableCache, TableDelta
+from dewledge.errors import ProtocolError
+from dewledge.shell.pooling.followed_table import (
+    FOLLOWED_SLACK_SECONDS,
+    LARGE_BYTES,
+    FollowedTable,
+)
+from dewledge.shell.pooling.table_publisher import HOLD_SECONDS
 
 
 def row(key: str, version: int, gone: bool = False) -> StoreRow:
@@ -99,32 +109,98 @@
         self.assertFalse(cache.delta(3).is_whole)
 
 
+def plans_of(count: int, regions: int) -> dict[str, ReadingPlan]:
+    members = {f"n{n}": Member(f"10.0.0.{n}:1", f"z{n % 6}") for n in range(count)}
+
+    def region_of(zone: str) -> str:
+        return f"r{int(zone[1:]) % regions}"
+
+    return {name: reading_plan(name, members, region_of) for name in members}
+
+
 class ReadingPlanTest(unittest.TestCase):
     def test_few_processes_all_read(self) -> None:
-        names = [f"n{n}" for n in range(MOST_READING_ALL)]
-        self.assertTrue(all(reading_plan(name, names).is_reader for name in names))
+        plans = plans_of(MOST_READING_ALL, 3)
+        self.assertTrue(all(plan.is_reader for plan in plans.values()))
 
-    def test_of_many_a_few_read_and_the_others_reach_one_of_them(self) -> None:
+    def test_of_many_one_of_each_region_reads_and_two_at_least(self) -> None:
         for count in (MOST_READING_ALL + 1, 73, 850):
-            names = [f"n{n}" for n in range(count)]
-            plans = {name: reading_plan(name, names) for name in names}
+            for regions in (1, 2, 3):
+                plans = plans_of(count, regions)
+                readers = {name for name, plan in plans.items() if plan.is_reader}
+                self.assertEqual(len(readers), max(regions, LEAST_READERS))
+
+    def test_the_others_reach_a_reader_in_few_steps_and_know_them_all(self) -> None:
+        for count, most in ((MOST_READING_ALL + 1, 1), (73, 2), (850, 3)):
+            plans = plans_of(count, 2)
             readers = {name for name, plan in plans.items() if plan.is_reader}
-            self.assertEqual(len(readers), READERS)
-            for name in names:
+            for name in plans.keys() - readers:
                 steps, at = 0, name
                 while not plans[at].is_reader:
                     at = plans[at].sources[0]
                     steps += 1
-                self.assertLessEqual(steps, 2)
-                if name not in readers:
-                    self.assertTrue(readers <= set(plans[name].sources))
+                self.assertLessEqual(steps, most)
+                self.assertTrue(readers <= set(plans[name].sources))
+                self.assertNotIn(name, plans[name].sources)
+
+    def test_what_is_known_at_the_last_step_is_not_yet_doubted(self) -> None:
+        way = 3 * (HOLD_SECONDS + 0.05)
+        self.assertLess(
+            URGENT_WAIT_SECONDS + 0.1 + way, URGENT_WAIT_SECONDS + FOLLOWED_SLACK_SECONDS
+        )
+
+    def test_they_follow_one_of_their_own_region(self) -> None:
+        plans = plans_of(73, 3)
+        for name, plan in plans.items():
+            if not plan.is_reader:
+                self.assertEqual(int(name[1:]) % 3, int(plan.sources[0][1:]) % 3)
 
     def test_no_process_is_followed_by_many(self) -> None:
-        names = [f"n{n}" for n in range(850)]
-        first = [reading_plan(name, names).sources[:1] for name in names]
+        plans = plans_of(850, 2)
+        first = [plan.sources[:1] for plan in plans.values()]
         most = max(first.count(choice) for choice in set(first) if choice)
         self.assertLessEqual(most, FOLLOWERS_PER_PROCESS)
 
 
+class LargeChangeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = FollowedTable("op", 1.0, lambda *_: None, lambda *_: None)
+        large = random.Random(1).randbytes(LARGE_BYTES + 1)
+        rows = (StoreRow("config", large, 5),)
+        self.table.take(TableDelta(rows, 5, True), 10.0)
+
+    def test_it_is_told_of_and_not_sent(self) -> None:
+        news = self.table.news(3, 11.0, takes_large=False)
+        self.assertTrue(news.is_withheld)
+        self.assertEqual((news.delta.rows, news.delta.version), ((), 3))
+
+    def test_it_is_sent_to_who_asks_for_it(self) -> None:
+        news = self.table.news(3, 11.0, takes_large=True)
+        self.assertFalse(news.is_withheld)
+        self.assertEqual(news.delta.version, 5)
+
+    def test_what_compresses_well_is_sent(self) -> None:
+        value = b'{"name": "route"}' * LARGE_BYTES
+        self.table.take(TableDelta((StoreRow("config", value, 7),), 7, False), 11.0)
+        news = self.table.news(5, 11.0, takes_large=False)
+        self.assertLess(len(news.delta.rows[0].value), len(value) // 10)
+        follower = FollowedTable("op", 1.0, lambda *_: None, lambda *_: None)
+        self.assertTrue(follower.take_news(self.table.news(-1, 11.0, True), 20.0))
+        self.assertEqual(follower.news(-1, 20.0, True).delta, self.table.news(-1, 20.0, True).delta)
+
+    def test_packed_values_that_make_no_sense(self) -> None:
+        packed = pack_value(b"x" * 5000)
+        for data in (b"", b"\x02abc", packed[:-3], b"\x01" + b"junk", packed[:1]):
+            with self.subTest(data[:8]), self.assertRaises(ProtocolError):
+                unpack_value(data)
+        for value in (b"", b"x", b"x" * 5000):
+            self.assertEqual(unpack_value(pack_value(value)), value)
+
+    def test_who_has_it_already_gets_the_rest(self) -> None:
+        self.table.take(TableDelta((row("small", 6),), 6, False), 11.0)
+        news = self.table.news(5, 11.0, takes_large=False)
+        self.assertEqual([each.key for each in news.delta.rows], ["small"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_shared_pooler.py
+++ b/tests/platform/test_shared_pooler.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from dewledge.core.sharing import holders, readers
+from dewledge.shell.pooling import followed_table
 from dewledge.shell.pooling.pooler_process import PoolerProcess
 from tests.platform import test_pooler_process as direct
 from tests.platform.wire_databases import wait_until
@@ -14,7 +15,7 @@
     (holders, "LEAST_HOLDERS", 1),
     (holders, "CONNECTIONS_PER_HOLDER", 99),
     (readers, "MOST_READING_ALL", 1),
-    (readers, "READERS", 1),
+    (readers, "LEAST_READERS", 1),
 )
 """So that four processes share as hundreds would."""
 
@@ -83,6 +84,16 @@
         time.sleep(seconds)
         return self.store.calls - before
 
+    def test_a_large_configuration_is_in_force_everywhere(self) -> None:
+        with mock.patch.object(followed_table, "LARGE_BYTES", 100):
+            self.put_configuration(("orders", "notes", "lists-2"))
+            started = time.monotonic()
+            for number in range(4):
+                self.assertTrue(
+                    wait_until(lambda n=number: self.client("lists-2", n).greeting == "READY I -")  # type: ignore[misc]
+                )
+        self.assertLess(time.monotonic() - started, 2.0)
+
     def test_without_the_reader_the_others_read_the_store(self) -> None:
         reader = next(p for p in self.processes if p._tables._plan.is_reader)
         self.stop_at_once(reader)
