--- a/src/dewledge/core/pooling/database_search.py
+++ b/src/dewledge/core/pooling/database_search.py
@@ -51,6 +51,7 @@
         self._waiter: Waiter | None = None
         self._waits_for_primary = False
         self._is_seeking_proof = False
+        self._has_waited_for_proof = False
         self._is_searching = False
         self.give_up_at = self._arrived + route.target_latency * QUEUE_SHARE_OF_TARGET
         self.target: Target | None = None
@@ -84,7 +85,8 @@
     def _plan(self) -> None:
         self._targets = list(self._find_targets(self._session.transaction))
         if self._lacks_floor() and not self._is_seeking_proof:
-            if not self._group.may_seek_proof():
+            if not self._has_waited_for_proof and not self._group.may_seek_proof():
+                self._has_waited_for_proof = True
                 self._group.wait_for_proof(self._resume)
                 self._timers.pause(SEEK_AGAIN_SECONDS, self._resume)
                 return
--- a/tests/core/pooling/test_proof_seeking.py
+++ b/tests/core/pooling/test_proof_seeking.py
@@ -46,6 +46,15 @@
             self.assertIsNone(session.reply(known).failure)
         self.assertEqual(len(first), 1)
 
+    def test_one_that_has_waited_goes_to_the_primary_itself(self) -> None:
+        self.model.databases["p"].work = 0.28
+        self.start_reads(1)
+        self.scheduler.advance(0.001)
+        others = self.start_reads(3)
+        self.scheduler.advance(0.9)
+        for session, known in others:
+            self.assertIsNone(session.reply(known).failure)
+
     def test_a_client_that_leaves_while_its_read_seeks_holds_nobody_up(self) -> None:
         ((leaver, _),) = self.start_reads(1)
         others = self.start_reads(3)
