--- a/tests/core/pooling/test_random_days.py
+++ b/tests/core/pooling/test_random_days.py
@@ -6,10 +6,16 @@
 import os
 import unittest
 
+import msgspec
+
 from dewledge.core.pooling import connection_setup, freshness, statement_run
 from dewledge.core.pooling.group import Group
 from dewledge.core.pooling.routes import Consistency, Route
+from dewledge.core.pooling.statements import Reply, TransactionState
 from dewledge.core.pooling.targets import Proof, ReadNeed, Target
+from dewledge.core.sharing import channel_session
+from dewledge.core.sharing.channel_session import ChannelSession
+from dewledge.core.sharing.messages import ProvenAge
 from tests.core.pooling.random_day import RandomDay
 
 DAYS = int(os.environ.get("DEWLEDGE_DAYS", "30"))
@@ -36,11 +42,15 @@
         self.assertGreater(answered, DAYS * 200)
 
 
-class CheckersTest(unittest.TestCase):
-    """Each checker is seen red once, with one guard of the code switched off."""
+class GuardCase(unittest.TestCase):
+    """Guards switched off for one test."""
+
+    is_shared = False
 
     def assert_breaks(self, text: str, seeds: int = 12) -> None:
-        found = [line for seed in range(seeds) for line in RandomDay(seed).play(10.0).violations()]
+        found: list[str] = []
+        for seed in range(seeds):
+            found += RandomDay(seed, self.is_shared).play(10.0).violations()
         self.assertTrue(any(text in line for line in found), found[:3])
 
     def swap(self, owner: object, name: str, value: object) -> None:
@@ -48,6 +58,10 @@
         setattr(owner, name, value)
         self.addCleanup(setattr, owner, name, before)
 
+
+class CheckersTest(GuardCase):
+    """Each checker is seen red once, with one guard of the code switched off."""
+
     def test_without_proof_of_the_lead_a_replaced_primary_answers(self) -> None:
         original = Group.targets
 
@@ -93,5 +107,34 @@
         self.assert_breaks("twice")
 
 
+class SharedCheckersTest(GuardCase):
+    """The guards of a holder, switched off one by one."""
+
+    is_shared = True
+
+    def test_without_setup_by_the_holder_foreign_values_stay(self) -> None:
+        self.swap(channel_session, "plan_setup", lambda *_: [])
+        self.assert_breaks("foreign values", 2)
+
+    def test_a_holder_that_gives_a_connection_back_too_soon_mixes_transactions(self) -> None:
+        original = ChannelSession._answered
+
+        def answered(session: ChannelSession, reply: Reply | None) -> None:
+            if reply is not None and reply.failure is None:
+                reply = msgspec.structs.replace(reply, state=TransactionState.IDLE)
+            original(session, reply)
+
+        self.swap(ChannelSession, "_answered", answered)
+        self.assert_breaks("outside its transaction", 4)
+
+    def test_with_proofs_taken_for_newer_than_they_are_reads_are_stale(self) -> None:
+        def proven(session: ChannelSession) -> ProvenAge | None:
+            newest = session._group.history.newest
+            return None if newest is None else ProvenAge(newest.position, -2.0)
+
+        self.swap(ChannelSession, "_proven", proven)
+        self.assert_breaks("misses")
+
+
 if __name__ == "__main__":
     unittest.main()
