--- a/tests/platform/test_pooler_process.py
+++ b/tests/platform/test_pooler_process.py
@@ -1,6 +1,7 @@
 """Whole pooler processes in threads, before stand-in databases and a stand-in store."""
 
 import contextlib
+import itertools
 import random
 import socket
 import threading
@@ -19,10 +20,18 @@
 """Below the range from which the system takes ports of outgoing connections."""
 
 
+_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+for _ in range(random.randrange(LAST_PORT - FIRST_PORT)):
+    next(_ports)
+
+
 def free_address() -> str:
-    """Returns an address that nobody listens at and that no outgoing connection will take."""
+    """Returns an address that nobody listens at and that no outgoing connection will take.
+
+    Ports are taken in turn from a random start: none is given out twice before it is bound.
+    """
     while True:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
+        port = next(_ports)
         with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
             return f"127.0.0.1:{port}"
 
