--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -20,6 +20,7 @@
 )
 from dewledge.core.positions import LogPosition
 from dewledge.core.sharing.holders import FALLBACK_CONNECTIONS, Holding
+from dewledge.core.succession.lead_right import Fencing, LeadRight
 
 ROLLBACK_LIMIT_SECONDS = 2.0
 CHANNELS_PER_DATABASE = 64
@@ -58,9 +59,14 @@
         clock: Callable[[], float],
         drain_bound: float,
         direct_opener: Opener | None = None,
+        right: LeadRight | None = None,
     ) -> None:
-        """`direct_opener`: opens connections that other processes' statements may use."""
+        """`direct_opener`: opens connections that other processes' statements may use.
+
+        right: to use a primary as such; by default the platform fences.
+        """
         self.view = GroupView(name)
+        self.right = right or LeadRight(Fencing.PLATFORM)
         self.history = FreshnessHistory()
         self.pools: dict[str, ConnectionPool] = {}
         self._place = place
@@ -156,9 +162,23 @@
         primary = self.view.primary
         if primary is None or (primary.id == self._doubted and self.relay is None):
             return None
+        if not self.may_lead(primary.id):
+            return None
         usable = self.view.takes_work(primary.id, self._clock(), self._drain_bound)
         return primary if usable else None
 
+    def may_lead(self, database_id: str) -> bool:
+        """Tells whether this process may use a database as primary now.
+
+        Asked before a statement is sent, and again when its answer comes.
+        """
+        return self.right.allows(database_id, self._clock())
+
+    def right_confirmed(self) -> None:
+        """The right to use primaries has been renewed."""
+        if self._primary_waiters and self.usable_primary is not None:
+            self._wake_waiters()
+
     def set_doubt(self, database_id: str | None, relay: str | None) -> None:
         """Notes which database cannot be reached, and the process that can stand between.
 
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -48,6 +48,7 @@
         answer: Callable[[Reply], None],
     ) -> None:
         self._scheduler = services.scheduler
+        self._group = group
         self._session = session
         self._statement = statement
         self._answer = answer
@@ -101,6 +102,10 @@
 
     def _given(self, connection: DatabaseConnection) -> None:
         self._held.take(connection)
+        self._proves_lead = False
+        if self._lacks_right(connection):
+            self._withhold()
+            return
         steps = plan_setup(self._session, connection, self._statement, self._is_pinned)
         begin = self._begin_kind()
         self._proves_lead = begin is StatementKind.BEGIN
@@ -113,6 +118,28 @@
         self._timers.limit(self._scheduler.now() + SETUP_LIMIT_SECONDS, self._setup_silent)
         send_setup(connection, steps, begin, floor, lambda verdict: self._set_up(epoch, verdict))
 
+    def _lacks_right(self, connection: DatabaseConnection) -> bool:
+        """Tells whether the database would have to lead, and may not be used so any more."""
+        transaction = self._transaction
+        if transaction is not None and transaction.connection is not None:
+            needs_lead = transaction.leads
+        else:
+            target = self._search.target
+            needs_lead = target is not None and target.proof is not Proof.FLOOR
+        return needs_lead and not self._group.may_lead(connection.database_id)
+
+    def _withhold(self) -> None:
+        """The statement does not leave: the primary is being replaced, or may be."""
+        self._note("without_right")
+        if self._is_pinned:
+            self._lose_transaction(ErrorCode.TRANSACTION_LOST, "the primary is being replaced")
+            return
+        if self._proves_lead:
+            self._held.roll_back()
+        else:
+            self._held.release()
+        self._search.go_on()
+
     def _begin_kind(self) -> StatementKind | None:
         """A read that must come from the primary runs in a transaction that only it opens."""
         transaction = self._transaction
@@ -129,6 +156,10 @@
         connection = self._held.connection
         if self._finished or epoch != self._held.epoch or connection is None:
             return
+        if verdict is True and self._lacks_right(connection):
+            self._timers.clear_limit()
+            self._withhold()
+            return
         if verdict is True:
             transaction = self._transaction
             if transaction is not None and transaction.connection is None:
@@ -214,6 +245,9 @@
         if reply is None:
             self._note("lost")
             self._lost()
+        elif reply.failure is None and self._answers_without_right():
+            self._note("answer_without_right")
+            self._lost()
         elif reply.failure is not None:
             self._note(reply.failure.code)
             if self._transaction is not None:
@@ -224,6 +258,11 @@
             self._note("done")
             self._done(reply)
 
+    def _answers_without_right(self) -> bool:
+        """Another may lead by now, so nothing is said of what the old primary has done."""
+        connection = self._held.connection
+        return connection is not None and self._lacks_right(connection)
+
     def _done(self, reply: Reply) -> None:
         transaction = self._transaction
         if transaction is None:
--- a/src/dewledge/core/pooling/statements.py
+++ b/src/dewledge/core/pooling/statements.py
@@ -12,7 +12,10 @@
 
 
 class StatementKind(StrEnum):
-    """What a statement does. The last five are sent by the proxy alone."""
+    """What a statement does. The last three are sent by the proxy alone.
+
+    STEP_DOWN tells a primary of a lower term than its argument to lead no more.
+    """
 
     READ = "read"
     WRITE = "write"
@@ -26,6 +29,7 @@
     DEALLOCATE = "deallocate"
     DISCARD = "discard"
     STATUS = "status"
+    STEP_DOWN = "step_down"
 
 
 class Statement(msgspec.Struct, frozen=True):
--- a/src/dewledge/core/sharing/channel_session.py
+++ b/src/dewledge/core/sharing/channel_session.py
@@ -239,7 +239,8 @@
         if code is None and self._current is not None and reply.position is not None:
             statement = self._current.statement
             writes = statement.kind is StatementKind.WRITE or self._shape_writes(statement)
-            if self._lead.proves(statement.kind, writes):
+            proves = self._lead.proves(statement.kind, writes)
+            if proves and self._group.may_lead(connection.database_id):
                 self._group.record_proof(self._sent_at, reply.position)
         if code is ErrorCode.NOT_PRIMARY:
             self._group.refute_primary(connection.database_id)
--- a/src/dewledge/core/succession/evidence.py
+++ b/src/dewledge/core/succession/evidence.py
@@ -42,11 +42,16 @@
         """The processes that reach it, by name."""
         return sorted(name for name, reaches in self._witnesses.items() if reaches)
 
-    def is_confirmed(self, members: Sequence[str], waited: float) -> bool:
-        """Tells whether enough processes miss the database. `waited`: since the check began."""
+    def is_confirmed(
+        self, members: Sequence[str], waited: float, may_act_alone: bool = True
+    ) -> bool:
+        """Tells whether enough processes miss the database. `waited`: since the check began.
+
+        may_act_alone: whether it is enough, after a while, that nobody has told anything else.
+        """
         against = 1 + sum(not reaches for reaches in self._witnesses.values())
         if against >= len(members):
             return True
         if waited >= CHECK_LIMIT_SECONDS and against * 2 > len(members):
             return True
-        return waited >= LONE_CHECK_LIMIT_SECONDS
+        return may_act_alone and waited >= LONE_CHECK_LIMIT_SECONDS
--- /dev/null
+++ b/src/dewledge/core/succession/lead_release.py
@@ -0,0 +1,96 @@
+"""Sees to it that nobody uses the old primary as such by the time a new one is promoted.
+
+Only where the platform does not take the lead from the old one itself. A primary that leaves is
+told to step down: its answer is the proof, and the pause for writes begins only then. One that
+cannot be reached, or does not answer, is banned by the claim, which every process must know or
+outwait.
+"""
+
+from collections.abc import Sequence
+
+from dewledge.core.succession.claim_recall import ClaimRecall
+from dewledge.core.succession.lead_right import LONG_AGO
+from dewledge.core.succession.messages import (
+    Claim,
+    ClaimKnown,
+    DatabaseStatus,
+    RegisteredProcesses,
+    StepDown,
+    SteppedDown,
+    TellClaim,
+)
+
+TELL_AGAIN_SECONDS = 0.1
+STEP_DOWN_AGAIN_SECONDS = 0.2
+STEP_DOWN_LIMIT_SECONDS = 1.0
+
+
+class LeadRelease:
+    """The release of one primary, in one succession."""
+
+    def __init__(self, own_name: str, replaced: str, may_step_down: bool) -> None:
+        """`may_step_down`: whether the old primary is expected to answer."""
+        self._own_name = own_name
+        self._replaced = replaced
+        self._may_step_down = may_step_down
+        self._recall: ClaimRecall | None = None
+        self._told_at = LONG_AGO
+        self._asked_at = LONG_AGO
+        self._asked_since: float | None = None
+        self.stepped_down: DatabaseStatus | None = None
+        """What the old primary held when it had stepped down."""
+
+    @property
+    def must_ban(self) -> bool:
+        """Whether the claim must ban the old primary."""
+        return not self._may_step_down
+
+    @property
+    def is_banned(self) -> bool:
+        """Whether the claim that bans it stands."""
+        return self._recall is not None
+
+    def take_claim(self, claim: Claim, now: float) -> None:
+        """The own claim stands in the store."""
+        if self._recall is not None:
+            return
+        if not self._replaced or self._replaced in claim.banned:
+            self._recall = ClaimRecall(claim, now)
+            self._recall.take(self._own_name, now)
+
+    def take(self, event: ClaimKnown | SteppedDown, now: float) -> None:
+        """Takes what a process or the old primary told."""
+        if isinstance(event, SteppedDown):
+            is_down = event.status is not None and not event.status.is_primary
+            if event.database == self._replaced and is_down:
+                self.stepped_down = event.status
+        elif self._recall is not None and event.token >= self._recall.claim.token:
+            self._recall.take(event.process, now)
+
+    def tell(self, registered: RegisteredProcesses, now: float) -> Sequence[TellClaim]:
+        """Returns whom to tell the claim, now and again until all know it."""
+        if self._recall is None or now < self._told_at + TELL_AGAIN_SECONDS:
+            return []
+        self._told_at = now
+        missing = self._recall.missing(registered.names)
+        return [TellClaim(tuple(missing))] if missing else []
+
+    def step_down(self, term: int, now: float) -> Sequence[StepDown]:
+        """Returns the word to the old primary; gives up on it after a while."""
+        if not self._may_step_down or self.stepped_down is not None:
+            return []
+        if self._asked_since is None:
+            self._asked_since = now
+        if now >= self._asked_since + STEP_DOWN_LIMIT_SECONDS:
+            self._may_step_down = False
+            return []
+        if now < self._asked_at + STEP_DOWN_AGAIN_SECONDS:
+            return []
+        self._asked_at = now
+        return [StepDown(self._replaced, term)]
+
+    def is_over(self, registered: RegisteredProcesses, now: float) -> bool:
+        """Tells whether nobody uses the old primary any more."""
+        if self.stepped_down is not None:
+            return True
+        return self._recall is not None and self._recall.is_over(registered, now)
--- /dev/null
+++ b/src/dewledge/core/succession/loss_watch.py
@@ -0,0 +1,65 @@
+"""Finds in the view of a healthy group a reason to replace its primary without any doubt of it."""
+
+import msgspec
+
+from dewledge.core.pooling.group_view import GroupView
+from dewledge.core.succession.candidates import eligible
+from dewledge.core.succession.lead_right import LeadRight
+from dewledge.core.succession.messages import LossCause
+
+ENTRY_GONE_SECONDS = 1.5
+NONE_KNOWN_SECONDS = 2.5
+UNFINISHED_SECONDS = 3.0
+"""A claim has had an effect by then, or its holder is lost."""
+
+
+class Loss(msgspec.Struct, frozen=True):
+    """Why a primary is to be replaced, and which; no name where none is known."""
+
+    cause: LossCause
+    replaced: str
+
+
+class LossWatch:
+    """Remembers since when something has been amiss."""
+
+    def __init__(self, right: LeadRight) -> None:
+        self._right = right
+        self._none_since: float | None = None
+        self._banned_since: float | None = None
+
+    def find(self, view: GroupView, now: float) -> Loss | None:
+        """Returns the loss to act upon now, if there is one."""
+        primary = view.primary
+        if primary is None:
+            return self._find_none_known(view, now)
+        self._none_since = None
+        if self._right.is_banned(primary.id):
+            return self._find_unfinished(primary.id, now)
+        self._banned_since = None
+        if not primary.draining:
+            return None
+        gone = primary.id in view.departed
+        since = view.draining_since.get(primary.id, now)
+        if gone and now < since + ENTRY_GONE_SECONDS:
+            return None
+        if not eligible(view, primary.id, frozenset()):
+            return None
+        return Loss(LossCause.ENTRY_GONE if gone else LossCause.DRAINING, primary.id)
+
+    def _find_none_known(self, view: GroupView, now: float) -> Loss | None:
+        if not view.databases:
+            return None
+        if self._none_since is None:
+            self._none_since = now
+        if now < self._none_since + NONE_KNOWN_SECONDS:
+            return None
+        return Loss(LossCause.NONE_KNOWN, "")
+
+    def _find_unfinished(self, primary: str, now: float) -> Loss | None:
+        """The claim that banned the primary has brought no other: its holder is lost."""
+        if self._banned_since is None:
+            self._banned_since = now
+        if now < self._banned_since + UNFINISHED_SECONDS:
+            return None
+        return Loss(LossCause.UNFINISHED, primary)
--- a/src/dewledge/core/succession/messages.py
+++ b/src/dewledge/core/succession/messages.py
@@ -1,5 +1,6 @@
 """Events that the succession of one group takes, and effects that it asks for. All immutable."""
 
+import math
 from enum import StrEnum
 
 import msgspec
@@ -19,11 +20,26 @@
     """The row by which one process at a time takes the duty to replace a group's primary.
 
     token: the store's version of the row, which rises with each claim.
+    banned: databases that nobody may use as primary any more.
+    voters: the processes of which more than half can vouch that no newer claim exists.
+    quorums: voters of earlier claims that may still vouch for those, a set for each.
+    ordered: the database whose promotion is ordered under this claim, empty before it is.
     """
 
     holder: str
     replaced: str
     token: int
+    banned: tuple[str, ...] = ()
+    voters: tuple[str, ...] = ()
+    quorums: tuple[tuple[str, ...], ...] = ()
+    ordered: str = ""
+
+
+class RegisteredProcesses(msgspec.Struct, frozen=True):
+    """All processes with a row in the store, as known at a version of the store."""
+
+    names: frozenset[str] = frozenset()
+    version: int = 0
 
 
 class PrimaryDoubted(msgspec.Struct, frozen=True):
@@ -65,6 +81,20 @@
     status: DatabaseStatus | None
 
 
+class SteppedDown(msgspec.Struct, frozen=True):
+    """A database answered the word to step down; None if it did not."""
+
+    database: str
+    status: DatabaseStatus | None
+
+
+class ClaimKnown(msgspec.Struct, frozen=True):
+    """A process told that it knows a claim, and so uses none of the databases that it bans."""
+
+    process: str
+    token: int
+
+
 class PromotionAnswered(msgspec.Struct, frozen=True):
     """The platform's answer to a promotion."""
 
@@ -84,6 +114,8 @@
     | ClaimSeen
     | ClaimRefused
     | StatusRead
+    | SteppedDown
+    | ClaimKnown
     | PromotionAnswered
     | Ticked
 )
@@ -102,10 +134,27 @@
 
 
 class WriteClaim(msgspec.Struct, frozen=True):
-    """Write the claim row if it still has the version `expected`."""
+    """Write the claim row if it still has the version `expected`. Other fields as in Claim."""
 
     replaced: str
     expected: int
+    banned: tuple[str, ...] = ()
+    voters: tuple[str, ...] = ()
+    quorums: tuple[tuple[str, ...], ...] = ()
+    ordered: str = ""
+
+
+class TellClaim(msgspec.Struct, frozen=True):
+    """Tell the newest claim to these processes, and ask whether they know it now."""
+
+    processes: tuple[str, ...]
+
+
+class StepDown(msgspec.Struct, frozen=True):
+    """Tell a primary of a lower term than `term` to lead no more."""
+
+    database: str
+    term: int
 
 
 class ReadStatus(msgspec.Struct, frozen=True):
@@ -115,10 +164,14 @@
 
 
 class Promote(msgspec.Struct, frozen=True):
-    """Ask the platform to make a database the primary."""
+    """Ask the platform to make a database the primary.
+
+    not_after: the call must not leave later than this (steady clock, seconds).
+    """
 
     database: str
     token: int
+    not_after: float = math.inf
 
 
 class AnnounceLeader(msgspec.Struct, frozen=True):
@@ -130,7 +183,16 @@
     database: str
 
 
-SuccessionEffect = TestReach | AskWitnesses | WriteClaim | ReadStatus | Promote | AnnounceLeader
+SuccessionEffect = (
+    TestReach
+    | AskWitnesses
+    | WriteClaim
+    | TellClaim
+    | ReadStatus
+    | StepDown
+    | Promote
+    | AnnounceLeader
+)
 
 
 class Phase(StrEnum):
@@ -140,6 +202,7 @@
     CHECKING = "checking"
     CLAIMING = "claiming"
     CHOOSING = "choosing"
+    RELEASING = "releasing"
     PROMOTING = "promoting"
     FOLLOWING = "following"
 
@@ -151,6 +214,7 @@
     DRAINING = "draining"
     ENTRY_GONE = "entry_gone"
     NONE_KNOWN = "none_known"
+    UNFINISHED = "unfinished"
 
 
 class PhaseChanged(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/dewledge/core/succession/standing_claim.py
@@ -0,0 +1,92 @@
+"""The claim of a group that replaces nothing: it names a holder, and the voters of today."""
+
+from collections.abc import Sequence
+
+from dewledge.core.pooling.group_view import GroupView
+from dewledge.core.succession.claim_recall import ClaimRecall
+from dewledge.core.succession.claim_writing import next_claim
+from dewledge.core.succession.lead_right import LONG_AGO, Fencing, LeadRight
+from dewledge.core.succession.messages import (
+    ClaimKnown,
+    RegisteredProcesses,
+    SuccessionEffect,
+    TellClaim,
+)
+
+STANDING_AGAIN_SECONDS = 3.0
+SETTLED_SECONDS = 2.5
+"""The processes are the same for so long before the voters are changed."""
+TELL_AGAIN_SECONDS = 0.25
+
+
+class StandingClaim:
+    """One process's part in keeping the standing claim of a group."""
+
+    def __init__(self, own_name: str, right: LeadRight) -> None:
+        self._own_name = own_name
+        self._right = right
+        self._not_before = LONG_AGO
+        self._members: tuple[str, ...] = ()
+        self._members_since = 0.0
+        self._recall: ClaimRecall | None = None
+        self._told_at = LONG_AGO
+
+    def take(self, event: ClaimKnown, now: float) -> None:
+        """A process told that it knows a claim."""
+        recall = self._recall
+        if recall is not None and event.token >= recall.claim.token:
+            recall.take(event.process, now)
+
+    def keep(
+        self,
+        view: GroupView,
+        members: Sequence[str],
+        registered: RegisteredProcesses,
+        now: float,
+    ) -> Sequence[SuccessionEffect]:
+        """Returns what is to be done while the group is well."""
+        if tuple(members) != self._members:
+            self._members, self._members_since = tuple(members), now
+        if not members or now < self._not_before:
+            return []
+        if self._right.fencing is Fencing.PLATFORM:
+            if self._right.claim is not None or members[0] != self._own_name:
+                return []
+            return self._write(view, False, now)
+        return self._keep_voters(view, registered, now)
+
+    def _keep_voters(
+        self, view: GroupView, registered: RegisteredProcesses, now: float
+    ) -> Sequence[SuccessionEffect]:
+        claim, members = self._right.claim, self._members
+        if self._own_name not in members or not self._right.is_confirmed(now):
+            return []
+        rank = members.index(self._own_name)
+        if now < self._members_since + SETTLED_SECONDS * (1 + rank):
+            return []
+        if claim is None or set(claim.voters) != set(members):
+            return self._write(view, False, now)
+        if all(set(voters) == set(claim.voters) for voters in claim.quorums):
+            return []
+        return self._settle(view, registered, now)
+
+    def _settle(
+        self, view: GroupView, registered: RegisteredProcesses, now: float
+    ) -> Sequence[SuccessionEffect]:
+        """Writes the claim once more when no earlier voter vouches for an older one."""
+        claim = self._right.claim
+        assert claim is not None
+        if self._recall is None or self._recall.claim.token != claim.token:
+            self._recall = ClaimRecall(claim, now)
+            self._recall.take(self._own_name, now)
+        if self._recall.is_over(registered, now):
+            return self._write(view, True, now)
+        if now < self._told_at + TELL_AGAIN_SECONDS:
+            return []
+        self._told_at = now
+        missing = self._recall.missing(registered.names)
+        return [TellClaim(tuple(missing))]
+
+    def _write(self, view: GroupView, is_settled: bool, now: float) -> Sequence[SuccessionEffect]:
+        self._not_before = now + STANDING_AGAIN_SECONDS
+        return [next_claim(self._right, view, self._members, "", is_settled=is_settled)]
--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -8,18 +8,24 @@
 
 A primary that any process reaches is never replaced for silence: a cut between it and this process
 is not its death. Two processes may both believe that they should act; the conditional write of the
-claim lets one through, and the platform refuses a token lower than one it has seen.
+claim lets one through. Where the platform checks tokens it refuses one lower than it has seen;
+else nobody may use the old primary any more before the new one is promoted (lead_release).
 """
 
 from collections.abc import Callable, Sequence
 
 from dewledge.core.pooling.group_view import GroupView
 from dewledge.core.succession.candidates import choose, eligible
-from dewledge.core.succession.evidence import ReachEvidence
+from dewledge.core.succession.claim_writing import next_claim
+from dewledge.core.succession.evidence import CHECK_LIMIT_SECONDS, ReachEvidence
+from dewledge.core.succession.lead_release import LeadRelease
+from dewledge.core.succession.lead_right import RIGHT_SECONDS, Fencing, LeadRight
+from dewledge.core.succession.loss_watch import LossWatch
 from dewledge.core.succession.messages import (
     AnnounceLeader,
     AskWitnesses,
     Claim,
+    ClaimKnown,
     ClaimRefused,
     ClaimSeen,
     LossCause,
@@ -30,43 +36,63 @@
     PromotionAnswered,
     ReachTested,
     ReadStatus,
+    RegisteredProcesses,
     StatusRead,
+    SteppedDown,
     SuccessionEffect,
     SuccessionEvent,
     TestReach,
     WitnessReported,
-    WriteClaim,
 )
+from dewledge.core.succession.standing_claim import StandingClaim
 from dewledge.core.succession.survey import StatusSurvey
 
 CHECK_AGAIN_SECONDS = 0.4
 ASK_AFTER_SECONDS = 0.1
 """A database that takes connections has done so by then; else the others are asked too."""
+MOST_CHECK_LIMITS = 6
+"""A check that so many times the usual limit has not decided is begun anew: answers were lost."""
 CLAIM_AGAIN_SECONDS = 0.3
-ENTRY_GONE_SECONDS = 1.5
-NONE_KNOWN_SECONDS = 2.5
 STATUS_LIMIT_SECONDS = 0.3
 CLAIM_LIMIT_SECONDS = 1.5
 CATCH_UP_LIMIT_SECONDS = 2.0
 """A primary that leaves serves on: its successor is given so long to receive all it has."""
+LAST_RECEIVED_LIMIT_SECONDS = 0.6
+"""One that has stepped down serves nobody: its successor is given so long for the last commits."""
 PROMOTE_AGAIN_SECONDS = 0.7
-STANDING_AGAIN_SECONDS = 3.0
 PROMOTION_LIMIT_SECONDS = 6.0
 FOLLOW_LIMIT_SECONDS = 3.0
 CLAIM_STEP_SECONDS = 0.08
 OTHER_HOLDER_SECONDS = 0.5
 """The last holder acts first: turns between holders stay rare."""
 
-_ACTING = frozenset({Phase.CHECKING, Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING})
+_ACTING = frozenset(
+    {Phase.CHECKING, Phase.CLAIMING, Phase.CHOOSING, Phase.RELEASING, Phase.PROMOTING}
+)
+_HOLDING = _ACTING - {Phase.CHECKING}
+
+
+NONE_REGISTERED = RegisteredProcesses()
 
 
 class GroupSuccession:
     """The state machine of one group. `handle` takes an event and returns effects."""
 
-    def __init__(self, group: str, own_name: str, record: Callable[[PhaseChanged], None]) -> None:
+    def __init__(
+        self,
+        group: str,
+        own_name: str,
+        record: Callable[[PhaseChanged], None],
+        right: LeadRight | None = None,
+    ) -> None:
+        """`right`: shared with those who use the primary; by default the platform fences."""
         self._group = group
         self._own_name = own_name
         self._record = record
+        self._right = right or LeadRight(Fencing.PLATFORM)
+        self._losses = LossWatch(self._right)
+        self._standing = StandingClaim(own_name, self._right)
+        self._release = LeadRelease(own_name, "", False)
         self.phase = Phase.STEADY
         self.doubted: str | None = None
         self.reached_by: str | None = None
@@ -75,8 +101,6 @@
         self._since = 0.0
         self._phase_since = 0.0
         self._claim_at = 0.0
-        self._claim: Claim | None = None
-        self._standing_at = 0.0
         self._own_token = 0
         self._spent_token = 0
         """A token that the platform refused; the duty is taken again only under a later one."""
@@ -84,14 +108,27 @@
         self._survey = StatusSurvey()
         self._candidate = ""
         self._promoted_at = 0.0
-        self._none_since: float | None = None
+        self._has_promoted = False
+        self._ban_at = 0.0
+        self._claim_seen_at = -1e9
+        self._stepped_down_at: float | None = None
         self._last_check = -1e9
         self._asks_witnesses = False
+        self._registered = NONE_REGISTERED
 
     def handle(
-        self, event: SuccessionEvent, view: GroupView, members: Sequence[str], now: float
+        self,
+        event: SuccessionEvent,
+        view: GroupView,
+        members: Sequence[str],
+        now: float,
+        registered: RegisteredProcesses = NONE_REGISTERED,
     ) -> Sequence[SuccessionEffect]:
-        """Takes an event. `members`: the processes that judge the primary, in order of rank."""
+        """Takes an event. `members`: the processes that judge the primary, in order of rank.
+
+        registered: all processes, which may use the primary.
+        """
+        self._registered = registered
         self._take(event, now)
         effects: list[SuccessionEffect] = []
         if isinstance(event, StatusRead):
@@ -112,6 +149,11 @@
             self._claim_at = now + CLAIM_AGAIN_SECONDS
         elif isinstance(event, PromotionAnswered):
             self._take_promotion(event, now)
+        elif isinstance(event, ClaimKnown):
+            self._release.take(event, now)
+            self._standing.take(event, now)
+        elif isinstance(event, SteppedDown):
+            self._release.take(event, now)
 
     def _announce(self, event: StatusRead) -> Sequence[SuccessionEffect]:
         """The chosen database says that it leads: others learn it also without the store."""
@@ -122,21 +164,22 @@
         return [AnnounceLeader(event.database)]
 
     def _see_claim(self, claim: Claim, now: float) -> None:
-        if self._claim is not None and claim.token <= self._claim.token:
+        if not self._right.take_claim(claim):
             return
-        self._claim = claim
+        self._claim_seen_at = now
         if claim.holder == self._own_name:
-            if self.phase in (Phase.CLAIMING, Phase.CHOOSING, Phase.PROMOTING):
+            if self.phase in _HOLDING:
                 self._own_token = claim.token
+                self._claim_at = now
+                self._release.take_claim(claim, now)
             return
-        if claim.replaced and self.phase in (
-            Phase.CHECKING,
-            Phase.CLAIMING,
-            Phase.CHOOSING,
-            Phase.PROMOTING,
-        ):
+        is_ban = self.phase is Phase.STEADY and claim.replaced in claim.banned
+        if claim.replaced and (self.phase in _ACTING or is_ban):
             self._replaced = claim.replaced
             self._move(Phase.FOLLOWING, f"claimed_by_{claim.holder}", now)
+        elif self.phase in _HOLDING and self._is_unfenced:
+            self._own_token = 0
+            self._move(Phase.FOLLOWING, f"overtaken_by_{claim.holder}", now)
 
     def _take_promotion(self, event: PromotionAnswered, now: float) -> None:
         if self.phase is not Phase.PROMOTING or event.database != self._candidate:
@@ -175,6 +218,9 @@
         self._survey = StatusSurvey()
         self._own_token = 0
         self._candidate = ""
+        self._has_promoted = False
+        self._stepped_down_at = None
+        self._release = LeadRelease(self._own_name, replaced, self._is_planned)
 
     def _advance(
         self, view: GroupView, members: Sequence[str], now: float
@@ -188,9 +234,11 @@
         if self.phase is Phase.CHECKING:
             return self._check(view, members, now)
         if self.phase is Phase.CLAIMING:
-            return self._claim_duty(view, now)
+            return self._claim_duty(view, members, now)
         if self.phase is Phase.CHOOSING:
-            return self._choose(view, now)
+            return self._choose(view, members, now)
+        if self.phase is Phase.RELEASING:
+            return self._release_old(view, members, now)
         if self.phase is Phase.PROMOTING:
             return self._promote_again(view, now)
         return self._follow(view, now)
@@ -209,39 +257,17 @@
     def _watch(
         self, view: GroupView, members: Sequence[str], now: float
     ) -> Sequence[SuccessionEffect]:
-        primary = view.primary
-        if primary is None:
-            if not view.databases:
-                return []
-            if self._none_since is None:
-                self._none_since = now
-            if now < self._none_since + NONE_KNOWN_SECONDS:
-                return []
-            self._begin(LossCause.NONE_KNOWN, "", now)
+        loss = self._losses.find(view, now)
+        if loss is not None:
+            self._begin(loss.cause, loss.replaced, now)
             self._start_claim(members, now)
             return []
-        self._none_since = None
+        primary = view.primary
+        if primary is None or primary.draining or self._right.is_banned(primary.id):
+            return []
         if self.doubted == primary.id and now >= self._last_check + CHECK_AGAIN_SECONDS:
             return self._start_check(primary.id, now)
-        if not primary.draining:
-            return self._claim_standing(members, now)
-        gone = primary.id in view.departed
-        since = view.draining_since.get(primary.id, now)
-        if gone and now < since + ENTRY_GONE_SECONDS:
-            return []
-        if not eligible(view, primary.id, frozenset()):
-            return []
-        cause = LossCause.ENTRY_GONE if gone else LossCause.DRAINING
-        self._begin(cause, primary.id, now)
-        self._start_claim(members, now)
-        return []
-
-    def _claim_standing(self, members: Sequence[str], now: float) -> Sequence[SuccessionEffect]:
-        """Has one process hold the duty from the start, so that it may act without the store."""
-        if self._claim is not None or now < self._standing_at or not members:
-            return []
-        self._standing_at = now + STANDING_AGAIN_SECONDS
-        return [WriteClaim("", 0)] if members[0] == self._own_name else []
+        return self._standing.keep(view, members, self._registered, now)
 
     def _check(
         self, view: GroupView, members: Sequence[str], now: float
@@ -261,11 +287,14 @@
         if not self._asks_witnesses and (evidence.is_missed or waited >= ASK_AFTER_SECONDS):
             self._asks_witnesses = True
             effects.append(AskWitnesses(self._replaced))
-        if not evidence.is_missed or not evidence.is_confirmed(members, waited):
+        may_act_alone = not self._is_unfenced
+        if not evidence.is_missed or not evidence.is_confirmed(members, waited, may_act_alone):
+            if waited >= CHECK_LIMIT_SECONDS * MOST_CHECK_LIMITS:
+                self._move(Phase.STEADY, "not_confirmed", now)
             return effects
         self.reached_by = None
         self._start_claim(members, now)
-        return self._claim_duty(view, now)
+        return self._claim_duty(view, members, now)
 
     def _keep_reached(self, reaching: Sequence[str], now: float) -> Sequence[SuccessionEffect]:
         """Another process reaches the primary: it stays, and is reached through that one."""
@@ -275,48 +304,74 @@
         return []
 
     def _start_claim(self, members: Sequence[str], now: float) -> None:
+        claim = self._right.claim
+        if self._is_unfenced and claim is not None and self._is_at_work(claim, now):
+            self._move(Phase.FOLLOWING, f"claimed_by_{claim.holder}", now)
+            return
         rank = list(members).index(self._own_name) if self._own_name in members else len(members)
         delay = CLAIM_STEP_SECONDS * rank
-        if self._claim is not None and self._claim.holder != self._own_name:
-            delay += OTHER_HOLDER_SECONDS if self._claim.holder in members else 0.0
-        elif self._claim is not None:
+        if claim is not None and claim.holder != self._own_name:
+            delay += OTHER_HOLDER_SECONDS if claim.holder in members else 0.0
+        elif claim is not None:
             delay = 0.0
         self._claim_at = now + delay
         self._move(Phase.CLAIMING, self._cause, now)
 
-    def _claim_duty(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
+    def _is_at_work(self, claim: Claim, now: float) -> bool:
+        """Tells whether another process may be replacing the same primary just now."""
+        if claim.holder == self._own_name or now >= self._claim_seen_at + FOLLOW_LIMIT_SECONDS:
+            return False
+        return bool(claim.replaced) and claim.replaced == self._replaced
+
+    def _claim_duty(
+        self, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
         if self._own_token:
             self._move(Phase.CHOOSING, "claimed", now)
-            return self._choose(view, now)
+            return self._choose(view, members, now)
         if now < self._claim_at:
             return []
         self._claim_at = now + CLAIM_LIMIT_SECONDS
-        write = WriteClaim(self._replaced, self._newest_token)
-        if self._claim is None or self._claim.holder != self._own_name:
+        write = next_claim(self._right, view, members, self._replaced, self._to_ban(view))
+        claim = self._right.claim
+        if self._is_unfenced or claim is None or claim.holder != self._own_name:
             return [write]
-        if self._claim.token <= self._spent_token:
+        if claim.token <= self._spent_token:
             return [write]
         # The last holder need not wait for the row, which tells the others to follow.
-        self._own_token = self._claim.token
+        self._own_token = claim.token
         self._move(Phase.CHOOSING, "held_before", now)
-        return [write, *self._choose(view, now)]
+        return [write, *self._choose(view, members, now)]
+
+    def _to_ban(self, view: GroupView) -> Sequence[str]:
+        """The databases that the claim must ban; none while the old primary can step down."""
+        if not self._release.must_ban:
+            return ()
+        return (self._replaced,) if self._replaced else sorted(view.claims)
+
+    @property
+    def _is_unfenced(self) -> bool:
+        return self._right.fencing is Fencing.PROCESSES
 
     @property
     def _newest_token(self) -> int:
-        return 0 if self._claim is None else self._claim.token
+        return self._right.token
 
-    def _choose(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
+    def _choose(
+        self, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
         survey = self._survey
-        names = eligible(view, self._replaced, survey.refused)
+        names = self._eligible(view)
         wanted = [*names, self._replaced] if self._is_planned else names
         effects: list[SuccessionEffect] = [*survey.ask(wanted)]
+        effects += self._release.tell(self._registered, now)
         missing = [name for name in wanted if name not in survey.statuses]
         if missing and now < self._phase_since + STATUS_LIMIT_SECONDS:
             return effects
-        chosen = choose(names, survey.statuses, {})
+        chosen = self._ordered_before(names) or choose(names, survey.statuses, {})
         if chosen is None or (chosen not in survey.statuses and not self._waited_for_status(now)):
             if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
-                self._move(Phase.STEADY, "no_candidate", now)
+                effects += self._give_up(view, members, "no_candidate", now)
             return effects
         is_behind = self._is_planned and survey.is_behind(chosen, self._replaced)
         if is_behind and now < self._phase_since + CATCH_UP_LIMIT_SECONDS:
@@ -324,9 +379,113 @@
                 survey.forget_asked()
             return effects
         self._candidate = chosen
+        if self._is_unfenced:
+            self._claim_at = now
+            self._ban_at = now
+            self._move(Phase.RELEASING, "chosen", now)
+            return [*effects, *self._release_old(view, members, now)]
+        return [*effects, *self._promote("chosen", now)]
+
+    def _eligible(self, view: GroupView) -> Sequence[str]:
+        names = eligible(view, self._replaced, self._survey.refused)
+        return [name for name in names if not self._right.is_banned(name)]
+
+    def _ordered_before(self, names: Sequence[str]) -> str | None:
+        """A database that an earlier holder has ordered to lead, and may lead at any moment.
+
+        Another one beside it would be replaced by it without anybody knowing.
+        """
+        claim = self._right.claim
+        if claim is None or claim.ordered not in names:
+            return None
+        return claim.ordered if claim.ordered in self._survey.statuses else None
+
+    def _release_old(
+        self, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
+        """Nobody may use the old primary any more when the new one is promoted."""
+        release = self._release
+        effects: list[SuccessionEffect] = [*release.step_down(self._survey.next_term, now)]
+        if release.must_ban and not release.is_banned and release.stepped_down is None:
+            effects += self._ban(view, members, now)
+        elif not self._is_order_noted:
+            effects += self._note_order(view, members, now)
+        effects += release.tell(self._registered, now)
+        is_over = self._is_order_noted and release.is_over(self._registered, now)
+        if is_over and self._has_received_all(effects, now):
+            return [*effects, *self._promote("released", now)]
+        if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
+            effects += self._give_up(view, members, "not_released", now)
+        return effects
+
+    def _ban(
+        self, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
+        if now < self._ban_at:
+            return []
+        self._ban_at = now + CLAIM_LIMIT_SECONDS
+        return [next_claim(self._right, view, members, self._replaced, self._to_ban(view))]
+
+    @property
+    def _is_order_noted(self) -> bool:
+        """Whether the store holds which database is to be promoted, under the own claim."""
+        claim = self._right.claim
+        if claim is None or claim.token != self._own_token:
+            return False
+        return claim.ordered == self._candidate
+
+    def _note_order(
+        self, view: GroupView, members: Sequence[str], now: float
+    ) -> Sequence[SuccessionEffect]:
+        """Has the store hold the order before it is given: the next holder must know of it."""
+        if now < self._claim_at:
+            return []
+        self._claim_at = now + CLAIM_LIMIT_SECONDS
+        claim = self._right.claim
+        before = () if claim is None or not claim.ordered else (claim.ordered,)
+        banned = [*self._to_ban(view), *(name for name in before if name != self._candidate)]
+        return [
+            next_claim(self._right, view, members, self._replaced, banned, ordered=self._candidate)
+        ]
+
+    def _has_received_all(self, effects: list[SuccessionEffect], now: float) -> bool:
+        """Tells whether the candidate has what the old primary held when it stepped down."""
+        held = self._release.stepped_down
+        if held is None:
+            return True
+        if self._stepped_down_at is None:
+            self._stepped_down_at = now
+        status = self._survey.statuses.get(self._candidate)
+        if status is None or status.received >= held.received:
+            return True
+        if self._survey.is_time_to_ask_again(now):
+            effects.append(ReadStatus(self._candidate))
+        return now >= self._stepped_down_at + LAST_RECEIVED_LIMIT_SECONDS
+
+    def _give_up(
+        self, view: GroupView, members: Sequence[str], reason: str, now: float
+    ) -> Sequence[SuccessionEffect]:
+        """Ends the succession; the ban ends too, since nobody was promoted."""
+        self._move(Phase.STEADY, reason, now)
+        if not self._is_unfenced or self._has_promoted or not self._own_token:
+            return []
+        return [next_claim(self._right, view, members, "", freed=[self._replaced])]
+
+    def _promote(self, reason: str, now: float) -> Sequence[SuccessionEffect]:
+        self._move(Phase.PROMOTING, reason, now)
+        return self._order(now)
+
+    def _order(self, now: float) -> Sequence[SuccessionEffect]:
+        """Orders the promotion, unless another process may hold a newer claim by now."""
+        if not self._is_unfenced:
+            self._promoted_at = now
+            return [Promote(self._candidate, self._own_token)]
+        if self._right.token != self._own_token or not self._right.is_confirmed(now):
+            return []
         self._promoted_at = now
-        self._move(Phase.PROMOTING, "chosen", now)
-        return [*effects, Promote(chosen, self._own_token)]
+        self._has_promoted = True
+        not_after = self._right.confirmed_at + RIGHT_SECONDS
+        return [Promote(self._candidate, self._own_token, not_after)]
 
     @property
     def _is_planned(self) -> bool:
@@ -343,8 +502,7 @@
         if self._survey.is_time_to_ask_again(now):
             effects.append(ReadStatus(self._candidate))
         if now >= self._promoted_at + PROMOTE_AGAIN_SECONDS:
-            self._promoted_at = now
-            effects.append(Promote(self._candidate, self._own_token))
+            effects += self._order(now)
         return effects
 
     def _follow(self, view: GroupView, now: float) -> Sequence[SuccessionEffect]:
--- a/src/dewledge/core/succession/survey.py
+++ b/src/dewledge/core/succession/survey.py
@@ -42,6 +42,11 @@
         self._asked_at = now
         return True
 
+    @property
+    def next_term(self) -> int:
+        """A term above all that were told."""
+        return max((status.term for status in self.statuses.values()), default=0) + 1
+
     def forget_asked(self) -> None:
         """Has all be asked once more."""
         self._asked = set()
--- /dev/null
+++ b/src/dewledge/core/succession/vouching.py
@@ -0,0 +1,113 @@
+"""Vouching: how a process keeps its right to use primaries while the store is out of its sight.
+
+It asks the voters of its groups' newest claims which claims they know. If more than half of a
+group's voters know none that is newer, none can take effect before RIGHT_SECONDS have passed since
+the question was sent: whoever writes a claim has to reach more than half of the same voters first,
+and one that knows the newer claim vouches no more. Only processes with a row in the store are
+vouched for, since the holder of a claim waits for those.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+
+import msgspec
+
+from dewledge.core.succession.claim_recall import is_majority
+from dewledge.core.succession.lead_right import LONG_AGO, LeadRight
+from dewledge.core.succession.messages import Claim
+
+ASK_AFTER_SECONDS = 0.8
+"""A store's word that is older than this is backed by the voters'."""
+ASK_AGAIN_SECONDS = 0.25
+MAX_GROUPS_ASKED = 40
+"""In one question, so that it fits into a datagram."""
+
+
+class VouchQuestion(msgspec.Struct, frozen=True, tag="vouch"):
+    """Asks for the newest claims known. tokens: those that the asker knows, by group."""
+
+    asker: str
+    number: int
+    tokens: dict[str, int]
+
+
+class VouchAnswer(msgspec.Struct, frozen=True, tag="vouched"):
+    """The tokens of the newest claims that the voter knows, of the groups asked for."""
+
+    voter: str
+    number: int
+    tokens: dict[str, int]
+
+
+class Inquiry(msgspec.Struct, frozen=True):
+    """A question and the processes to ask."""
+
+    question: VouchQuestion
+    voters: tuple[str, ...]
+
+
+class Vouching:
+    """The questions of one process, and its answers to others."""
+
+    def __init__(self, own_name: str) -> None:
+        self._own_name = own_name
+        self._number = 0
+        self._asked_at = LONG_AGO
+        self._tokens: dict[str, int] = {}
+        self._agreed: dict[str, set[str]] = {}
+
+    def ask(self, rights: Mapping[str, LeadRight], now: float) -> Inquiry | None:
+        """Returns the next question, if the word on some group has become old."""
+        if now < self._asked_at + ASK_AGAIN_SECONDS:
+            return None
+        due = [
+            (right.confirmed_at, name, right.claim)
+            for name, right in rights.items()
+            if right.claim is not None
+            and right.claim.voters
+            and now > right.confirmed_at + ASK_AFTER_SECONDS
+        ]
+        if not due:
+            return None
+        due.sort(key=lambda entry: entry[:2])
+        claims = {name: claim for _, name, claim in due[:MAX_GROUPS_ASKED] if claim is not None}
+        return self._begin(claims, now)
+
+    def _begin(self, claims: Mapping[str, Claim], now: float) -> Inquiry:
+        self._number += 1
+        self._asked_at = now
+        self._tokens = {name: claim.token for name, claim in claims.items()}
+        self._agreed = {name: {self._own_name} for name in claims}
+        voters = {voter for claim in claims.values() for voter in claim.voters}
+        question = VouchQuestion(self._own_name, self._number, self._tokens)
+        return Inquiry(question, tuple(sorted(voters - {self._own_name})))
+
+    def answer(
+        self, question: VouchQuestion, rights: Mapping[str, LeadRight], registered: Collection[str]
+    ) -> VouchAnswer | None:
+        """Returns the answer to another process; none to one without a row in the store."""
+        if question.asker not in registered:
+            return None
+        known = {name: rights[name].token for name in question.tokens if name in rights}
+        return VouchAnswer(self._own_name, question.number, known)
+
+    def take(self, answer: VouchAnswer, rights: Mapping[str, LeadRight]) -> Sequence[str]:
+        """Takes an answer; returns the groups whose claims are vouched for with it."""
+        if answer.number != self._number:
+            return []
+        confirmed = []
+        for name, token in answer.tokens.items():
+            right = rights.get(name)
+            if right is None or token != self._tokens.get(name):
+                continue
+            agreed = self._agreed[name]
+            agreed.add(answer.voter)
+            if self._is_vouched(right, token, agreed):
+                right.confirm(self._asked_at)
+                confirmed.append(name)
+        return confirmed
+
+    def _is_vouched(self, right: LeadRight, token: int, agreed: Collection[str]) -> bool:
+        claim = right.claim
+        if claim is None or claim.token != token:
+            return False
+        return is_majority(agreed, claim.voters)
--- a/src/dewledge/platform/statement_texts.py
+++ b/src/dewledge/platform/statement_texts.py
@@ -1,7 +1,7 @@
 """The texts of statements, to and from the product's own types."""
 
 from dewledge.core.pooling.statements import MalformedInput, Statement, StatementKind
-from dewledge.platform.wire_words import OWN_TEXTS, READ_WORD, WRITE_WORD
+from dewledge.platform.wire_words import OWN_TEXTS, READ_WORD, STEP_DOWN_WORD, WRITE_WORD
 
 _ACCESS = {READ_WORD: False, WRITE_WORD: True}
 
@@ -28,6 +28,8 @@
         return f"EXECUTE {statement.name} {statement.argument}"
     if statement.kind is StatementKind.DEALLOCATE:
         return f"CLOSE {statement.name}"
+    if statement.kind is StatementKind.STEP_DOWN:
+        return f"{STEP_DOWN_WORD} {statement.argument}"
     return statement.text or OWN_TEXTS[statement.kind]
 
 
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import socket
+import struct
 
 import msgspec
 import urllib3
@@ -39,6 +40,9 @@
 ]
 
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
 class _Row(msgspec.Struct, rename="camel"):
     table: str = ""
     part: str = ""
@@ -123,11 +127,16 @@
 
 
 class PlatformDuties:
-    """Calls that the platform takes from one node at a time."""
+    """Calls that the platform takes from one node at a time.
+
+    A connection given up on is reset: what a broken network still holds of a call is never
+    delivered later.
+    """
 
     def __init__(self, address: str) -> None:
         self._base = f"http://{address}"
-        self._http = urllib3.PoolManager(maxsize=2, retries=False, socket_options=_KEEPALIVE)
+        options = [*_KEEPALIVE, (socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)]
+        self._http = urllib3.PoolManager(maxsize=2, retries=False, socket_options=options)
 
     def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
         """Asks for a new primary; returns whether the platform took it. Raises StoreError."""
--- a/src/dewledge/pooler_settings.py
+++ b/src/dewledge/pooler_settings.py
@@ -43,6 +43,11 @@
     duty_address: RemoteAddress | None = Field(
         default=None, description="ip:port that takes promotions."
     )
+    promotions_fenced: bool = Field(
+        default=False,
+        description="Whether the platform takes the lead from the old primary in a promotion and"
+        " refuses old tokens; if not, the poolers see to it that nobody uses the old one.",
+    )
     max_client_connections: int = Field(
         default=3500, ge=1, description="Clients' connections open at once."
     )
--- /dev/null
+++ b/src/dewledge/shell/pooling/claim_keeper.py
@@ -0,0 +1,192 @@
+"""Keeps this process's rights to use primaries: its word on claims, told, asked for and vouched."""
+
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import Executor
+
+from loguru import logger
+
+from dewledge.core.coordination_store import CoordinationStore, StoreRow, StoreWrite
+from dewledge.core.pooling.group import Group
+from dewledge.core.succession.lead_right import Fencing, LeadRights
+from dewledge.core.succession.messages import Claim, ClaimKnown
+from dewledge.core.succession.vouching import VouchAnswer, Vouching, VouchQuestion
+from dewledge.errors import StoreError
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.pooling.coordination_rows import (
+    KNOWN_PREFIX,
+    TABLE,
+    KnownValue,
+    encode_value,
+    read_known,
+)
+from dewledge.shell.pooling.member_table import MemberTable
+from dewledge.shell.pooling.peer_messages import ClaimAnswer, ClaimNotice
+from dewledge.shell.pooling.peer_socket import PeerSocket
+
+TICK_SECONDS = 0.1
+TELL_STORE_AFTER_SECONDS = 0.25
+"""A holder that asks directly has done so by then; else the store carries the answer."""
+
+ClaimCallback = Callable[[str, Claim], None]
+KnownCallback = Callable[[str, ClaimKnown], None]
+"""Take a group, and a claim or what another process knows of it."""
+
+
+class ClaimKeeper:
+    """All methods belong to the loop's thread; the store's calls run on the executor."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        own_name: str,
+        rights: LeadRights,
+        groups: Mapping[str, Group],
+        members: MemberTable,
+        peers: PeerSocket,
+        store: CoordinationStore,
+        executor: Executor,
+        claim_seen: ClaimCallback,
+        claim_known: KnownCallback,
+    ) -> None:
+        self._loop = loop
+        self._own_name = own_name
+        self._rights = rights
+        self._groups = groups
+        self._members = members
+        self._peers = peers
+        self._store = store
+        self._executor = executor
+        self._claim_seen = claim_seen
+        self._claim_known = claim_known
+        self._vouching = Vouching(own_name)
+        self._told: dict[str, int] = {}
+        """The tokens of which the holder has been told directly, by group."""
+        self._known_versions: dict[str, int] = {}
+        self._lapsed: set[str] = set()
+        self._stopped = False
+        peers.on(ClaimNotice, self._take_notice)
+        peers.on(ClaimAnswer, self._take_answer)
+        peers.on(VouchQuestion, self._take_question)
+        peers.on(VouchAnswer, self._take_vouching)
+
+    def start(self) -> None:
+        """Starts to look after the rights, where the platform does not fence."""
+        if self._rights.fencing is Fencing.PROCESSES:
+            self._tick()
+
+    def stop(self) -> None:
+        """Asks for no more."""
+        self._stopped = True
+
+    def store_confirmed(self, at: float) -> None:
+        """At `at` the store held no claim that this process does not know.
+
+        Counts only for a process with a row of its own: holders of claims wait for those.
+        """
+        if self._members.is_registered:
+            self._rights.confirm_all(at)
+            for group in self._groups.values():
+                group.right_confirmed()
+
+    def tell(self, group: str, processes: Sequence[str]) -> None:
+        """Tells the newest claim on a group to some processes."""
+        addresses = self._members.addresses
+        self._send_claim(group, [addresses[name] for name in processes if name in addresses])
+
+    def take_rows(self, rows: Sequence[StoreRow]) -> None:
+        """Takes what processes told through the store."""
+        for row in rows:
+            if not row.key.startswith(KNOWN_PREFIX):
+                continue
+            if row.key.endswith(f"/{self._own_name}"):
+                self._known_versions[row.key] = 0 if row.gone else row.version
+            known = None if row.gone else read_known(row)
+            if known is not None:
+                self._claim_known(known.group, ClaimKnown(known.process, known.token))
+
+    def claim_taken(self, group: str, claim: Claim) -> None:
+        """A claim came out of the store: its holder is told, at last through the store."""
+        if claim.banned and claim.holder != self._own_name:
+            delay = TELL_STORE_AFTER_SECONDS
+            self._loop.call_later(delay, lambda: self._tell_store(group, claim.token))
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        now = self._loop.now()
+        inquiry = self._vouching.ask(self._rights.by_group, now)
+        if inquiry is not None:
+            addresses = self._members.addresses
+            known = [addresses[name] for name in inquiry.voters if name in addresses]
+            self._peers.send(inquiry.question, known)
+        self._log_lapses(now)
+        self._loop.call_later(TICK_SECONDS, self._tick)
+
+    def _log_lapses(self, now: float) -> None:
+        for name in self._groups:
+            right = self._rights.of(name)
+            is_lapsed = not right.is_confirmed(now)
+            if is_lapsed == (name in self._lapsed):
+                continue
+            age_ms = int((now - right.confirmed_at) * 1000) if right.confirmed_at > 0 else -1
+            line = logger.bind(group=name, token=right.token, age_ms=age_ms)
+            if is_lapsed:
+                self._lapsed.add(name)
+                line.info("lead_right_lapsed")
+            else:
+                self._lapsed.discard(name)
+                line.info("lead_right_regained")
+
+    def _send_claim(self, group: str, addresses: Sequence[str]) -> None:
+        claim = self._rights.of(group).claim
+        if claim is not None and addresses:
+            self._peers.send(ClaimNotice(self._own_name, group, claim), addresses)
+
+    def _take_notice(self, notice: ClaimNotice, sender: str) -> None:
+        right = self._rights.of(notice.group)
+        if notice.claim.token > right.token:
+            logger.bind(group=notice.group, token=notice.claim.token, sender=notice.sender).info(
+                "claim_told"
+            )
+            self._claim_seen(notice.group, notice.claim)
+        if right.claim is not None and notice.sender == right.claim.holder:
+            self._told[notice.group] = right.token
+        self._peers.send(ClaimAnswer(self._own_name, notice.group, right.token), [sender])
+
+    def _take_answer(self, answer: ClaimAnswer, _sender: str) -> None:
+        self._claim_known(answer.group, ClaimKnown(answer.sender, answer.token))
+
+    def _take_question(self, question: VouchQuestion, sender: str) -> None:
+        answer = self._vouching.answer(question, self._rights.by_group, self._members.members)
+        if answer is None:
+            return
+        self._peers.send(answer, [sender])
+        for group, token in question.tokens.items():
+            if answer.tokens.get(group, 0) > token:
+                self._send_claim(group, [sender])
+
+    def _take_vouching(self, answer: VouchAnswer, sender: str) -> None:
+        for name in self._vouching.take(answer, self._rights.by_group):
+            group = self._groups.get(name)
+            if group is not None:
+                group.right_confirmed()
+        for name, token in answer.tokens.items():
+            if name in self._rights.by_group and token < self._rights.of(name).token:
+                self._send_claim(name, [sender])
+
+    def _tell_store(self, group: str, token: int) -> None:
+        if self._stopped or self._told.get(group, 0) >= token:
+            return
+        if self._rights.of(group).token != token:
+            return
+        key = f"{KNOWN_PREFIX}{group}/{self._own_name}"
+        value = encode_value(KnownValue(self._own_name, group, token))
+        write = StoreWrite(TABLE, key, value, self._known_versions.get(key, 0))
+        self._executor.submit(self._write_known, write)
+
+    def _write_known(self, write: StoreWrite) -> None:
+        """Runs on the executor. If it fails the holder waits for the right to lapse."""
+        try:
+            self._store.write(write)
+        except StoreError as error:
+            logger.bind(key=write.key, error=error.message).info("claim_answer_not_written")
--- a/src/dewledge/shell/pooling/coordination_rows.py
+++ b/src/dewledge/shell/pooling/coordination_rows.py
@@ -12,15 +12,28 @@
 TABLE = "dewledge"
 MEMBER_PREFIX = "member/"
 CLAIM_PREFIX = "claim/"
+KNOWN_PREFIX = "known/"
 
 Value = TypeVar("Value")
 
 
 class ClaimValue(msgspec.Struct, frozen=True):
-    """Who replaces a group's primary, and which."""
+    """Who replaces a group's primary, and which. Fields as in Claim."""
 
     holder: str
     replaced: str
+    banned: tuple[str, ...] = ()
+    voters: tuple[str, ...] = ()
+    quorums: tuple[tuple[str, ...], ...] = ()
+    ordered: str = ""
+
+
+class KnownValue(msgspec.Struct, frozen=True):
+    """The newest claim that a process knows, told where it cannot be asked."""
+
+    process: str
+    group: str
+    token: int
 
 
 def encode_value(value: msgspec.Struct) -> bytes:
@@ -36,7 +49,22 @@
 def read_claim(row: StoreRow) -> Claim | None:
     """Returns a claim with the version of its row as its token, None if it cannot be read."""
     value = _decode(row, ClaimValue)
-    return None if value is None else Claim(value.holder, value.replaced, row.version)
+    if value is None:
+        return None
+    return Claim(
+        value.holder,
+        value.replaced,
+        row.version,
+        value.banned,
+        value.voters,
+        value.quorums,
+        value.ordered,
+    )
+
+
+def read_known(row: StoreRow) -> KnownValue | None:
+    """Returns what a process knows of a claim, None if it cannot be read."""
+    return _decode(row, KnownValue)
 
 
 def _decode(row: StoreRow, kind: type[Value]) -> Value | None:
--- a/src/dewledge/shell/pooling/directory.py
+++ b/src/dewledge/shell/pooling/directory.py
@@ -10,6 +10,7 @@
 from dewledge.core.pooling.services import PoolServices
 from dewledge.core.positions import LogPosition
 from dewledge.core.sharing.holders import Holding, holding_of, share_of_connections
+from dewledge.core.succession.lead_right import LeadRights
 from dewledge.errors import ProtocolError
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.event_loop import EventLoop
@@ -32,6 +33,7 @@
         services: PoolServices,
         members: MemberTable,
         channels: ChannelClient,
+        rights: LeadRights,
     ) -> None:
         self._loop = loop
         self._settings = settings
@@ -39,6 +41,7 @@
         self._services = services
         self._place = Place(settings.zone, settings.zones)
         self._members = members
+        self._rights = rights
         self._direct = DirectOpener(loop, settings.name, platform.new_database_codec, self.find)
         self._opener = SharingOpener(self._direct, channels, self._find_way)
         channels.proof_told = self._take_proof
@@ -150,7 +153,15 @@
         group = self._services.groups.get(name)
         if group is None:
             bound = max(self._settings.timings.drain_bound - DRAIN_MARGIN_SECONDS, 1.0)
-            group = Group(name, self._place, self._opener, self._loop.now, bound, self._direct)
+            group = Group(
+                name,
+                self._place,
+                self._opener,
+                self._loop.now,
+                bound,
+                self._direct,
+                self._rights.of(name),
+            )
             self._services.groups[name] = group
         return group
 
--- a/src/dewledge/shell/pooling/followed_table.py
+++ b/src/dewledge/shell/pooling/followed_table.py
@@ -21,9 +21,18 @@
     """All methods belong to the loop's thread, but for reading `version`."""
 
     def __init__(
-        self, name: str, wait_seconds: float, snapshot: RowsCallback, changed: RowsCallback
+        self,
+        name: str,
+        wait_seconds: float,
+        snapshot: RowsCallback,
+        changed: RowsCallback,
+        confirmed: Callable[[float], None] | None = None,
     ) -> None:
-        """`wait_seconds`: so long a reader's call waits at the store for a change."""
+        """`wait_seconds`: so long a reader's call waits at the store for a change.
+
+        confirmed: called with each word on how new the table is. Then a table read as a whole
+        counts as surely the newest only once a feed has said so: such reads may lag behind.
+        """
         self.name = name
         self.wait_seconds = wait_seconds
         self.confirmed_at = NEVER
@@ -31,6 +40,7 @@
         self._cache = TableCache()
         self._last_change = -1
         self._packed: dict[str, StoreRow] = {}
+        self._confirmed = confirmed
         self._snapshot = snapshot
         self._changed = changed
 
@@ -59,7 +69,11 @@
             self._cache.update(delta.rows, delta.version)
             if delta.rows:
                 self._changed(delta.rows, delta.version)
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if self._confirmed is None:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        elif not delta.is_whole:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+            self._confirmed(self.confirmed_at)
         return is_news
 
     def has_changed_after(self, version: int) -> bool:
--- a/src/dewledge/shell/pooling/member_table.py
+++ b/src/dewledge/shell/pooling/member_table.py
@@ -42,6 +42,11 @@
         """The peer address of each process."""
         return {name: member.peer_address for name, member in self.members.items()}
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether the table holds the own row of this start."""
+        return self._own_row is not None and self._own_row.value == self._value
+
     @property
     def count(self) -> int:
         """How many processes share the databases."""
@@ -75,9 +80,7 @@
 
     def register_if_missing(self, executor: Executor, is_stopped: Callable[[], bool]) -> None:
         """Has the own row written unless the table holds it, or it is being written."""
-        if self._is_registering or (
-            self._own_row is not None and self._own_row.value == self._value
-        ):
+        if self._is_registering or self.is_registered:
             return
         self._is_registering = True
         expected = 0 if self._own_row is None else self._own_row.version
--- a/src/dewledge/shell/pooling/peer_messages.py
+++ b/src/dewledge/shell/pooling/peer_messages.py
@@ -1,11 +1,13 @@
-"""What poolers say to each other, in cbor2 over UDP: whether a database can be reached."""
+"""What poolers say to each other in cbor2 over UDP: on databases that are lost, and on claims."""
 
 import cbor2
 import msgspec
 
+from dewledge.core.succession.messages import Claim
+from dewledge.core.succession.vouching import VouchAnswer, VouchQuestion
 from dewledge.errors import ProtocolError
 
-MAX_BYTES = 1200
+MAX_BYTES = 8192
 
 
 class WitnessQuestion(msgspec.Struct, frozen=True, tag="ask"):
@@ -30,7 +32,31 @@
     database: str
 
 
-PeerMessage = WitnessQuestion | WitnessAnswer | LeaderNotice
+class ClaimNotice(msgspec.Struct, frozen=True, tag="claim"):
+    """Tells the newest claim on a group; the receiver answers that it knows it."""
+
+    sender: str
+    group: str
+    claim: Claim
+
+
+class ClaimAnswer(msgspec.Struct, frozen=True, tag="known"):
+    """The token of the newest claim on a group that the sender knows."""
+
+    sender: str
+    group: str
+    token: int
+
+
+PeerMessage = (
+    WitnessQuestion
+    | WitnessAnswer
+    | LeaderNotice
+    | ClaimNotice
+    | ClaimAnswer
+    | VouchQuestion
+    | VouchAnswer
+)
 
 
 def encode(message: PeerMessage) -> bytes:
--- /dev/null
+++ b/src/dewledge/shell/pooling/peer_socket.py
@@ -0,0 +1,63 @@
+"""The datagram socket of one process towards other poolers: each kind of message has its taker."""
+
+import contextlib
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from dewledge.errors import ProtocolError
+from dewledge.shell.event_loop import READABLE, EventLoop
+from dewledge.shell.pooling.peer_messages import MAX_BYTES, PeerMessage, decode, encode
+from dewledge.shell.sockets import bind_udp, format_address, parse_address
+
+READ_BATCH = 64
+
+MessageTaker = Callable[[Any, str], None]
+"""Gets a message of the kind it was set for, and the address ("ip:port") of its sender."""
+
+
+class PeerSocket:
+    """All methods belong to the loop's thread. Datagrams may be lost or come twice."""
+
+    def __init__(self, loop: EventLoop, address: str) -> None:
+        """Binds `address`. Raises OSError if it cannot."""
+        self._loop = loop
+        self._takers: dict[type[msgspec.Struct], MessageTaker] = {}
+        self._socket, self.address = bind_udp(address)
+
+    def on(self, kind: type[msgspec.Struct], taker: MessageTaker) -> None:
+        """Has messages of a kind given to `taker`."""
+        self._takers[kind] = taker
+
+    def start(self) -> None:
+        """Starts to take datagrams."""
+        self._loop.watch(self._socket, READABLE, self._receive)
+
+    def close(self) -> None:
+        """Takes no more datagrams."""
+        self._loop.unwatch(self._socket)
+        self._socket.close()
+
+    def send(self, message: PeerMessage, addresses: Iterable[str]) -> None:
+        """Sends one message to each address; one too long for a datagram is not sent."""
+        data = encode(message)
+        if len(data) > MAX_BYTES:
+            return
+        for address in addresses:
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, parse_address(address))
+
+    def _receive(self, _events: int) -> None:
+        for _ in range(READ_BATCH):
+            try:
+                data, sender = self._socket.recvfrom(MAX_BYTES + 1)
+            except OSError:
+                return
+            with contextlib.suppress(ProtocolError):
+                self._take(decode(data), format_address(sender[0], sender[1]))
+
+    def _take(self, message: PeerMessage, sender: str) -> None:
+        taker = self._takers.get(type(message))
+        if taker is not None:
+            taker(message, sender)
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -1,5 +1,6 @@
 """One pooler process, put together: clients, databases, the store's tables, readiness, the end."""
 
+import secrets
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -9,6 +10,8 @@
 from dewledge.core.coordination_store import StoreRow
 from dewledge.core.pooling.services import PoolServices
 from dewledge.core.sharing.members import Member
+from dewledge.core.succession.lead_right import Fencing, LeadRights
+from dewledge.core.succession.messages import RegisteredProcesses
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.http_messages import Exchange, HttpLimits, HttpResponse
@@ -16,17 +19,23 @@
 from dewledge.shell.metrics import CONTENT_TYPE as METRICS_TYPE
 from dewledge.shell.pooling.channel_client import ChannelClient
 from dewledge.shell.pooling.channel_server import ChannelServer
+from dewledge.shell.pooling.claim_keeper import ClaimKeeper
 from dewledge.shell.pooling.client_listener import ClientListener
 from dewledge.shell.pooling.coordination_rows import TABLE
 from dewledge.shell.pooling.directory import Directory
 from dewledge.shell.pooling.event_log import EventLog
 from dewledge.shell.pooling.member_table import MemberTable
 from dewledge.shell.pooling.outgoing_links import OutgoingLinks
+from dewledge.shell.pooling.peer_socket import PeerSocket
 from dewledge.shell.pooling.platform_adapter import PlatformAdapter
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
 from dewledge.shell.pooling.settings_file import SettingsFile
 from dewledge.shell.pooling.succession_driver import SuccessionDriver
-from dewledge.shell.pooling.table_reading import TableReading
+from dewledge.shell.pooling.table_reading import (
+    RIGHT_WAIT_SECONDS,
+    URGENT_WAIT_SECONDS,
+    TableReading,
+)
 from dewledge.shell.pooling.witnesses import Witnesses
 
 SWEEP_SECONDS = 0.25
@@ -56,12 +65,20 @@
         self._metrics = PoolerMetrics()
         self._log = EventLog(self._metrics)
         self._services = PoolServices(_LoopScheduler(self._loop), self._log.record)
-        own = Member(settings.peer_address, settings.zone)
+        own = Member(settings.peer_address, settings.zone, secrets.token_hex(4))
+        fencing = Fencing.PLATFORM if settings.promotions_fenced else Fencing.PROCESSES
+        self._rights = LeadRights(fencing)
         self._members = MemberTable(settings.name, own, platform.store)
         self._links = OutgoingLinks(self._loop, settings.name)
         self._channels = ChannelClient(self._loop, self._links)
         self._directory = Directory(
-            self._loop, settings, platform, self._services, self._members, self._channels
+            self._loop,
+            settings,
+            platform,
+            self._services,
+            self._members,
+            self._channels,
+            self._rights,
         )
         self._clients = ClientListener(
             self._loop,
@@ -88,10 +105,26 @@
             self._executor,
             lambda: self._members.addresses,
             self._log.record,
+            self._rights,
         )
+        self._peers = PeerSocket(self._loop, settings.peer_address)
+        self._claims = ClaimKeeper(
+            self._loop,
+            settings.name,
+            self._rights,
+            self._services.groups,
+            self._members,
+            self._peers,
+            platform.store,
+            self._executor,
+            self._succession.take_claim,
+            self._succession.take_known,
+        )
+        self._succession.tell_claim = self._claims.tell
+        self._succession.claim_taken = self._claims.claim_taken
         self._witnesses = Witnesses(
             self._loop,
-            settings.peer_address,
+            self._peers,
             settings.name,
             self._directory.find,
             lambda record: self._succession.doubt(record.group, record.id),
@@ -105,14 +138,14 @@
             platform.configuration_table,
             self._directory.take_configuration_rows,
             self._directory.take_configuration_rows,
-            is_urgent=True,
+            URGENT_WAIT_SECONDS,
         )
         self._tables.add(
             platform.database_table,
             self._directory.take_database_snapshot,
             self._directory.take_database_rows,
         )
-        self._tables.add(TABLE, self._coordination_snapshot, self._coordination_rows)
+        self._add_coordination_table(fencing)
         self._lending = ChannelServer(
             self._loop,
             settings.peer_address,
@@ -134,7 +167,8 @@
             store=self._settings.store_address,
         ).info("pooler_started")
         self._tables.start()
-        self._witnesses.start()
+        self._peers.start()
+        self._claims.start()
         self._lending.start()
         self._succession.start(self._witnesses)
         self._clients.start()
@@ -222,17 +256,32 @@
             self._settings = changed
             self._platform.store.change_address(changed.store_address)
 
+    def _add_coordination_table(self, fencing: Fencing) -> None:
+        if fencing is Fencing.PLATFORM:
+            self._tables.add(TABLE, self._coordination_snapshot, self._coordination_rows)
+            return
+        self._tables.add(
+            TABLE,
+            self._coordination_snapshot,
+            self._coordination_rows,
+            RIGHT_WAIT_SECONDS,
+            self._claims.store_confirmed,
+        )
+
     def _coordination_snapshot(self, rows: tuple[StoreRow, ...], version: int) -> None:
         self._members.forget_all()
         self._coordination_rows(rows, version)
 
-    def _coordination_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
+    def _coordination_rows(self, rows: tuple[StoreRow, ...], version: int) -> None:
         if self._members.take_rows(rows):
             self._succession.members_changed()
             self._directory.share_connections()
             self._tables.members_changed()
         self._members.register_if_missing(self._executor, lambda: self._leaving_since is not None)
+        names = frozenset(self._members.members)
+        self._succession.take_registered(RegisteredProcesses(names, version))
         self._succession.take_rows(rows)
+        self._claims.take_rows(rows)
 
     # Time.
 
@@ -274,7 +323,8 @@
         self._clients.close()
         self._ready.close()
         self._metrics_server.close()
-        self._witnesses.close()
+        self._claims.stop()
+        self._peers.close()
         self._lending.close()
         self._links.close()
         self._loop.stop()
--- a/src/dewledge/shell/pooling/succession_driver.py
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -13,9 +13,12 @@
 from dewledge.core.pooling.group_view import DatabaseRecord
 from dewledge.core.pooling.statements import Reply, StatementKind
 from dewledge.core.succession.candidates import panel
+from dewledge.core.succession.lead_right import LeadRights
 from dewledge.core.succession.messages import (
     AnnounceLeader,
     AskWitnesses,
+    Claim,
+    ClaimKnown,
     ClaimRefused,
     ClaimSeen,
     DatabaseStatus,
@@ -25,9 +28,13 @@
     PromotionAnswered,
     ReachTested,
     ReadStatus,
+    RegisteredProcesses,
     StatusRead,
+    StepDown,
+    SteppedDown,
     SuccessionEffect,
     SuccessionEvent,
+    TellClaim,
     TestReach,
     Ticked,
     WitnessReported,
@@ -67,6 +74,7 @@
         executor: Executor,
         members: Callable[[], dict[str, str]],
         record: Callable[[msgspec.Struct], None],
+        rights: LeadRights,
     ) -> None:
         """`members`: the peer address of each process by its name."""
         self._loop = loop
@@ -78,11 +86,17 @@
         self._executor = executor
         self._members = members
         self._record = record
+        self._rights = rights
         self._successions: dict[str, GroupSuccession] = {}
         self._witnesses: Witnesses | None = None
         self._stopped = False
         self._ticks = 0
         self._panels: dict[str, Sequence[str]] = {}
+        self._registered = RegisteredProcesses()
+        self.tell_claim: Callable[[str, Sequence[str]], None] = lambda group, processes: None
+        """Called with a group whose newest claim these processes are to be told."""
+        self.claim_taken: Callable[[str, Claim], None] = lambda group, claim: None
+        """Called with a group and a claim on it that is news."""
 
     def start(self, witnesses: Witnesses) -> None:
         """Starts to watch the groups' primaries."""
@@ -103,7 +117,24 @@
             if row.key.startswith(CLAIM_PREFIX) and not row.gone:
                 claim = read_claim(row)
                 if claim is not None:
-                    self._handle(row.key.removeprefix(CLAIM_PREFIX), ClaimSeen(claim))
+                    self.take_claim(row.key.removeprefix(CLAIM_PREFIX), claim)
+
+    def take_claim(self, group: str, claim: Claim) -> None:
+        """Takes a claim; one on a group that is not known yet is kept for later."""
+        if claim.token > self._rights.of(group).token:
+            self.claim_taken(group, claim)
+        if group in self._groups and not self._stopped:
+            self._handle(group, ClaimSeen(claim))
+        else:
+            self._rights.of(group).take_claim(claim)
+
+    def take_known(self, group: str, known: ClaimKnown) -> None:
+        """Another process told which claim it knows."""
+        self._handle(group, known)
+
+    def take_registered(self, registered: RegisteredProcesses) -> None:
+        """Takes which processes have rows in the store."""
+        self._registered = registered
 
     def take_answer(self, answer: WitnessAnswer) -> None:
         """Takes another process's word on a database."""
@@ -152,10 +183,11 @@
             return
         succession = self._successions.get(group_name)
         if succession is None:
-            succession = GroupSuccession(group_name, self._own_name, self._record)
+            right = self._rights.of(group_name)
+            succession = GroupSuccession(group_name, self._own_name, self._record, right)
             self._successions[group_name] = succession
         judges = self._panel(group_name)
-        effects = succession.handle(event, group.view, judges, self._loop.now())
+        effects = succession.handle(event, group.view, judges, self._loop.now(), self._registered)
         relay = (
             None if succession.reached_by is None else self._members().get(succession.reached_by)
         )
@@ -172,6 +204,10 @@
             self._announce(effect.database)
         elif isinstance(effect, ReadStatus):
             self._read_status(group, effect.database)
+        elif isinstance(effect, TellClaim):
+            self.tell_claim(group.view.name, effect.processes)
+        elif isinstance(effect, StepDown):
+            self._step_down(group, effect)
         elif isinstance(effect, WriteClaim):
             self._executor.submit(self._write_claim, group.view.name, effect)
         elif isinstance(effect, Promote):
@@ -213,11 +249,37 @@
         return [address for name, address in members if name != self._own_name]
 
     def _read_status(self, group: Group, database_id: str) -> None:
-        """Reads a state over a pooled connection; given up silently once it takes too long."""
-        pool = group.pool(database_id)
+        self._ask_database(
+            group,
+            database_id,
+            StatementKind.STATUS,
+            "",
+            lambda status: self._handle(group.view.name, StatusRead(database_id, status)),
+        )
 
+    def _step_down(self, group: Group, effect: StepDown) -> None:
         def tell(status: DatabaseStatus | None) -> None:
-            self._handle(group.view.name, StatusRead(database_id, status))
+            logger.bind(
+                group=group.view.name,
+                database=effect.database,
+                term=effect.term,
+                is_primary=None if status is None else status.is_primary,
+            ).info("step_down_answered")
+            self._handle(group.view.name, SteppedDown(effect.database, status))
+
+        kind = StatementKind.STEP_DOWN
+        self._ask_database(group, effect.database, kind, str(effect.term), tell)
+
+    def _ask_database(
+        self,
+        group: Group,
+        database_id: str,
+        kind: StatementKind,
+        argument: str,
+        tell: Callable[[DatabaseStatus | None], None],
+    ) -> None:
+        """Asks over a pooled connection; given up silently once it takes too long."""
+        pool = group.pool(database_id)
 
         def given(connection: DatabaseConnection) -> None:
             timer = self._loop.call_later(STATUS_LIMIT_SECONDS, lambda: lost(connection))
@@ -227,7 +289,7 @@
                 pool.release(connection)
                 tell(None if reply is None else self._parse_status(reply))
 
-            connection.send_own(StatementKind.STATUS, answered)
+            connection.send_own(kind, answered, argument=argument)
 
         def lost(connection: DatabaseConnection) -> None:
             connection.close()
@@ -242,7 +304,16 @@
     def _write_claim(self, group: str, effect: WriteClaim) -> None:
         """Runs on the executor. Whatever the answer, the row itself tells who holds the claim."""
         key = CLAIM_PREFIX + group
-        value = encode_value(ClaimValue(self._own_name, effect.replaced))
+        value = encode_value(
+            ClaimValue(
+                self._own_name,
+                effect.replaced,
+                effect.banned,
+                effect.voters,
+                effect.quorums,
+                effect.ordered,
+            )
+        )
         try:
             version = self._store.write(StoreWrite(TABLE, key, value, effect.expected))
         except StoreError as error:
@@ -270,6 +341,9 @@
         """Runs on the executor. A call without an answer is made again under the same token."""
         if self._duties is None:
             return
+        if self._loop.now() >= effect.not_after:
+            logger.bind(group=group, database=effect.database).warning("promotion_too_late")
+            return
         try:
             accepted = self._duties.promote(group, effect.database, self._own_name, effect.token)
         except StoreError as error:
--- a/src/dewledge/shell/pooling/table_reading.py
+++ b/src/dewledge/shell/pooling/table_reading.py
@@ -1,5 +1,6 @@
 """How this process learns the store's tables: by reading, or by following who reads."""
 
+from collections.abc import Callable
 from concurrent.futures import Executor
 
 from loguru import logger
@@ -23,6 +24,8 @@
 """Of the configuration's bound: a call that the store swallows is noticed a second later."""
 URGENT_WAIT_SECONDS = 1.0
 """A reader that others follow looks more often: what they know is older by their question."""
+RIGHT_WAIT_SECONDS = 0.7
+"""Where the right to use primaries rests on the store's word, it has to be young."""
 
 
 class TableReading:
@@ -54,23 +57,29 @@
         self._plan = ReadingPlan(True)
 
     def add(
-        self, name: str, snapshot: RowsCallback, changed: RowsCallback, is_urgent: bool = False
+        self,
+        name: str,
+        snapshot: RowsCallback,
+        changed: RowsCallback,
+        wait: float = LONGEST_WAIT_SECONDS,
+        confirmed: Callable[[float], None] | None = None,
     ) -> None:
         """Adds a table; `snapshot` gets it whole, `changed` later rows.
 
-        is_urgent: its changes are to be in force everywhere within a bound.
+        wait: a reader's call waits so long for a change. confirmed: see FollowedTable.
         """
-        wait = URGENT_WAIT_SECONDS if is_urgent else LONGEST_WAIT_SECONDS
-        table = FollowedTable(name, wait, snapshot, changed)
+        table = FollowedTable(name, wait, snapshot, changed, confirmed)
 
         def taken(delta: TableDelta, true_at: float) -> None:
             if table.take(delta, true_at):
                 self._publisher.tell_followers()
 
         self._tables[name] = table
-        self._watchers[name] = TableWatcher(
+        watcher = TableWatcher(
             self._platform.store, name, lambda: table.version, taken, self._loop.post
         )
+        watcher.confirms_whole = confirmed is not None
+        self._watchers[name] = watcher
 
     def start(self) -> None:
         """Starts to read: who does not know the members yet cannot follow one."""
@@ -101,7 +110,8 @@
         is_alone = plan.is_reader or not addresses
         for name, watcher in self._watchers.items():
             shared_wait = self._tables[name].wait_seconds
-            watcher.wait_seconds = self._read_by_all_wait if is_read_by_all else shared_wait
+            longest = self._read_by_all_wait if is_read_by_all else shared_wait
+            watcher.wait_seconds = min(longest, shared_wait) if watcher.confirms_whole else longest
             watcher.set_reader(is_alone)
         self._follower.follow([] if is_alone else addresses)
 
--- a/src/dewledge/shell/pooling/table_watcher.py
+++ b/src/dewledge/shell/pooling/table_watcher.py
@@ -50,6 +50,8 @@
         """`known_version`: what the process knows already, be it through others; -1 for nothing."""
         self.wait_seconds = 2.0
         """Short: a store that swallows a call is noticed within this and a call's time-out."""
+        self.confirms_whole = False
+        """Whether a table read as a whole is to be confirmed by the feed at once."""
         self._store = store
         self._table = table
         self._known_version = known_version
@@ -59,6 +61,7 @@
         self._wanted = threading.Event()
         self._is_reader = True
         self._newest = -1
+        self._has_read_whole = False
         self._failures = 0
         self._wanted.set()
 
@@ -117,10 +120,13 @@
             sent_at = time.monotonic()
             answer = self._store.read_table(self._table)
         self._newest = answer.version
+        self._has_read_whole = True
         self._hand_over(TableDelta(answer.rows, answer.version, True), sent_at)
 
     def _read_changes(self) -> None:
         is_quick = self._failures > 0 or not self._is_reader
+        is_quick = is_quick or (self.confirms_whole and self._has_read_whole)
+        self._has_read_whole = False
         wait = 0.0 if is_quick else self.wait_seconds
         sent_at = time.monotonic()
         answer = self._store.watch_table(self._table, self._newest, wait)
--- /dev/null
+++ b/tests/core/pooling/test_use_of_primary.py
@@ -0,0 +1,150 @@
+"""Statements that need a primary, where the process has no right to use it, or loses it."""
+
+import unittest
+
+from dewledge.core.pooling.routes import Consistency
+from dewledge.core.pooling.statements import StatementKind, TransactionState
+from dewledge.core.succession.lead_right import RIGHT_SECONDS, Fencing, LeadRight
+from dewledge.core.succession.messages import Claim
+from dewledge.errors import ErrorCode
+from tests.core.pooling.harness import PoolerHarness, SessionProbe
+
+
+class UseOfPrimaryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.harness = PoolerHarness()
+        self.right = LeadRight(Fencing.PROCESSES)
+        self.harness.group.right = self.right
+
+    def confirm(self) -> None:
+        self.right.confirm(self.harness.scheduler.now())
+        self.harness.group.right_confirmed()
+
+    def ban(self, name: str = "p") -> None:
+        self.right.take_claim(Claim("holder", name, self.right.token + 1, (name,)))
+
+    def session(self, consistency: Consistency = Consistency.READ_OWN_WRITES) -> SessionProbe:
+        return self.harness.session(consistency)
+
+    def ran(self) -> list[str]:
+        return [ran.database for ran in self.harness.model.ran]
+
+    def test_a_write_without_the_right_waits_for_it(self) -> None:
+        session = self.session()
+        write = session.start(StatementKind.WRITE, argument="thing data")
+        self.harness.scheduler.advance(0.3)
+        self.assertEqual(self.ran(), [])
+        self.confirm()
+        self.harness.scheduler.advance(0.3)
+        self.assertIsNone(session.reply(write).failure)
+
+    def test_one_that_waits_too_long_was_not_run(self) -> None:
+        reply = self.session().write(wait=1.0)
+        assert reply.failure is not None
+        self.assertIs(reply.failure.code, ErrorCode.OVERLOADED)
+        self.assertIn("come back in", reply.failure.message)
+        self.assertEqual(self.ran(), [])
+
+    def test_the_right_is_asked_for_when_a_connection_is_there(self) -> None:
+        self.confirm()
+        session = self.session()
+        session.write()
+        before = len(self.ran())
+        session.start(StatementKind.SET_VALUE, "n", "v")
+        write = session.start(StatementKind.WRITE, argument="thing data")
+        self.ban()
+        self.harness.scheduler.advance(1.0)
+        reply = session.reply(write)
+        assert reply.failure is not None
+        self.assertIs(reply.failure.code, ErrorCode.OVERLOADED)
+        self.assertEqual(len(self.ran()), before)
+
+    def test_an_answer_after_the_ban_is_passed_on_to_nobody(self) -> None:
+        cases = (
+            (StatementKind.WRITE, Consistency.READ_OWN_WRITES, ErrorCode.CONNECTION_LOST),
+            (StatementKind.READ, Consistency.PRIMARY, ErrorCode.OVERLOADED),
+        )
+        for kind, consistency, code in cases:
+            with self.subTest(kind):
+                self.setUp()
+                self.confirm()
+                session = self.session(consistency)
+                session.write()
+                self.harness.model.databases["p"].work = 0.1
+                asked = session.start(kind, argument="thing data")
+                self.harness.scheduler.advance(0.05)
+                self.ban()
+                self.harness.scheduler.advance(1.0)
+                reply = session.reply(asked)
+                assert reply.failure is not None
+                self.assertIs(reply.failure.code, code)
+
+    def test_an_answer_after_the_right_has_lapsed_proves_nothing(self) -> None:
+        self.confirm()
+        self.harness.model.databases["p"].work = RIGHT_SECONDS + 0.2
+        session = self.harness.session(Consistency.READ_OWN_WRITES)
+        session.start(StatementKind.WRITE, argument="thing data")
+        self.harness.scheduler.advance(RIGHT_SECONDS + 1.0)
+        self.assertIsNone(self.harness.group.history.newest)
+
+    def test_a_transaction_on_a_banned_primary_is_lost(self) -> None:
+        self.confirm()
+        session = self.session()
+        session.ask(StatementKind.BEGIN)
+        session.write()
+        self.ban()
+        reply = session.write()
+        assert reply.failure is not None
+        self.assertIs(reply.failure.code, ErrorCode.TRANSACTION_LOST)
+        self.assertIs(reply.state, TransactionState.FAILED)
+
+    def test_a_commit_under_way_is_unknown_and_one_not_sent_did_not_run(self) -> None:
+        for is_sent in (True, False):
+            with self.subTest(is_sent=is_sent):
+                self.setUp()
+                self.confirm()
+                session = self.session()
+                session.ask(StatementKind.BEGIN)
+                session.write()
+                self.harness.model.databases["p"].work = 0.1
+                if not is_sent:
+                    self.ban()
+                commit = session.start(StatementKind.COMMIT)
+                self.harness.scheduler.advance(0.05)
+                if is_sent:
+                    self.ban()
+                self.harness.scheduler.advance(0.5)
+                reply = session.reply(commit)
+                assert reply.failure is not None
+                expected = ErrorCode.CONNECTION_LOST if is_sent else ErrorCode.TRANSACTION_LOST
+                self.assertIs(reply.failure.code, expected)
+                self.assertIs(reply.state, TransactionState.IDLE)
+
+    def test_a_transaction_that_waits_for_the_right_begins_on_the_next_primary(self) -> None:
+        self.confirm()
+        session = self.session()
+        session.ask(StatementKind.BEGIN)
+        self.ban()
+        write = session.start(StatementKind.WRITE, argument="thing data")
+        self.harness.scheduler.advance(0.2)
+        self.harness.model.promote("r1")
+        for name in ("p", "r1"):
+            self.harness.announce(name)
+        self.harness.scheduler.advance(0.3)
+        self.assertIsNone(session.reply(write).failure)
+        self.assertEqual(self.ran(), ["r1"])
+
+    def test_reads_under_a_floor_need_no_right(self) -> None:
+        self.confirm()
+        session = self.session(Consistency.BOUNDED_STALENESS)
+        session.read()
+        self.ban()
+        self.assertIsNone(session.read().failure)
+
+    def test_a_fencing_platform_asks_for_nothing(self) -> None:
+        self.harness.group.right = LeadRight(Fencing.PLATFORM)
+        self.assertIsNone(self.session().write().failure)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/succession/test_lead_right.py
@@ -0,0 +1,221 @@
+"""The right to use a primary: when it holds, when a claim may take effect, who vouches."""
+
+import unittest
+
+from dewledge.core.pooling.group_view import DatabaseRecord, DatabaseRole, GroupView
+from dewledge.core.succession.claim_recall import ClaimRecall, is_majority
+from dewledge.core.succession.claim_writing import next_claim
+from dewledge.core.succession.lead_right import (
+    RIGHT_SECONDS,
+    Fencing,
+    LeadRight,
+    LeadRights,
+)
+from dewledge.core.succession.messages import Claim, RegisteredProcesses, WriteClaim
+from dewledge.core.succession.vouching import VouchAnswer, Vouching, VouchQuestion
+
+NOW = 1000.0
+VOTERS = ("a", "b", "c", "d", "e")
+
+
+def claim(token: int, banned: tuple[str, ...] = (), **fields: object) -> Claim:
+    values: dict[str, object] = {"voters": VOTERS, **fields}
+    return Claim("a", "p", token, banned, **values)  # type: ignore[arg-type]
+
+
+class LeadRightTest(unittest.TestCase):
+    def test_when_a_database_may_be_used_as_primary(self) -> None:
+        cases = (
+            ("the platform fences", Fencing.PLATFORM, None, ("p",), True),
+            ("no word at all", Fencing.PROCESSES, None, (), False),
+            ("a young word", Fencing.PROCESSES, NOW - 0.1, (), True),
+            ("a word just young enough", Fencing.PROCESSES, NOW - RIGHT_SECONDS + 0.01, (), True),
+            ("an old word", Fencing.PROCESSES, NOW - RIGHT_SECONDS, (), False),
+            ("a young word, but banned", Fencing.PROCESSES, NOW - 0.1, ("p",), False),
+            ("another one is banned", Fencing.PROCESSES, NOW - 0.1, ("q",), True),
+        )
+        for name, fencing, confirmed_at, banned, allowed in cases:
+            with self.subTest(name):
+                right = LeadRight(fencing)
+                if confirmed_at is not None:
+                    right.confirm(confirmed_at)
+                right.take_claim(claim(5, banned))
+                self.assertEqual(right.allows("p", NOW), allowed)
+
+    def test_an_older_claim_changes_nothing(self) -> None:
+        right = LeadRight(Fencing.PROCESSES)
+        self.assertTrue(right.take_claim(claim(7, ("p",))))
+        self.assertFalse(right.take_claim(claim(5)))
+        self.assertFalse(right.take_claim(claim(7)))
+        self.assertTrue(right.is_banned("p"))
+
+    def test_an_older_word_does_not_shorten_the_right(self) -> None:
+        right = LeadRight(Fencing.PROCESSES)
+        right.confirm(NOW)
+        right.confirm(NOW - 1.0)
+        self.assertEqual(right.confirmed_at, NOW)
+
+    def test_a_group_first_seen_shares_the_word_on_all(self) -> None:
+        rights = LeadRights(Fencing.PROCESSES)
+        rights.confirm_all(NOW)
+        self.assertTrue(rights.of("menus").allows("p", NOW + 0.1))
+
+
+class ClaimRecallTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.recall = ClaimRecall(claim(7, ("p",), quorums=(VOTERS,)), NOW)
+        self.registered = RegisteredProcesses(frozenset(VOTERS), 7)
+
+    def test_it_is_over_at_once_when_all_know(self) -> None:
+        for name in VOTERS[:-1]:
+            self.recall.take(name, NOW)
+        self.assertFalse(self.recall.is_over(self.registered, NOW + 0.1))
+        self.assertEqual(self.recall.missing(self.registered.names), ["e"])
+        self.recall.take("e", NOW)
+        self.assertTrue(self.recall.is_over(self.registered, NOW + 0.1))
+
+    def test_a_table_older_than_the_claim_may_lack_a_process(self) -> None:
+        for name in VOTERS:
+            self.recall.take(name, NOW)
+        older = RegisteredProcesses(self.registered.names, 6)
+        self.assertFalse(self.recall.is_over(older, NOW + 0.1))
+
+    def test_a_process_that_is_no_voter_is_waited_for_too(self) -> None:
+        for name in VOTERS:
+            self.recall.take(name, NOW)
+        more = RegisteredProcesses(frozenset((*VOTERS, "f")), 7)
+        self.assertFalse(self.recall.is_over(more, NOW + 0.1))
+
+    def test_with_a_majority_the_others_are_outwaited(self) -> None:
+        for name in VOTERS[:3]:
+            self.recall.take(name, NOW + 0.2)
+        self.assertFalse(self.recall.is_over(self.registered, NOW + RIGHT_SECONDS))
+        self.assertTrue(self.recall.is_over(self.registered, NOW + 0.2 + RIGHT_SECONDS))
+
+    def test_without_a_majority_it_is_never_over(self) -> None:
+        for name in VOTERS[:2]:
+            self.recall.take(name, NOW)
+        self.assertFalse(self.recall.is_over(self.registered, NOW + 3600))
+
+    def test_every_earlier_set_of_voters_counts(self) -> None:
+        recall = ClaimRecall(claim(7, ("p",), quorums=(VOTERS, ("x", "y", "z"))), NOW)
+        for name in (*VOTERS, "x"):
+            recall.take(name, NOW)
+        self.assertFalse(recall.is_over(RegisteredProcesses(), NOW + 3600))
+        recall.take("y", NOW)
+        more = RegisteredProcesses(frozenset(("z",)), 7)
+        self.assertTrue(recall.is_over(more, NOW + RIGHT_SECONDS))
+
+    def test_before_the_first_claim_nobody_could_vouch(self) -> None:
+        recall = ClaimRecall(claim(7, ("p",)), NOW)
+        self.assertFalse(recall.is_over(self.registered, NOW + RIGHT_SECONDS - 0.01))
+        self.assertTrue(recall.is_over(self.registered, NOW + RIGHT_SECONDS))
+
+    def test_half_is_no_majority(self) -> None:
+        self.assertFalse(is_majority({"a", "b"}, ("a", "b", "c", "d")))
+        self.assertTrue(is_majority({"a", "b", "c"}, ("a", "b", "c", "d")))
+        self.assertFalse(is_majority({"a"}, ()))
+
+
+class NextClaimTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.view = GroupView("menus")
+        self.announce("p", "primary", 1)
+        self.announce("r", "replica", 2)
+        self.right = LeadRight(Fencing.PROCESSES)
+
+    def announce(self, name: str, role: str, revision: int) -> None:
+        record = DatabaseRecord(name, "menus", "x", "z", DatabaseRole(role), False, 3, revision)
+        self.view = self.view.with_record(record, NOW)
+
+    def test_where_the_platform_fences_it_is_as_short_as_before(self) -> None:
+        right = LeadRight(Fencing.PLATFORM)
+        self.assertEqual(next_claim(right, self.view, VOTERS, "p", ["p"]), WriteClaim("p", 0))
+
+    def test_a_replaced_primary_stays_banned_until_it_calls_itself_replica(self) -> None:
+        self.right.take_claim(claim(7, ("p",)))
+        self.assertEqual(next_claim(self.right, self.view, VOTERS, "r", ["r"]).banned, ("p", "r"))
+        self.announce("p", "replica", 9)
+        self.assertEqual(next_claim(self.right, self.view, VOTERS, "r", ["r"]).banned, ("r",))
+
+    def test_one_that_is_not_known_any_more_stays_banned(self) -> None:
+        self.right.take_claim(claim(7, ("gone",)))
+        self.assertEqual(next_claim(self.right, self.view, VOTERS, "").banned, ("gone",))
+
+    def test_a_ban_without_a_promotion_can_be_taken_back(self) -> None:
+        self.right.take_claim(claim(7, ("p",)))
+        self.assertEqual(next_claim(self.right, self.view, VOTERS, "", freed=["p"]).banned, ())
+
+    def test_the_voters_of_earlier_claims_are_kept_until_all_is_settled(self) -> None:
+        self.right.take_claim(claim(7, quorums=(("x", "y"),)))
+        first = next_claim(self.right, self.view, ("a", "f"), "")
+        self.assertEqual(first.voters, ("a", "f"))
+        self.assertEqual(first.quorums, (VOTERS, ("x", "y")))
+        settled = next_claim(self.right, self.view, ("a", "f"), "", is_settled=True)
+        self.assertEqual(settled.quorums, (VOTERS,))
+
+
+class VouchingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rights = {name: LeadRights(Fencing.PROCESSES) for name in VOTERS}
+        for rights in self.rights.values():
+            rights.of("menus").take_claim(claim(7))
+            rights.confirm_all(NOW)
+        self.vouching = Vouching("a")
+
+    def ask(self, now: float) -> VouchQuestion:
+        inquiry = self.vouching.ask(self.rights["a"].by_group, now)
+        assert inquiry is not None
+        self.assertEqual(inquiry.voters, VOTERS[1:])
+        return inquiry.question
+
+    def answer(self, voter: str, question: VouchQuestion) -> VouchAnswer:
+        answer = Vouching(voter).answer(question, self.rights[voter].by_group, VOTERS)
+        assert answer is not None
+        return answer
+
+    def take(self, answer: VouchAnswer) -> None:
+        self.vouching.take(answer, self.rights["a"].by_group)
+
+    def test_while_the_word_is_young_nobody_is_asked(self) -> None:
+        self.assertIsNone(self.vouching.ask(self.rights["a"].by_group, NOW + 0.5))
+
+    def test_a_majority_with_oneself_renews_the_right_from_the_sending(self) -> None:
+        question = self.ask(NOW + 1.0)
+        self.take(self.answer("b", question))
+        self.assertEqual(self.rights["a"].of("menus").confirmed_at, NOW)
+        self.take(self.answer("b", question))
+        self.assertEqual(self.rights["a"].of("menus").confirmed_at, NOW)
+        self.take(self.answer("c", question))
+        self.assertEqual(self.rights["a"].of("menus").confirmed_at, NOW + 1.0)
+
+    def test_one_that_knows_a_newer_claim_does_not_vouch(self) -> None:
+        self.rights["c"].of("menus").take_claim(claim(9, ("p",)))
+        question = self.ask(NOW + 1.0)
+        for voter in ("b", "c"):
+            self.take(self.answer(voter, question))
+        self.assertEqual(self.rights["a"].of("menus").confirmed_at, NOW)
+
+    def test_an_answer_to_an_earlier_question_does_not_count(self) -> None:
+        first = self.ask(NOW + 1.0)
+        late = [self.answer(voter, first) for voter in ("b", "c")]
+        self.ask(NOW + 2.0)
+        for answer in late:
+            self.take(answer)
+        self.assertEqual(self.rights["a"].of("menus").confirmed_at, NOW)
+
+    def test_what_was_vouched_for_an_overtaken_claim_does_not_count(self) -> None:
+        question = self.ask(NOW + 1.0)
+        answers = [self.answer(voter, question) for voter in ("b", "c", "d")]
+        self.rights["a"].of("menus").take_claim(claim(9))
+        for answer in answers:
+            self.take(answer)
+        self.assertEqual(self.rights["a"].of("menus").confirmed_at, NOW)
+
+    def test_a_process_without_a_row_is_not_vouched_for(self) -> None:
+        question = VouchQuestion("stranger", 1, {"menus": 7})
+        self.assertIsNone(Vouching("b").answer(question, self.rights["b"].by_group, VOTERS))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/succession/test_release.py
@@ -0,0 +1,279 @@
+"""Where the platform does not fence: how the use of the old primary ends before a promotion."""
+
+import unittest
+from collections.abc import Sequence
+
+from dewledge.core.positions import LogPosition
+from dewledge.core.succession.lead_right import RIGHT_SECONDS, Fencing, LeadRight
+from dewledge.core.succession.messages import (
+    Claim,
+    ClaimKnown,
+    ClaimSeen,
+    DatabaseStatus,
+    Phase,
+    Promote,
+    ReachTested,
+    RegisteredProcesses,
+    StatusRead,
+    StepDown,
+    SteppedDown,
+    SuccessionEffect,
+    SuccessionEvent,
+    TellClaim,
+    Ticked,
+    WitnessReported,
+    WriteClaim,
+)
+from dewledge.core.succession.succession import GroupSuccession
+from tests.core.succession.test_succession import MEMBERS, SuccessionCase
+
+
+class UnfencedCase(SuccessionCase):
+    """A process of three; the store's word on claims is always young unless a test says else."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.right = LeadRight(Fencing.PROCESSES)
+        self.succession = GroupSuccession("menus", "a", self.events.append, self.right)
+        self.is_store_up = True
+        self.token = 0
+
+    def handle(
+        self, event: SuccessionEvent, members: Sequence[str] = MEMBERS
+    ) -> Sequence[SuccessionEffect]:
+        if self.is_store_up:
+            self.right.confirm(self.now)
+        registered = RegisteredProcesses(frozenset(MEMBERS), self.token)
+        effects = self.succession.handle(event, self.view, members, self.now, registered)
+        self.effects += effects
+        return effects
+
+    def see(self, write: WriteClaim, holder: str = "a") -> None:
+        """The store has taken a claim."""
+        self.token += 10
+        claim = Claim(
+            holder,
+            write.replaced,
+            self.token,
+            write.banned,
+            write.voters,
+            write.quorums,
+            write.ordered,
+        )
+        self.handle(ClaimSeen(claim))
+
+    def last_write(self) -> WriteClaim:
+        return self.of(WriteClaim)[-1]  # type: ignore[return-value]
+
+    def know(self, *names: str) -> None:
+        for name in names:
+            self.handle(ClaimKnown(name, self.token))
+
+    def tell(self, **offsets: int) -> None:
+        for name, offset in offsets.items():
+            status = DatabaseStatus(name == "p", 1, LogPosition(1, offset))
+            self.handle(StatusRead(name, status))
+
+    def lose_and_claim(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.see(self.last_write())
+        self.tell(r1=4, r2=6)
+        self.see(self.last_write())
+
+
+class LostPrimaryTest(UnfencedCase):
+    def test_the_claim_bans_the_lost_primary_and_names_the_voters(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.assertEqual(self.of(WriteClaim), [WriteClaim("p", 0, ("p",), MEMBERS)])
+
+    def test_it_is_told_until_all_know_it_and_then_one_is_promoted_at_once(self) -> None:
+        self.lose_and_claim()
+        self.assertEqual(self.of(TellClaim)[0], TellClaim(("b", "c")))
+        self.know("b")
+        self.wait(0.2)
+        self.assertEqual(self.of(TellClaim)[-1], TellClaim(("c",)))
+        self.assertEqual(self.of(Promote), [])
+        self.know("c")
+        self.assertEqual([(e.database, e.token) for e in self.of(Promote)], [("r2", 20)])  # type: ignore[union-attr]
+
+    def test_one_that_does_not_answer_is_outwaited(self) -> None:
+        self.lose_and_claim()
+        self.know("b")
+        self.wait(RIGHT_SECONDS - 0.1)
+        self.assertEqual(self.of(Promote), [])
+        self.wait(0.2)
+        self.assertEqual(len(self.of(Promote)), 1)
+
+    def test_the_last_holder_waits_for_its_row_too(self) -> None:
+        self.handle(ClaimSeen(Claim("a", "", 5)))
+        self.lose_primary()
+        self.confirm()
+        self.wait(1.0)
+        self.assertEqual(self.of(Promote), [])
+        self.assertEqual(self.succession.phase, Phase.CLAIMING)
+
+    def test_nothing_is_ordered_once_another_may_hold_a_newer_claim(self) -> None:
+        self.lose_and_claim()
+        self.is_store_up = False
+        self.know("b")
+        self.wait(RIGHT_SECONDS + 1.0)
+        self.assertEqual(self.of(Promote), [])
+
+    def test_an_order_carries_the_time_until_which_it_may_leave(self) -> None:
+        self.lose_and_claim()
+        self.know("b", "c")
+        self.assertEqual(self.of(Promote)[0].not_after, self.now + RIGHT_SECONDS)  # type: ignore[union-attr]
+
+    def test_the_store_holds_the_order_before_it_is_given(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.see(self.last_write())
+        self.tell(r1=4, r2=6)
+        self.assertEqual(self.last_write(), WriteClaim("p", 10, ("p",), MEMBERS, (MEMBERS,), "r2"))
+        self.know("b", "c")
+        self.wait(1.0)
+        self.assertEqual(self.of(Promote), [])
+        self.see(self.last_write())
+        self.assertEqual([e.database for e in self.of(Promote)], ["r2"])  # type: ignore[union-attr]
+
+    def test_the_next_holder_orders_the_same_database(self) -> None:
+        self.see(WriteClaim("p", 0, ("p",), MEMBERS, (), "r1"), holder="b")
+        self.wait(9.0)
+        self.see(self.last_write())
+        self.tell(r1=4, r2=6)
+        self.assertEqual(self.last_write().ordered, "r1")
+
+    def test_one_that_cannot_lead_any_more_is_banned_by_the_next_holder(self) -> None:
+        self.see(WriteClaim("p", 0, ("p",), MEMBERS, (), "r1"), holder="b")
+        self.wait(9.0)
+        self.see(self.last_write())
+        self.tell(r2=6)
+        self.wait(1.0)
+        self.assertEqual(self.last_write().ordered, "r2")
+        self.assertIn("r1", self.last_write().banned)
+
+    def test_a_primary_that_another_replaces_just_now_is_left_to_it(self) -> None:
+        self.see(WriteClaim("p", 0, (), MEMBERS), holder="b")
+        self.announce("p", "primary", draining=True)
+        self.wait(2.5)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.assertEqual(self.succession.phase, Phase.FOLLOWING)
+
+    def test_an_overtaken_holder_follows(self) -> None:
+        self.lose_and_claim()
+        self.token += 10
+        self.handle(ClaimSeen(Claim("b", "p", self.token, ("p",))))
+        self.wait(2.0)
+        self.assertEqual(self.succession.phase, Phase.FOLLOWING)
+        self.assertEqual(self.of(Promote), [])
+
+    def test_a_process_alone_never_claims(self) -> None:
+        self.lose_primary()
+        self.wait(20.0)
+        self.assertEqual([e for e in self.replacements() if e.replaced], [])  # type: ignore[union-attr]
+
+    def test_without_more_than_half_of_the_voters_the_ban_is_taken_back(self) -> None:
+        self.see(WriteClaim("", 0, (), ("a", "b", "c", "d", "e")), holder="b")
+        self.lose_primary()
+        self.confirm()
+        self.wait(1.0)
+        self.see(self.last_write())
+        self.tell(r1=4, r2=6)
+        self.wait(7.0)
+        self.assertEqual(self.of(Promote), [])
+        withdrawal = self.last_write()
+        self.assertEqual((withdrawal.replaced, withdrawal.banned), ("", ()))
+
+    def test_a_claim_whose_holder_is_lost_is_brought_to_an_end(self) -> None:
+        self.see(WriteClaim("p", 0, ("p",), MEMBERS), holder="b")
+        self.assertEqual(self.succession.phase, Phase.FOLLOWING)
+        self.wait(3.0)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.wait(5.0)
+        self.assertEqual(self.last_write().replaced, "p")
+
+    def test_the_reached_primary_is_kept(self) -> None:
+        self.lose_primary()
+        self.handle(WitnessReported("b", "p", True))
+        self.wait(10.0)
+        self.assertEqual([e for e in self.replacements() if e.replaced], [])  # type: ignore[union-attr]
+
+
+class LeavingPrimaryTest(UnfencedCase):
+    def plan(self) -> None:
+        self.announce("p", "primary", draining=True)
+        self.wait(0.5)
+        self.see(self.last_write())
+
+    def test_it_steps_down_before_another_is_promoted(self) -> None:
+        self.plan()
+        self.assertEqual(self.last_write().banned, ())
+        self.tell(r1=4, r2=9, p=9)
+        self.see(self.last_write())
+        self.assertEqual(self.of(StepDown), [StepDown("p", 2)])
+        self.assertEqual(self.of(Promote), [])
+        self.handle(SteppedDown("p", DatabaseStatus(False, 2, LogPosition(1, 9))))
+        self.assertEqual([e.database for e in self.of(Promote)], ["r2"])  # type: ignore[union-attr]
+
+    def test_the_successor_first_receives_the_last_commits(self) -> None:
+        self.plan()
+        self.tell(r1=4, r2=9, p=9)
+        self.see(self.last_write())
+        self.handle(SteppedDown("p", DatabaseStatus(False, 2, LogPosition(1, 12))))
+        self.wait(0.2)
+        self.assertEqual(self.of(Promote), [])
+        self.tell(r2=12)
+        self.assertEqual([e.database for e in self.of(Promote)], ["r2"])  # type: ignore[union-attr]
+
+    def test_one_that_does_not_answer_is_banned(self) -> None:
+        self.plan()
+        self.tell(r1=4, r2=9, p=9)
+        self.see(self.last_write())
+        self.wait(1.3)
+        self.assertEqual(self.last_write(), WriteClaim("p", 20, ("p",), MEMBERS, (MEMBERS,), "r2"))
+        self.see(self.last_write())
+        self.know("b", "c")
+        self.assertEqual([e.token for e in self.of(Promote)], [30])  # type: ignore[union-attr]
+
+    def test_an_answer_that_it_still_leads_is_no_proof(self) -> None:
+        self.plan()
+        self.tell(r1=4, r2=9, p=9)
+        self.handle(SteppedDown("p", DatabaseStatus(True, 1, LogPosition(1, 9))))
+        self.assertEqual(self.of(Promote), [])
+
+
+class StandingVotersTest(UnfencedCase):
+    def test_the_voters_follow_the_processes_once_these_have_settled(self) -> None:
+        self.see(WriteClaim("", 0, (), ("a",)), holder="b")
+        self.wait(2.0)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.wait(8.0)
+        self.assertEqual(self.of(WriteClaim)[0], WriteClaim("", 10, (), MEMBERS, (("a",),)))
+
+    def test_the_earlier_voters_are_dropped_once_they_know(self) -> None:
+        self.see(WriteClaim("", 0, (), MEMBERS, (("x", "y", "z"),)))
+        self.wait(9.0)
+        self.assertEqual(self.of(WriteClaim), [])
+        self.know("b", "c")
+        self.wait(0.5)
+        self.assertEqual(self.last_write().quorums, (MEMBERS,))
+
+    def test_where_all_is_well_nothing_is_written(self) -> None:
+        self.see(WriteClaim("", 0, (), MEMBERS, (MEMBERS,)), holder="b")
+        self.wait(30.0)
+        self.assertEqual(self.of(WriteClaim), [])
+
+
+class ReachedAgainTest(UnfencedCase):
+    def test_a_test_that_succeeds_ends_the_doubt(self) -> None:
+        self.lose_primary()
+        self.wait(0.5)
+        self.handle(ReachTested("p", True))
+        self.handle(Ticked())
+        self.assertIsNone(self.succession.doubted)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unfenced/model_process.py
@@ -0,0 +1,289 @@
+"""One pooler process with the real driver, keeper, groups and sessions, and a modelled rest."""
+
+import contextlib
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+import msgspec
+
+from dewledge.core.coordination_store import StoreRow, StoreWrite
+from dewledge.core.pooling.group import Group, Place
+from dewledge.core.pooling.group_view import DatabaseRecord
+from dewledge.core.pooling.routes import Consistency, GroupPolicy, RouteTable
+from dewledge.core.pooling.services import PoolServices
+from dewledge.core.sharing.members import Member
+from dewledge.core.succession.lead_right import Fencing, LeadRights
+from dewledge.core.succession.messages import PhaseChanged, RegisteredProcesses
+from dewledge.errors import StoreError
+from dewledge.shell.pooling.claim_keeper import ClaimKeeper
+from dewledge.shell.pooling.coordination_rows import MEMBER_PREFIX, TABLE, encode_value, read_member
+from dewledge.shell.pooling.peer_messages import LeaderNotice, PeerMessage, WitnessAnswer
+from dewledge.shell.pooling.succession_driver import SuccessionDriver
+from tests.core.pooling.harness import GROUP, route
+from tests.unfenced.model_databases import ProcessOpener, UnfencedGroup, parse_status
+from tests.unfenced.model_network import STORE, ModelNetwork, ProcessLoop
+from tests.unfenced.model_store import ModelPromotions, ModelStore, StoreClient
+
+FEED_SECONDS = 0.7
+REGISTER_AGAIN_SECONDS = 0.5
+
+
+class ModelExecutor:
+    """Runs what would block on a thread: at once in the model, after the time a call takes."""
+
+    def __init__(self, loop: ProcessLoop, network: ModelNetwork) -> None:
+        self._loop = loop
+        self._network = network
+
+    def submit(self, call: Callable[..., None], *arguments: Any) -> None:
+        self._loop.call_later(self._network.delay(), lambda: call(*arguments))
+
+
+class ModelMembers:
+    """The processes with rows, as this one knows them."""
+
+    def __init__(self, own_name: str, start: str) -> None:
+        self.own = Member(own_name, "b", start)
+        self.own_name = own_name
+        self.members: dict[str, Member] = {own_name: self.own}
+        self.own_row: StoreRow | None = None
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        return {name: name for name in self.members}
+
+    @property
+    def is_registered(self) -> bool:
+        return self.own_row is not None and self.own_row.value == encode_value(self.own)
+
+    def take_rows(self, rows: Sequence[StoreRow]) -> None:
+        for row in rows:
+            if not row.key.startswith(MEMBER_PREFIX):
+                continue
+            name = row.key.removeprefix(MEMBER_PREFIX)
+            member = read_member(row)
+            if member is not None:
+                self.members[name] = member
+            if name == self.own_name:
+                self.own_row = row
+
+
+class ModelPeers:
+    """Datagrams between processes: lost now and then."""
+
+    def __init__(self, process: "ModelProcess") -> None:
+        self._process = process
+        self.takers: dict[type, Callable[[Any, str], None]] = {}
+
+    def on(self, kind: type, taker: Callable[[Any, str], None]) -> None:
+        self.takers[kind] = taker
+
+    def send(self, message: PeerMessage, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            self._process.send(message, address)
+
+    def take(self, message: PeerMessage, sender: str) -> None:
+        taker = self.takers.get(type(message))
+        if taker is not None:
+            taker(message, sender)
+
+
+class ModelWitnesses:
+    """Questions on databases between processes."""
+
+    def __init__(self, process: "ModelProcess") -> None:
+        self._process = process
+
+    def ask(self, addresses: Sequence[str], database_id: str) -> None:
+        for address in addresses:
+            self._process.ask_witness(address, database_id)
+
+    def tell_leader(self, addresses: Sequence[str], database_id: str) -> None:
+        process = self._process
+        for address in addresses:
+            process.to(
+                address,
+                lambda other: other.driver.take_leader(LeaderNotice(process.name, database_id)),
+            )
+
+    def test(self, record: DatabaseRecord, done: Callable[[bool], None]) -> None:
+        self._process.opener.test(record.id, done)
+
+
+class ModelProcess:
+    """A process from its start to its end."""
+
+    def __init__(
+        self,
+        name: str,
+        network: ModelNetwork,
+        store: ModelStore,
+        promotions: ModelPromotions,
+        databases: UnfencedGroup,
+        find: Callable[[str], "ModelProcess | None"],
+    ) -> None:
+        self.name = name
+        self.network = network
+        self.store = store
+        self.loop = ProcessLoop(network.scheduler)
+        self.opener = ProcessOpener(databases, name, self.loop)
+        self.events: list[msgspec.Struct] = []
+        self._find = find
+        self.services = PoolServices(self.loop, self.events.append)
+        self.rights = LeadRights(Fencing.PROCESSES)
+        place = Place("b", {"a": "north", "b": "north", "c": "south"})
+        self.group = Group(
+            GROUP, place, self.opener, self.loop.now, 5.0, right=self.rights.of(GROUP)
+        )
+        self.group.set_connection_limit(4)
+        self.services.groups[GROUP] = self.group
+        self.members = ModelMembers(name, str(network.random.random()))
+        self.client = StoreClient(store, network, name)
+        self.peers = ModelPeers(self)
+        executor: Any = ModelExecutor(self.loop, network)
+        loop: Any = self.loop
+        members: Any = self.members
+        peers: Any = self.peers
+        store_client: Any = self.client
+        self.driver = SuccessionDriver(
+            loop,
+            name,
+            self.services.groups,
+            store_client,
+            promotions.client(name),
+            parse_status,
+            executor,
+            lambda: self.members.addresses,
+            self.events.append,
+            self.rights,
+        )
+        self.keeper = ClaimKeeper(
+            loop,
+            name,
+            self.rights,
+            self.services.groups,
+            members,
+            peers,
+            store_client,
+            executor,
+            self.driver.take_claim,
+            self.driver.take_known,
+        )
+        self.driver.tell_claim = self.keeper.tell
+        self.driver.claim_taken = self.keeper.claim_taken
+        self.services.suspect = self.driver.doubt
+        self._known_version = 0
+        store.changed.append(self._poll_now)
+
+    @property
+    def is_serving(self) -> bool:
+        return self.loop.alive and self.services.is_configured
+
+    @property
+    def phases(self) -> list[PhaseChanged]:
+        return [event for event in self.events if isinstance(event, PhaseChanged)]
+
+    def start(self) -> None:
+        witnesses: Any = ModelWitnesses(self)
+        self.driver.start(witnesses)
+        self.keeper.start()
+        self._register()
+        self._poll()
+
+    def configure(self) -> None:
+        routes = [route(consistency) for consistency in Consistency]
+        self.services.routes = RouteTable(
+            1, {each.database: each for each in routes}, {GROUP: GroupPolicy(GROUP, 36)}
+        )
+        self.services.wake_if_configured()
+
+    def kill(self) -> None:
+        self.loop.alive = False
+        for transport in self.opener.transports:
+            transport._end()
+
+    # The store's tables.
+
+    def learn(self, record: DatabaseRecord) -> None:
+        """The store told of a database."""
+        self.group.change_view(self.group.view.with_record(record, self.loop.now()))
+        self.driver.look_at(GROUP)
+        self.services.wake_if_configured()
+
+    def _poll(self) -> None:
+        self._poll_now()
+        self.loop.call_later(FEED_SECONDS, self._poll)
+
+    def _poll_now(self) -> None:
+        if self.loop.alive:
+            self.network.carry(self.name, STORE, self._evaluate)
+
+    def _evaluate(self) -> None:
+        if self.store.is_down:
+            return
+        at = self.network.scheduler.time
+        rows = [row for row in self.store.rows.values() if row.version > self._known_version]
+        rows.sort(key=lambda row: row.version)
+        version = self.store.version
+        self.network.carry(
+            STORE, self.name, lambda: self.loop.run(lambda: self._take(rows, version, at))
+        )
+
+    def _take(self, rows: Sequence[StoreRow], version: int, at: float) -> None:
+        if version < self._known_version:
+            return
+        self._known_version = version
+        self.members.take_rows(rows)
+        if any(row.key.startswith(MEMBER_PREFIX) for row in rows):
+            self.driver.members_changed()
+        names = frozenset(self.members.members)
+        self.driver.take_registered(RegisteredProcesses(names, version))
+        self.driver.take_rows(rows)
+        self.keeper.take_rows(rows)
+        self.keeper.store_confirmed(at)
+
+    def _register(self) -> None:
+        if self.members.is_registered:
+            return
+        row = self.store.rows.get(MEMBER_PREFIX + self.name)
+        write = StoreWrite(
+            TABLE,
+            MEMBER_PREFIX + self.name,
+            encode_value(self.members.own),
+            0 if row is None else row.version,
+        )
+        with contextlib.suppress(StoreError):
+            self.client.write(write)
+        self.loop.call_later(REGISTER_AGAIN_SECONDS, self._register)
+
+    # Other processes.
+
+    def to(self, address: str, call: Callable[["ModelProcess"], None]) -> None:
+        if self.network.random.random() < 0.03:
+            return
+
+        def deliver() -> None:
+            other = self._find(address)
+            if other is not None:
+                other.loop.run(lambda: call(other))
+
+        self.network.carry(self.name, address, deliver)
+
+    def send(self, message: PeerMessage, address: str) -> None:
+        self.to(address, lambda other: other.peers.take(message, self.name))
+
+    def ask_witness(self, address: str, database_id: str) -> None:
+        def asked(other: "ModelProcess") -> None:
+            other.driver.doubt(GROUP, database_id)
+            other.opener.test(database_id, lambda reached: answer(other, reached))
+
+        def answer(other: "ModelProcess", reached: bool) -> None:
+            word = WitnessAnswer(other.name, database_id, reached)
+            other.to(self.name, lambda asker: asker.driver.take_answer(word))
+
+        self.to(address, asked)
+
+
+def chance_of(seed: int) -> random.Random:
+    return random.Random(seed)
--- /dev/null
+++ b/tests/unfenced/test_unfenced_days.py
@@ -0,0 +1,27 @@
+"""What must hold on random days where the platform does not fence, and each guard seen red.
+
+DEWLEDGE_DAYS sets how many days are played; a failing seed is printed.
+"""
+
+import os
+import unittest
+
+from tests.unfenced.day import UnfencedDay
+
+DAYS = int(os.environ.get("DEWLEDGE_DAYS", "6"))
+FIRST_SEED = int(os.environ.get("DEWLEDGE_FIRST_SEED", "0"))
+SECONDS = 30.0
+
+
+class UnfencedDaysTest(unittest.TestCase):
+    def test_nothing_is_broken(self) -> None:
+        promotions = 0
+        for seed in range(FIRST_SEED, FIRST_SEED + DAYS):
+            day = UnfencedDay(seed).play(SECONDS)
+            self.assertEqual(day.violations(), [], f"seed {seed}: {day.played}")
+            promotions += len(day.databases.effects)
+        self.assertGreater(promotions, DAYS)
+
+
+if __name__ == "__main__":
+    unittest.main()
