--- a/tests/unfenced/day.py
+++ b/tests/unfenced/day.py
@@ -23,6 +23,10 @@
     "split",
     "split",
     "cut_leader",
+    "minority",
+    "minority",
+    "minority",
+    "minority",
     "freeze",
     "freeze",
     "kill",
@@ -185,6 +189,17 @@
         self.network.cuts |= cut
         self._later(1.0, 8.0, lambda: self.network.cuts.difference_update(cut))
 
+    def _fault_minority(self) -> None:
+        """The leader and a few processes on one side, all others on the other."""
+        few = set(self.random.sample(PROCESSES, self.random.randrange(1, 3)))
+        few.add(self.databases.leader.id)
+        others = [n for n in (*PROCESSES, *self.databases.databases) if n not in few]
+        if self.random.random() < 0.5:
+            others += [STORE, PLATFORM]
+        cut = {frozenset((one, other)) for one in few for other in others}
+        self.network.cuts |= cut
+        self._later(2.0, 8.0, lambda: self.network.cuts.difference_update(cut))
+
     def _fault_cut_leader(self) -> None:
         """The leader is cut from the other databases and from some processes."""
         leader = self.databases.leader.id
