Split the succession: deciding to replace, and replacing; one value for what a step is taken in

Choice, release and promotion are replacement.py now; a step gets a Situation in place of four parameters.

--- /dev/null
+++ b/src/dewledge/core/succession/replacement.py
@@ -0,0 +1,244 @@
+"""Replaces one primary once the duty is claimed: choice of the next, release of the old, promotion.
+
+Where the platform checks no tokens three things are certain before a promotion is ordered: nobody
+uses the old primary any more; the store holds the order, so that the next holder keeps to it; and
+no other process can hold a newer claim.
+"""
+
+from collections.abc import Sequence
+
+from dewledge.core.succession.candidates import choose, eligible
+from dewledge.core.succession.claim_writing import next_claim
+from dewledge.core.succession.lead_release import LeadRelease
+from dewledge.core.succession.lead_right import LONG_AGO, RIGHT_SECONDS, Fencing, LeadRight
+from dewledge.core.succession.loss_watch import Loss
+from dewledge.core.succession.messages import (
+    AnnounceLeader,
+    Claim,
+    ClaimKnown,
+    LossCause,
+    Phase,
+    Promote,
+    PromotionAnswered,
+    ReadStatus,
+    StatusRead,
+    SteppedDown,
+    SuccessionEffect,
+    WriteClaim,
+)
+from dewledge.core.succession.situation import Situation, Step
+from dewledge.core.succession.survey import StatusSurvey
+
+STATUS_LIMIT_SECONDS = 0.3
+CATCH_UP_LIMIT_SECONDS = 2.0
+"""A primary that leaves serves on: its successor is given so long to receive all it has."""
+LAST_RECEIVED_LIMIT_SECONDS = 0.6
+"""One that has stepped down serves nobody: its successor is given so long for the last commits."""
+WRITE_AGAIN_SECONDS = 1.5
+PROMOTE_AGAIN_SECONDS = 0.7
+PROMOTION_LIMIT_SECONDS = 6.0
+
+
+class PrimaryReplacement:
+    """One process's replacement of one primary; asked for a step in each of its three phases."""
+
+    def __init__(self, own_name: str, right: LeadRight, loss: Loss) -> None:
+        self.candidate = ""
+        self.own_token = 0
+        """Of the claim under which this process acts, 0 before it stands."""
+        self._right = right
+        self._loss = loss
+        self._survey = StatusSurvey()
+        self._release = LeadRelease(own_name, loss.replaced, self.is_planned)
+        self._phase_since = 0.0
+        self._write_at = LONG_AGO
+        self._promoted_at = LONG_AGO
+        self._has_promoted = False
+        self._stepped_down_at: float | None = None
+
+    @property
+    def is_planned(self) -> bool:
+        """Whether the old primary leaves and still serves."""
+        return self._loss.cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
+
+    @property
+    def _is_unfenced(self) -> bool:
+        return self._right.fencing is Fencing.PROCESSES
+
+    def take_claim(self, claim: Claim, now: float) -> None:
+        """The own claim stands in the store."""
+        self.own_token = claim.token
+        self._write_at = now
+        self._release.take_claim(claim, now)
+
+    def take(self, event: StatusRead | ClaimKnown | SteppedDown, now: float) -> None:
+        """Takes what a database or a process told."""
+        if isinstance(event, StatusRead):
+            self._survey.take(event)
+        else:
+            self._release.take(event, now)
+
+    def enter(self, now: float) -> None:
+        """A phase begins."""
+        self._phase_since = now
+
+    def claim(self, situation: Situation) -> WriteClaim:
+        """Returns the claim to write first."""
+        return self._claim_to_write(situation)
+
+    def announce(self, event: StatusRead) -> Sequence[SuccessionEffect]:
+        """The chosen database says that it leads: others learn it also without the store."""
+        if event.database != self.candidate or event.status is None:
+            return []
+        return [AnnounceLeader(event.database)] if event.status.is_primary else []
+
+    def take_promotion(self, event: PromotionAnswered) -> Step:
+        """Takes the platform's answer to the order."""
+        if event.database != self.candidate or not event.fenced:
+            return Step()
+        if self.own_token < self._right.token:
+            return Step((), Phase.FOLLOWING, "token_too_old")
+        if self._survey.refused:
+            # Two databases refused: more likely another holds a later token, unknown here.
+            return Step((), Phase.FOLLOWING, "token_refused")
+        self._survey.refuse(event.database)
+        return Step((), Phase.CHOOSING, "candidate_refused")
+
+    def step(self, phase: Phase, situation: Situation) -> Step:
+        """Returns what is to be done in one of the three phases."""
+        if phase is Phase.CHOOSING:
+            return self._choose(situation)
+        if phase is Phase.RELEASING:
+            return self._release_old(situation)
+        return self._promote_again(situation)
+
+    # Choosing.
+
+    def _choose(self, situation: Situation) -> Step:
+        survey, now = self._survey, situation.now
+        names = self._eligible(situation)
+        wanted = [*names, self._loss.replaced] if self.is_planned else names
+        effects: list[SuccessionEffect] = [*survey.ask(wanted)]
+        effects += self._release.tell(situation.registered, now)
+        missing = [name for name in wanted if name not in survey.statuses]
+        if missing and now < self._phase_since + STATUS_LIMIT_SECONDS:
+            return Step(effects)
+        chosen = self._ordered_before(names) or choose(names, survey.statuses, {})
+        if chosen is None or (chosen not in survey.statuses and not self._waited_for_status(now)):
+            if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
+                return self._give_up(effects, situation, "no_candidate")
+            return Step(effects)
+        is_behind = self.is_planned and survey.is_behind(chosen, self._loss.replaced)
+        if is_behind and now < self._phase_since + CATCH_UP_LIMIT_SECONDS:
+            if survey.is_time_to_ask_again(now):
+                survey.forget_asked()
+            return Step(effects)
+        self.candidate = chosen
+        if self._is_unfenced:
+            return Step(effects, Phase.RELEASING, "chosen")
+        return Step([*effects, *self._order(now)], Phase.PROMOTING, "chosen")
+
+    def _eligible(self, situation: Situation) -> Sequence[str]:
+        names = eligible(situation.view, self._loss.replaced, self._survey.refused)
+        return [name for name in names if not self._right.is_banned(name)]
+
+    def _ordered_before(self, names: Sequence[str]) -> str | None:
+        """A database that an earlier holder has ordered to lead, and may lead at any moment.
+
+        Another one beside it would be replaced by it without anybody knowing.
+        """
+        claim = self._right.claim
+        if claim is None or claim.ordered not in names:
+            return None
+        return claim.ordered if claim.ordered in self._survey.statuses else None
+
+    def _waited_for_status(self, now: float) -> bool:
+        return now > self._phase_since + 2 * STATUS_LIMIT_SECONDS
+
+    # Releasing the old primary.
+
+    def _release_old(self, situation: Situation) -> Step:
+        """Nobody may use the old primary any more when the new one is promoted."""
+        release, now = self._release, situation.now
+        effects: list[SuccessionEffect] = [*release.step_down(self._survey.next_term, now)]
+        if not self._is_all_noted:
+            effects += self._note(situation)
+        effects += release.tell(situation.registered, now)
+        is_over = self._is_all_noted and release.is_over(situation.registered, now)
+        if is_over and self._has_received_all(effects, now):
+            return Step([*effects, *self._order(now)], Phase.PROMOTING, "released")
+        if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
+            return self._give_up(effects, situation, "not_released")
+        return Step(effects)
+
+    @property
+    def _is_all_noted(self) -> bool:
+        """Whether the store holds, under the own claim, the ban if one is needed and the order."""
+        claim = self._right.claim
+        if claim is None or claim.token != self.own_token:
+            return False
+        needs_ban = self._release.must_ban and not self._release.is_banned
+        return claim.ordered == self.candidate and not needs_ban
+
+    def _note(self, situation: Situation) -> Sequence[SuccessionEffect]:
+        """Has the store hold the order before it is given: the next holder must know of it."""
+        if situation.now < self._write_at:
+            return []
+        self._write_at = situation.now + WRITE_AGAIN_SECONDS
+        return [self._claim_to_write(situation, self.candidate)]
+
+    def _claim_to_write(self, situation: Situation, ordered: str | None = None) -> WriteClaim:
+        replaced, view = self._loss.replaced, situation.view
+        banned: list[str] = []
+        if self._release.must_ban:
+            banned = [replaced] if replaced else sorted(view.claims)
+        before = self._right.claim
+        if ordered is not None and before is not None and before.ordered not in ("", ordered):
+            banned.append(before.ordered)
+        return next_claim(self._right, view, situation.members, replaced, banned, ordered=ordered)
+
+    def _has_received_all(self, effects: list[SuccessionEffect], now: float) -> bool:
+        """Tells whether the candidate has what the old primary held when it stepped down."""
+        held = self._release.stepped_down
+        if held is None:
+            return True
+        if self._stepped_down_at is None:
+            self._stepped_down_at = now
+        status = self._survey.statuses.get(self.candidate)
+        if status is None or status.received >= held.received:
+            return True
+        if self._survey.is_time_to_ask_again(now):
+            effects.append(ReadStatus(self.candidate))
+        return now >= self._stepped_down_at + LAST_RECEIVED_LIMIT_SECONDS
+
+    # Promoting.
+
+    def _order(self, now: float) -> Sequence[SuccessionEffect]:
+        """Orders the promotion, unless another process may hold a newer claim by now."""
+        if not self._is_unfenced:
+            self._promoted_at = now
+            return [Promote(self.candidate, self.own_token)]
+        if self._right.token != self.own_token or not self._right.is_confirmed(now):
+            return []
+        self._promoted_at = now
+        self._has_promoted = True
+        return [Promote(self.candidate, self.own_token, self._right.confirmed_at + RIGHT_SECONDS)]
+
+    def _promote_again(self, situation: Situation) -> Step:
+        now = situation.now
+        if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
+            return Step((), Phase.STEADY, "promotion_without_effect")
+        effects: list[SuccessionEffect] = []
+        if self._survey.is_time_to_ask_again(now):
+            effects.append(ReadStatus(self.candidate))
+        if now >= self._promoted_at + PROMOTE_AGAIN_SECONDS:
+            effects += self._order(now)
+        return Step(effects)
+
+    def _give_up(self, effects: list[SuccessionEffect], situation: Situation, reason: str) -> Step:
+        """Ends the replacement; the ban ends too, since nobody was promoted."""
+        if self._is_unfenced and not self._has_promoted and self.own_token:
+            freed = [self._loss.replaced]
+            view, members = situation.view, situation.members
+            effects.append(next_claim(self._right, view, members, "", freed=freed))
+        return Step(effects, Phase.STEADY, reason)
--- a/src/dewledge/core/succession/standing_claim.py
+++ b/src/dewledge/core/succession/standing_claim.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Sequence
 
-from dewledge.core.pooling.group_view import GroupView
 from dewledge.core.succession.claim_recall import ClaimRecall
 from dewledge.core.succession.claim_writing import next_claim
 from dewledge.core.succession.lead_right import LONG_AGO, Fencing, LeadRight
 from dewledge.core.succession.messages import (
+    Claim,
     ClaimKnown,
-    RegisteredProcesses,
     SuccessionEffect,
     TellClaim,
 )
+from dewledge.core.succession.situation import Situation
 
 STANDING_AGAIN_SECONDS = 3.0
 SETTLED_SECONDS = 2.5
@@ -37,14 +37,9 @@
         if recall is not None and event.token >= recall.claim.token:
             recall.take(event.process, now)
 
-    def keep(
-        self,
-        view: GroupView,
-        members: Sequence[str],
-        registered: RegisteredProcesses,
-        now: float,
-    ) -> Sequence[SuccessionEffect]:
+    def keep(self, situation: Situation) -> Sequence[SuccessionEffect]:
         """Returns what is to be done while the group is well."""
+        members, now = situation.members, situation.now
         if tuple(members) != self._members:
             self._members, self._members_since = tuple(members), now
         if not members or now < self._not_before:
@@ -52,41 +47,37 @@
         if self._right.fencing is Fencing.PLATFORM:
             if self._right.claim is not None or members[0] != self._own_name:
                 return []
-            return self._write(view, False, now)
-        return self._keep_voters(view, registered, now)
+            return self._write(situation, False)
+        return self._keep_voters(situation)
 
-    def _keep_voters(
-        self, view: GroupView, registered: RegisteredProcesses, now: float
-    ) -> Sequence[SuccessionEffect]:
-        claim, members = self._right.claim, self._members
+    def _keep_voters(self, situation: Situation) -> Sequence[SuccessionEffect]:
+        claim, members, now = self._right.claim, self._members, situation.now
         if self._own_name not in members or not self._right.is_confirmed(now):
             return []
         rank = members.index(self._own_name)
         if now < self._members_since + SETTLED_SECONDS * (1 + rank):
             return []
         if claim is None or set(claim.voters) != set(members):
-            return self._write(view, False, now)
+            return self._write(situation, False)
         if all(set(voters) == set(claim.voters) for voters in claim.quorums):
             return []
-        return self._settle(view, registered, now)
+        return self._settle(claim, situation)
 
-    def _settle(
-        self, view: GroupView, registered: RegisteredProcesses, now: float
-    ) -> Sequence[SuccessionEffect]:
+    def _settle(self, claim: Claim, situation: Situation) -> Sequence[SuccessionEffect]:
         """Writes the claim once more when no earlier voter vouches for an older one."""
-        claim = self._right.claim
-        assert claim is not None
+        registered, now = situation.registered, situation.now
         if self._recall is None or self._recall.claim.token != claim.token:
             self._recall = ClaimRecall(claim, now)
             self._recall.take(self._own_name, now)
         if self._recall.is_over(registered, now):
-            return self._write(view, True, now)
+            return self._write(situation, True)
         if now < self._told_at + TELL_AGAIN_SECONDS:
             return []
         self._told_at = now
         missing = self._recall.missing(registered.names)
         return [TellClaim(tuple(missing))]
 
-    def _write(self, view: GroupView, is_settled: bool, now: float) -> Sequence[SuccessionEffect]:
-        self._not_before = now + STANDING_AGAIN_SECONDS
-        return [next_claim(self._right, view, self._members, "", is_settled=is_settled)]
+    def _write(self, situation: Situation, is_settled: bool) -> Sequence[SuccessionEffect]:
+        self._not_before = situation.now + STANDING_AGAIN_SECONDS
+        write = next_claim(self._right, situation.view, self._members, "", is_settled=is_settled)
+        return [write]
