End a ban only by a word of the database that is younger than the ban

Cause: a claim dropped the ban of a replaced primary because its entry said replica; the entry was older than the ban, from before that database had led at all. Another process used it as primary while the next one led.

--- a/src/dewledge/core/succession/claim_writing.py
+++ b/src/dewledge/core/succession/claim_writing.py
@@ -4,7 +4,7 @@
 
 from dewledge.core.pooling.group_view import DatabaseRole, GroupView
 from dewledge.core.succession.lead_right import Fencing, LeadRight
-from dewledge.core.succession.messages import Claim, WriteClaim
+from dewledge.core.succession.messages import Ban, Claim, WriteClaim
 
 MAX_BANNED = 16
 
@@ -31,29 +31,42 @@
     expected = 0 if claim is None else claim.token
     if right.fencing is Fencing.PLATFORM:
         return WriteClaim(replaced, expected)
-    kept = () if claim is None else tuple(name for name in claim.banned if may_lead(view, name))
-    names = tuple(name for name in dict.fromkeys([*kept, *banned]) if name not in freed)
-    names = names[-MAX_BANNED:]
+    bans = _bans(claim, view, banned, freed)
     quorums = _quorums(claim, is_settled)
     if ordered is None:
-        ordered = _open_order(claim, view, replaced, names)
-    return WriteClaim(replaced, expected, names, tuple(voters), quorums, ordered)
+        ordered = _open_order(claim, view, replaced, bans)
+    return WriteClaim(replaced, expected, bans, tuple(voters), quorums, ordered)
 
 
-def may_lead(view: GroupView, database_id: str) -> bool:
-    """Tells whether a replaced database may still take itself for the primary.
+def _bans(
+    claim: Claim | None, view: GroupView, banned: Collection[str], freed: Collection[str]
+) -> tuple[Ban, ...]:
+    bans: dict[str, Ban] = {}
+    if claim is not None:
+        kept = [Ban(ban.database, ban.since or claim.token) for ban in claim.bans]
+        bans = {ban.database: ban for ban in kept if not has_stepped_down(view, ban)}
+    for name in banned:
+        bans[name] = Ban(name)
+    return tuple(ban for ban in bans.values() if ban.database not in freed)[-MAX_BANNED:]
 
-    One that calls itself replica has learned of the later term and leads only if it is promoted.
+
+def has_stepped_down(view: GroupView, ban: Ban) -> bool:
+    """Tells whether a banned database has called itself replica after it was banned.
+
+    It has learned of the later term then, and leads only if it is promoted. Its entry and the claim
+    have their versions from the same counter of the store.
     """
-    record = view.databases.get(database_id)
-    return record is None or record.role is DatabaseRole.PRIMARY or database_id in view.departed
+    record = view.databases.get(ban.database)
+    if record is None or ban.database in view.departed:
+        return False
+    return record.role is DatabaseRole.REPLICA and record.revision > ban.since
 
 
-def _open_order(
-    claim: Claim | None, view: GroupView, replaced: str, banned: Collection[str]
-) -> str:
+def _open_order(claim: Claim | None, view: GroupView, replaced: str, bans: Collection[Ban]) -> str:
     """The database that was ordered to lead and may still begin to."""
-    if claim is None or claim.ordered == replaced or claim.ordered in banned:
+    if claim is None or claim.ordered == replaced:
+        return ""
+    if any(ban.database == claim.ordered for ban in bans):
         return ""
     primary = view.primary
     return "" if primary is not None and primary.id == claim.ordered else claim.ordered
--- a/src/dewledge/core/succession/lead_release.py
+++ b/src/dewledge/core/succession/lead_release.py
@@ -54,7 +54,7 @@
         """The own claim stands in the store."""
         if self._recall is not None:
             return
-        if not self._replaced or self._replaced in claim.banned:
+        if not self._replaced or claim.bans_database(self._replaced):
             self._recall = ClaimRecall(claim, now)
             self._recall.take(self._own_name, now)
 
--- a/src/dewledge/core/succession/lead_right.py
+++ b/src/dewledge/core/succession/lead_right.py
@@ -67,7 +67,7 @@
 
     def is_banned(self, database_id: str) -> bool:
         """Tells whether a database must not be used as primary, whatever it says of itself."""
-        return self.claim is not None and database_id in self.claim.banned
+        return self.claim is not None and self.claim.bans_database(database_id)
 
     def allows(self, database_id: str, now: float) -> bool:
         """Tells whether a database may be used as primary at `now`."""
--- a/src/dewledge/core/succession/messages.py
+++ b/src/dewledge/core/succession/messages.py
@@ -16,11 +16,21 @@
     received: LogPosition
 
 
+class Ban(msgspec.Struct, frozen=True):
+    """A database that nobody may use as primary any more.
+
+    since: the token of the claim that first banned it, 0 for the claim that holds this.
+    """
+
+    database: str
+    since: int = 0
+
+
 class Claim(msgspec.Struct, frozen=True):
     """The row by which one process at a time takes the duty to replace a group's primary.
 
     token: the store's version of the row, which rises with each claim.
-    banned: databases that nobody may use as primary any more.
+    bans: databases that nobody may use as primary any more.
     voters: the processes of which more than half can vouch that no newer claim exists.
     quorums: voters of earlier claims that may still vouch for those, a set for each.
     ordered: the database whose promotion is ordered under this claim, empty before it is.
@@ -29,11 +39,15 @@
     holder: str
     replaced: str
     token: int
-    banned: tuple[str, ...] = ()
+    bans: tuple[Ban, ...] = ()
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
 
+    def bans_database(self, database_id: str) -> bool:
+        """Tells whether nobody may use a database as primary any more."""
+        return any(ban.database == database_id for ban in self.bans)
+
 
 class RegisteredProcesses(msgspec.Struct, frozen=True):
     """All processes with a row in the store, as known at a version of the store."""
@@ -138,7 +152,7 @@
 
     replaced: str
     expected: int
-    banned: tuple[str, ...] = ()
+    bans: tuple[Ban, ...] = ()
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -141,7 +141,7 @@
             if self.phase in _HOLDING:
                 self._replacement.take_claim(claim, now)
             return
-        is_ban = self.phase is Phase.STEADY and claim.replaced in claim.banned
+        is_ban = self.phase is Phase.STEADY and claim.bans_database(claim.replaced)
         if claim.replaced and (self.phase in _ACTING or is_ban):
             self._loss = Loss(self._loss.cause, claim.replaced)
             self._move(Phase.FOLLOWING, f"claimed_by_{claim.holder}", now)
--- a/src/dewledge/shell/pooling/coordination_rows.py
+++ b/src/dewledge/shell/pooling/coordination_rows.py
@@ -7,7 +7,7 @@
 
 from dewledge.core.coordination_store import StoreRow
 from dewledge.core.sharing.members import Member
-from dewledge.core.succession.messages import Claim
+from dewledge.core.succession.messages import Ban, Claim
 
 TABLE = "dewledge"
 MEMBER_PREFIX = "member/"
@@ -22,7 +22,7 @@
 
     holder: str
     replaced: str
-    banned: tuple[str, ...] = ()
+    bans: tuple[Ban, ...] = ()
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
@@ -55,7 +55,7 @@
         value.holder,
         value.replaced,
         row.version,
-        value.banned,
+        value.bans,
         value.voters,
         value.quorums,
         value.ordered,
--- a/src/dewledge/shell/pooling/succession_driver.py
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -308,7 +308,7 @@
             ClaimValue(
                 self._own_name,
                 effect.replaced,
-                effect.banned,
+                effect.bans,
                 effect.voters,
                 effect.quorums,
                 effect.ordered,
--- a/tests/core/succession/test_lead_right.py
+++ b/tests/core/succession/test_lead_right.py
@@ -11,7 +11,7 @@
     LeadRight,
     LeadRights,
 )
-from dewledge.core.succession.messages import Claim, RegisteredProcesses, WriteClaim
+from dewledge.core.succession.messages import Ban, Claim, RegisteredProcesses, WriteClaim
 from dewledge.core.succession.vouching import VouchAnswer, Vouching, VouchQuestion
 
 NOW = 1000.0
@@ -20,7 +20,7 @@
 
 def claim(token: int, banned: tuple[str, ...] = (), **fields: object) -> Claim:
     values: dict[str, object] = {"voters": VOTERS, **fields}
-    return Claim("a", "p", token, banned, **values)  # type: ignore[arg-type]
+    return Claim("a", "p", token, tuple(Ban(name) for name in banned), **values)  # type: ignore[arg-type]
 
 
 class LeadRightTest(unittest.TestCase):
@@ -134,17 +134,22 @@
 
     def test_a_replaced_primary_stays_banned_until_it_calls_itself_replica(self) -> None:
         self.right.take_claim(claim(7, ("p",)))
-        self.assertEqual(next_claim(self.right, self.view, VOTERS, "r", ["r"]).banned, ("p", "r"))
+        both = next_claim(self.right, self.view, VOTERS, "r", ["r"]).bans
+        self.assertEqual(both, (Ban("p", 7), Ban("r")))
         self.announce("p", "replica", 9)
-        self.assertEqual(next_claim(self.right, self.view, VOTERS, "r", ["r"]).banned, ("r",))
+        self.assertEqual(next_claim(self.right, self.view, VOTERS, "r", ["r"]).bans, (Ban("r"),))
+
+    def test_an_entry_older_than_the_ban_does_not_end_it(self) -> None:
+        self.right.take_claim(claim(7, ("r",)))
+        self.assertEqual(next_claim(self.right, self.view, VOTERS, "").bans, (Ban("r", 7),))
 
     def test_one_that_is_not_known_any_more_stays_banned(self) -> None:
         self.right.take_claim(claim(7, ("gone",)))
-        self.assertEqual(next_claim(self.right, self.view, VOTERS, "").banned, ("gone",))
+        self.assertEqual(next_claim(self.right, self.view, VOTERS, "").bans, (Ban("gone", 7),))
 
     def test_a_ban_without_a_promotion_can_be_taken_back(self) -> None:
         self.right.take_claim(claim(7, ("p",)))
-        self.assertEqual(next_claim(self.right, self.view, VOTERS, "", freed=["p"]).banned, ())
+        self.assertEqual(next_claim(self.right, self.view, VOTERS, "", freed=["p"]).bans, ())
 
     def test_the_voters_of_earlier_claims_are_kept_until_all_is_settled(self) -> None:
         self.right.take_claim(claim(7, quorums=(("x", "y"),)))
--- a/tests/core/succession/test_release.py
+++ b/tests/core/succession/test_release.py
@@ -6,6 +6,7 @@
 from dewledge.core.positions import LogPosition
 from dewledge.core.succession.lead_right import RIGHT_SECONDS, Fencing, LeadRight
 from dewledge.core.succession.messages import (
+    Ban,
     Claim,
     ClaimKnown,
     ClaimSeen,
@@ -27,6 +28,8 @@
 from dewledge.core.succession.succession import GroupSuccession
 from tests.core.succession.test_succession import MEMBERS, SuccessionCase
 
+BANS = (Ban("p"),)
+
 
 class UnfencedCase(SuccessionCase):
     """A process of three; the store's word on claims is always young unless a test says else."""
@@ -55,7 +58,7 @@
             holder,
             write.replaced,
             self.token,
-            write.banned,
+            write.bans,
             write.voters,
             write.quorums,
             write.ordered,
@@ -86,7 +89,7 @@
     def test_the_claim_bans_the_lost_primary_and_names_the_voters(self) -> None:
         self.lose_primary()
         self.confirm()
-        self.assertEqual(self.of(WriteClaim), [WriteClaim("p", 0, ("p",), MEMBERS)])
+        self.assertEqual(self.of(WriteClaim), [WriteClaim("p", 0, BANS, MEMBERS)])
 
     def test_it_is_told_until_all_know_it_and_then_one_is_promoted_at_once(self) -> None:
         self.lose_and_claim()
@@ -131,7 +134,7 @@
         self.confirm()
         self.see(self.last_write())
         self.tell(r1=4, r2=6)
-        self.assertEqual(self.last_write(), WriteClaim("p", 10, ("p",), MEMBERS, (MEMBERS,), "r2"))
+        self.assertEqual(self.last_write(), WriteClaim("p", 10, BANS, MEMBERS, (MEMBERS,), "r2"))
         self.know("b", "c")
         self.wait(1.0)
         self.assertEqual(self.of(Promote), [])
@@ -139,20 +142,20 @@
         self.assertEqual([e.database for e in self.of(Promote)], ["r2"])  # type: ignore[union-attr]
 
     def test_the_next_holder_orders_the_same_database(self) -> None:
-        self.see(WriteClaim("p", 0, ("p",), MEMBERS, (), "r1"), holder="b")
+        self.see(WriteClaim("p", 0, BANS, MEMBERS, (), "r1"), holder="b")
         self.wait(9.0)
         self.see(self.last_write())
         self.tell(r1=4, r2=6)
         self.assertEqual(self.last_write().ordered, "r1")
 
     def test_one_that_cannot_lead_any_more_is_banned_by_the_next_holder(self) -> None:
-        self.see(WriteClaim("p", 0, ("p",), MEMBERS, (), "r1"), holder="b")
+        self.see(WriteClaim("p", 0, BANS, MEMBERS, (), "r1"), holder="b")
         self.wait(9.0)
         self.see(self.last_write())
         self.tell(r2=6)
         self.wait(1.0)
         self.assertEqual(self.last_write().ordered, "r2")
-        self.assertIn("r1", self.last_write().banned)
+        self.assertIn(Ban("r1"), self.last_write().bans)
 
     def test_a_primary_that_another_replaces_just_now_is_left_to_it(self) -> None:
         self.see(WriteClaim("p", 0, (), MEMBERS), holder="b")
@@ -164,7 +167,7 @@
     def test_an_overtaken_holder_follows(self) -> None:
         self.lose_and_claim()
         self.token += 10
-        self.handle(ClaimSeen(Claim("b", "p", self.token, ("p",))))
+        self.handle(ClaimSeen(Claim("b", "p", self.token, BANS)))
         self.wait(2.0)
         self.assertEqual(self.succession.phase, Phase.FOLLOWING)
         self.assertEqual(self.of(Promote), [])
@@ -184,10 +187,10 @@
         self.wait(7.0)
         self.assertEqual(self.of(Promote), [])
         withdrawal = self.last_write()
-        self.assertEqual((withdrawal.replaced, withdrawal.banned), ("", ()))
+        self.assertEqual((withdrawal.replaced, withdrawal.bans), ("", ()))
 
     def test_a_claim_whose_holder_is_lost_is_brought_to_an_end(self) -> None:
-        self.see(WriteClaim("p", 0, ("p",), MEMBERS), holder="b")
+        self.see(WriteClaim("p", 0, BANS, MEMBERS), holder="b")
         self.assertEqual(self.succession.phase, Phase.FOLLOWING)
         self.wait(3.0)
         self.assertEqual(self.of(WriteClaim), [])
@@ -209,7 +212,7 @@
 
     def test_it_steps_down_before_another_is_promoted(self) -> None:
         self.plan()
-        self.assertEqual(self.last_write().banned, ())
+        self.assertEqual(self.last_write().bans, ())
         self.tell(r1=4, r2=9, p=9)
         self.see(self.last_write())
         self.assertEqual(self.of(StepDown), [StepDown("p", 2)])
@@ -232,7 +235,7 @@
         self.tell(r1=4, r2=9, p=9)
         self.see(self.last_write())
         self.wait(1.3)
-        self.assertEqual(self.last_write(), WriteClaim("p", 20, ("p",), MEMBERS, (MEMBERS,), "r2"))
+        self.assertEqual(self.last_write(), WriteClaim("p", 20, BANS, MEMBERS, (MEMBERS,), "r2"))
         self.see(self.last_write())
         self.know("b", "c")
         self.assertEqual([e.token for e in self.of(Promote)], [30])  # type: ignore[union-attr]
--- a/tests/unfenced/day.py
+++ b/tests/unfenced/day.py
@@ -71,7 +71,6 @@
         self.clients: list[RandomClient] = []
         self.gone_clients: list[RandomClient] = []
         self.processes: dict[str, ModelProcess] = {}
-        self._revision = 0
         self._records: dict[str, DatabaseRecord] = {}
         self._draining: set[str] = set()
         self.played: list[str] = []
@@ -115,8 +114,8 @@
             serves = not database.silent and not database.refuse_connections
             reaches = self.network.reaches(database.id, STORE) and not self.store.is_down
             if told != (database.role, draining) and serves and reaches:
-                self._revision += 1
-                record = self.databases.record(database.id, self._revision, draining)
+                self.store.version += 1
+                record = self.databases.record(database.id, self.store.version, draining)
                 self._records[database.id] = record
                 self._tell(record)
 
