Name the only database that may lead in each claim, in place of those that may not

Cause: a claim banned the primary that its writer took for lost; a writer with an old view banned the wrong one and promoted another beside the real one. Now a claim whitelists: nobody, or the one database whose promotion is ordered; bans and their tokens are needless. Ruled out: dropping bans by time. In the model: a promotion of the present primary changes nothing, refused clients come again.

--- a/src/dewledge/core/pooling/group_view.py
+++ b/src/dewledge/core/pooling/group_view.py
@@ -98,7 +98,7 @@
         Its own entry may tell so later; another that begins to call itself primary counts more.
         """
         record = self.databases.get(database_id)
-        if record is None or record.draining or database_id in self.claims:
+        if record is None or record.draining or record == self.primary:
             return self
         newest = max(known.revision for known in self.databases.values())
         refuted = {name: at for name, at in self.refuted.items() if name != database_id}
--- a/src/dewledge/core/sharing/readers.py
+++ b/src/dewledge/core/sharing/readers.py
@@ -12,7 +12,7 @@
 
 from dewledge.core.sharing.members import Member
 
-MOST_READING_ALL = 12
+MOST_READING_ALL = 3
 """Up to so many processes each read the store themselves."""
 LEAST_READERS = 2
 FOLLOWERS_PER_PROCESS = 8
--- a/src/dewledge/core/succession/lead_release.py
+++ b/src/dewledge/core/succession/lead_release.py
@@ -2,8 +2,8 @@
 
 Only where the platform does not take the lead from the old one itself. A primary that leaves is
 told to step down: its answer is the proof, and the pause for writes begins only then. One that
-cannot be reached, or does not answer, is banned by the claim, which every process must know or
-outwait.
+cannot be reached, or does not answer, may not be used any more by the claim, which every process
+must know, or have its right lapse.
 """
 
 from collections.abc import Sequence
@@ -41,22 +41,16 @@
         """What the old primary held when it had stepped down."""
 
     @property
-    def must_ban(self) -> bool:
-        """Whether the claim must ban the old primary."""
-        return not self._may_step_down
-
-    @property
-    def is_banned(self) -> bool:
-        """Whether the claim that bans it stands."""
+    def is_recalled(self) -> bool:
+        """Whether a claim stands under which the old primary may not be used."""
         return self._recall is not None
 
     def take_claim(self, claim: Claim, now: float) -> None:
         """The own claim stands in the store."""
-        if self._recall is not None:
+        if self._recall is not None or claim.allows(self._replaced):
             return
-        if not self._replaced or claim.bans_database(self._replaced):
-            self._recall = ClaimRecall(claim, now)
-            self._recall.take(self._own_name, now)
+        self._recall = ClaimRecall(claim, now)
+        self._recall.take(self._own_name, now)
 
     def take(self, event: ClaimKnown | SteppedDown, now: float) -> None:
         """Takes what a process or the old primary told."""
@@ -93,4 +87,6 @@
         """Tells whether nobody uses the old primary any more."""
         if self.stepped_down is not None:
             return True
-        return self._recall is not None and self._recall.is_over(registered, now)
+        if self._may_step_down or self._recall is None:
+            return False
+        return self._recall.is_over(registered, now)
--- a/src/dewledge/core/succession/lead_right.py
+++ b/src/dewledge/core/succession/lead_right.py
@@ -6,8 +6,8 @@
 
 - A process uses a primary only while it knows, from a word not older than RIGHT_SECONDS, that no
   newer claim on the group exists. It counts the age from the sending of its question.
-- A claim names the databases that must not lead any more. Who knows it uses none of them, and
-  gives up the answers that still come from them.
+- A claim names the only database that may lead, or none. Who knows it uses no other, and gives
+  up the answers that still come from others.
 - The holder of a claim promotes only once each registered process knows the claim, or once
   RIGHT_SECONDS have passed since nobody can get word any more that the claim does not exist.
 
@@ -67,12 +67,13 @@
 
     def is_banned(self, database_id: str) -> bool:
         """Tells whether a database must not be used as primary, whatever it says of itself."""
-        return self.claim is not None and self.claim.bans_database(database_id)
+        claim = self.claim
+        if self.fencing is Fencing.PLATFORM or claim is None:
+            return False
+        return not claim.allows(database_id)
 
     def allows(self, database_id: str, now: float) -> bool:
         """Tells whether a database may be used as primary at `now`."""
-        if self.fencing is Fencing.PLATFORM:
-            return True
         return self.is_confirmed(now) and not self.is_banned(database_id)
 
 
--- a/src/dewledge/core/succession/loss_watch.py
+++ b/src/dewledge/core/succession/loss_watch.py
@@ -9,6 +9,8 @@
 
 ENTRY_GONE_SECONDS = 1.5
 NONE_KNOWN_SECONDS = 2.5
+CLAIMED_LEADER_SECONDS = 1.0
+"""The database that leads by the newest claim has told so itself by then."""
 UNFINISHED_SECONDS = 3.0
 """A claim has had an effect by then, or its holder is lost."""
 
@@ -47,6 +49,15 @@
             return None
         return Loss(LossCause.ENTRY_GONE if gone else LossCause.DRAINING, primary.id)
 
+    def claimed_leader(self, view: GroupView, now: float) -> str | None:
+        """Returns the database to take for the primary: by the newest claim it is, for a while."""
+        claim = self._right.claim
+        if self._banned_since is None or now < self._banned_since + CLAIMED_LEADER_SECONDS:
+            return None
+        if claim is None or claim.leader not in view.databases or claim.leader in view.claims:
+            return None
+        return claim.leader
+
     def _find_none_known(self, view: GroupView, now: float) -> Loss | None:
         if not view.databases:
             return None
@@ -57,7 +68,7 @@
         return Loss(LossCause.NONE_KNOWN, "")
 
     def _find_unfinished(self, primary: str, now: float) -> Loss | None:
-        """The claim that banned the primary has brought no other: its holder is lost."""
+        """The newest claim does not allow the primary and has brought no other."""
         if self._banned_since is None:
             self._banned_since = now
         if now < self._banned_since + UNFINISHED_SECONDS:
--- a/src/dewledge/core/succession/messages.py
+++ b/src/dewledge/core/succession/messages.py
@@ -16,37 +16,28 @@
     received: LogPosition
 
 
-class Ban(msgspec.Struct, frozen=True):
-    """A database that nobody may use as primary any more.
-
-    since: the token of the claim that first banned it, 0 for the claim that holds this.
-    """
-
-    database: str
-    since: int = 0
-
-
 class Claim(msgspec.Struct, frozen=True):
     """The row by which one process at a time takes the duty to replace a group's primary.
 
     token: the store's version of the row, which rises with each claim.
-    bans: databases that nobody may use as primary any more.
+    leader: the only database that may be used as primary, empty for none; None for any, as long
+    as none was ever promoted.
     voters: the processes of which more than half can vouch that no newer claim exists.
     quorums: voters of earlier claims that may still vouch for those, a set for each.
-    ordered: the database whose promotion is ordered under this claim, empty before it is.
+    ordered: the database whose promotion was ordered last: it leads, or may begin to at any moment.
     """
 
     holder: str
     replaced: str
     token: int
-    bans: tuple[Ban, ...] = ()
+    leader: str | None = None
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
 
-    def bans_database(self, database_id: str) -> bool:
-        """Tells whether nobody may use a database as primary any more."""
-        return any(ban.database == database_id for ban in self.bans)
+    def allows(self, database_id: str) -> bool:
+        """Tells whether a database may be used as primary."""
+        return self.leader is None or (database_id != "" and self.leader == database_id)
 
 
 class RegisteredProcesses(msgspec.Struct, frozen=True):
@@ -152,7 +143,7 @@
 
     replaced: str
     expected: int
-    bans: tuple[Ban, ...] = ()
+    leader: str | None = None
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
@@ -164,6 +155,15 @@
     processes: tuple[str, ...]
 
 
+class TryLeader(msgspec.Struct, frozen=True):
+    """Take a database for the primary: the newest claim says so, though it has not told it itself.
+
+    A hint only: whoever uses it still gets proof of the lead with each statement.
+    """
+
+    database: str
+
+
 class StepDown(msgspec.Struct, frozen=True):
     """Tell a primary of a lower term than `term` to lead no more."""
 
@@ -202,6 +202,7 @@
     | AskWitnesses
     | WriteClaim
     | TellClaim
+    | TryLeader
     | ReadStatus
     | StepDown
     | Promote
--- a/src/dewledge/core/succession/replacement.py
+++ b/src/dewledge/core/succession/replacement.py
@@ -8,8 +8,13 @@
 from collections.abc import Sequence
 
 from dewledge.core.succession.candidates import choose, eligible
-from dewledge.core.succession.claim_writing import next_claim
-from dewledge.core.succession.lead_release import LeadRelease
+from dewledge.core.succession.claim_writing import (
+    duty_claim,
+    last_order,
+    order_claim,
+    withdrawn_claim,
+)
+from dewledge.core.succession.lead_release import STEP_DOWN_AGAIN_SECONDS, LeadRelease
 from dewledge.core.succession.lead_right import LONG_AGO, RIGHT_SECONDS, Fencing, LeadRight
 from dewledge.core.succession.loss_watch import Loss
 from dewledge.core.succession.messages import (
@@ -22,6 +27,7 @@
     PromotionAnswered,
     ReadStatus,
     StatusRead,
+    StepDown,
     SteppedDown,
     SuccessionEffect,
     WriteClaim,
@@ -54,6 +60,9 @@
         self._write_at = LONG_AGO
         self._promoted_at = LONG_AGO
         self._has_promoted = False
+        self._ended_leads_at = LONG_AGO
+        self.is_done = False
+        """Whether the new primary has said that it leads."""
         self._stepped_down_at: float | None = None
 
     @property
@@ -75,8 +84,10 @@
         """Takes what a database or a process told."""
         if isinstance(event, StatusRead):
             self._survey.take(event)
-        else:
-            self._release.take(event, now)
+            return
+        if isinstance(event, SteppedDown):
+            self._survey.take(StatusRead(event.database, event.status))
+        self._release.take(event, now)
 
     def enter(self, now: float) -> None:
         """A phase begins."""
@@ -84,13 +95,15 @@
 
     def claim(self, situation: Situation) -> WriteClaim:
         """Returns the claim to write first."""
-        return self._claim_to_write(situation)
+        replaced = self._loss.replaced
+        return duty_claim(self._right, situation.members, replaced, self.is_planned)
 
     def announce(self, event: StatusRead) -> Sequence[SuccessionEffect]:
         """The chosen database says that it leads: others learn it also without the store."""
         if event.database != self.candidate or event.status is None:
             return []
-        return [AnnounceLeader(event.database)] if event.status.is_primary else []
+        self.is_done = event.status.is_primary
+        return [AnnounceLeader(event.database)] if self.is_done else []
 
     def take_promotion(self, event: PromotionAnswered) -> Step:
         """Takes the platform's answer to the order."""
@@ -123,7 +136,10 @@
         missing = [name for name in wanted if name not in survey.statuses]
         if missing and now < self._phase_since + STATUS_LIMIT_SECONDS:
             return Step(effects)
-        chosen = self._ordered_before(names) or choose(names, survey.statuses, {})
+        if self._is_unfenced:
+            effects += self._end_false_leads(names, now)
+            names = [name for name in names if name not in survey.leading]
+        chosen = self._ordered_before or choose(names, survey.statuses, {})
         if chosen is None or (chosen not in survey.statuses and not self._waited_for_status(now)):
             if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
                 return self._give_up(effects, situation, "no_candidate")
@@ -139,18 +155,29 @@
         return Step([*effects, *self._order(now)], Phase.PROMOTING, "chosen")
 
     def _eligible(self, situation: Situation) -> Sequence[str]:
-        names = eligible(situation.view, self._loss.replaced, self._survey.refused)
-        return [name for name in names if not self._right.is_banned(name)]
+        """The databases that may lead; one that nobody may use is as good as any other."""
+        is_unfinished = self._loss.cause is LossCause.UNFINISHED
+        replaced = "" if is_unfinished else self._loss.replaced
+        return eligible(situation.view, replaced, self._survey.refused)
 
-    def _ordered_before(self, names: Sequence[str]) -> str | None:
-        """A database that an earlier holder has ordered to lead, and may lead at any moment.
+    @property
+    def _ordered_before(self) -> str | None:
+        """The database that an earlier holder has ordered to lead: it does, or may at any moment.
 
         Another one beside it would be replaced by it without anybody knowing.
         """
-        claim = self._right.claim
-        if claim is None or claim.ordered not in names:
-            return None
-        return claim.ordered if claim.ordered in self._survey.statuses else None
+        ordered = last_order(self._right, self._loss.replaced)
+        is_known = ordered in self._survey.statuses and ordered not in self._survey.refused
+        return ordered if is_known and self._is_unfenced else None
+
+    def _end_false_leads(self, names: Sequence[str], now: float) -> Sequence[SuccessionEffect]:
+        """Databases that lead by no claim step down: named as leader they would serve at once."""
+        ordered = self._ordered_before
+        false = [name for name in names if name in self._survey.leading and name != ordered]
+        if not false or now < self._ended_leads_at + STEP_DOWN_AGAIN_SECONDS:
+            return []
+        self._ended_leads_at = now
+        return [StepDown(name, self._survey.next_term) for name in false]
 
     def _waited_for_status(self, now: float) -> bool:
         return now > self._phase_since + 2 * STATUS_LIMIT_SECONDS
@@ -161,10 +188,10 @@
         """Nobody may use the old primary any more when the new one is promoted."""
         release, now = self._release, situation.now
         effects: list[SuccessionEffect] = [*release.step_down(self._survey.next_term, now)]
-        if not self._is_all_noted:
+        if not self._is_order_noted:
             effects += self._note(situation)
         effects += release.tell(situation.registered, now)
-        is_over = self._is_all_noted and release.is_over(situation.registered, now)
+        is_over = self._is_order_noted and release.is_over(situation.registered, now)
         if is_over and self._has_received_all(effects, now):
             return Step([*effects, *self._order(now)], Phase.PROMOTING, "released")
         if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
@@ -172,30 +199,20 @@
         return Step(effects)
 
     @property
-    def _is_all_noted(self) -> bool:
-        """Whether the store holds, under the own claim, the ban if one is needed and the order."""
+    def _is_order_noted(self) -> bool:
+        """Whether the store holds the order under the own claim."""
         claim = self._right.claim
         if claim is None or claim.token != self.own_token:
             return False
-        needs_ban = self._release.must_ban and not self._release.is_banned
-        return claim.ordered == self.candidate and not needs_ban
+        return claim.leader == self.candidate and claim.ordered == self.candidate
 
     def _note(self, situation: Situation) -> Sequence[SuccessionEffect]:
         """Has the store hold the order before it is given: the next holder must know of it."""
         if situation.now < self._write_at:
             return []
         self._write_at = situation.now + WRITE_AGAIN_SECONDS
-        return [self._claim_to_write(situation, self.candidate)]
-
-    def _claim_to_write(self, situation: Situation, ordered: str | None = None) -> WriteClaim:
-        replaced, view = self._loss.replaced, situation.view
-        banned: list[str] = []
-        if self._release.must_ban:
-            banned = [replaced] if replaced else sorted(view.claims)
-        before = self._right.claim
-        if ordered is not None and before is not None and before.ordered not in ("", ordered):
-            banned.append(before.ordered)
-        return next_claim(self._right, view, situation.members, replaced, banned, ordered=ordered)
+        replaced = self._loss.replaced
+        return [order_claim(self._right, situation.members, replaced, self.candidate)]
 
     def _has_received_all(self, effects: list[SuccessionEffect], now: float) -> bool:
         """Tells whether the candidate has what the old primary held when it stepped down."""
@@ -236,9 +253,9 @@
         return Step(effects)
 
     def _give_up(self, effects: list[SuccessionEffect], situation: Situation, reason: str) -> Step:
-        """Ends the replacement; the ban ends too, since nobody was promoted."""
-        if self._is_unfenced and not self._has_promoted and self.own_token:
-            freed = [self._loss.replaced]
-            view, members = situation.view, situation.members
-            effects.append(next_claim(self._right, view, members, "", freed=freed))
+        """Ends the replacement; where nothing was ordered the old primary leads on."""
+        kept = self._loss.replaced
+        may_lead_on = self._loss.cause is LossCause.UNREACHABLE and not self._has_promoted
+        if self._is_unfenced and may_lead_on and self.own_token:
+            effects.append(withdrawn_claim(self._right, situation.members, kept))
         return Step(effects, Phase.STEADY, reason)
--- a/src/dewledge/core/succession/succession.py
+++ b/src/dewledge/core/succession/succession.py
@@ -36,6 +36,7 @@
     SuccessionEffect,
     SuccessionEvent,
     TestReach,
+    TryLeader,
     WitnessReported,
 )
 from dewledge.core.succession.replacement import PrimaryReplacement
@@ -141,7 +142,7 @@
             if self.phase in _HOLDING:
                 self._replacement.take_claim(claim, now)
             return
-        is_ban = self.phase is Phase.STEADY and claim.bans_database(claim.replaced)
+        is_ban = self.phase is Phase.STEADY and not claim.allows(claim.replaced)
         if claim.replaced and (self.phase in _ACTING or is_ban):
             self._loss = Loss(self._loss.cause, claim.replaced)
             self._move(Phase.FOLLOWING, f"claimed_by_{claim.holder}", now)
@@ -174,10 +175,16 @@
         return self._follow(situation.now)
 
     def _is_over(self, view: GroupView) -> bool:
+        """Tells whether the group has a primary that needs no replacement."""
         primary = view.primary
         if self.phase is Phase.STEADY or primary is None or primary.draining:
             return False
-        return primary.id != self._loss.replaced or self._replacement.is_planned
+        if self._is_unfenced and self.phase in (Phase.RELEASING, Phase.PROMOTING):
+            return self._replacement.is_done
+        if self._right.is_banned(primary.id):
+            return False
+        is_another = primary.id != self._loss.replaced or self._replacement.is_planned
+        return is_another or self._loss.cause is LossCause.UNFINISHED
 
     def _watch(self, situation: Situation) -> Sequence[SuccessionEffect]:
         view, now = situation.view, situation.now
@@ -187,6 +194,9 @@
             self._start_claim(situation)
             return []
         primary = view.primary
+        claimed = self._losses.claimed_leader(view, now)
+        if claimed is not None:
+            return [TryLeader(claimed)]
         if primary is None or primary.draining or self._right.is_banned(primary.id):
             return []
         if self.doubted == primary.id and now >= self._last_check + CHECK_AGAIN_SECONDS:
--- a/src/dewledge/core/succession/survey.py
+++ b/src/dewledge/core/succession/survey.py
@@ -47,6 +47,11 @@
         """A term above all that were told."""
         return max((status.term for status in self.statuses.values()), default=0) + 1
 
+    @property
+    def leading(self) -> frozenset[str]:
+        """The databases that say that they lead."""
+        return frozenset(name for name, status in self.statuses.items() if status.is_primary)
+
     def forget_asked(self) -> None:
         """Has all be asked once more."""
         self._asked = set()
--- a/src/dewledge/shell/pooling/claim_keeper.py
+++ b/src/dewledge/shell/pooling/claim_keeper.py
@@ -106,7 +106,7 @@
 
     def claim_taken(self, group: str, claim: Claim) -> None:
         """A claim came out of the store: its holder is told, at last through the store."""
-        if claim.bans and claim.holder != self._own_name:
+        if claim.leader is not None and claim.holder != self._own_name:
             delay = TELL_STORE_AFTER_SECONDS
             self._loop.call_later(delay, lambda: self._tell_store(group, claim.token))
 
--- a/src/dewledge/shell/pooling/coordination_rows.py
+++ b/src/dewledge/shell/pooling/coordination_rows.py
@@ -7,7 +7,7 @@
 
 from dewledge.core.coordination_store import StoreRow
 from dewledge.core.sharing.members import Member
-from dewledge.core.succession.messages import Ban, Claim
+from dewledge.core.succession.messages import Claim
 
 TABLE = "dewledge"
 MEMBER_PREFIX = "member/"
@@ -22,7 +22,7 @@
 
     holder: str
     replaced: str
-    bans: tuple[Ban, ...] = ()
+    leader: str | None = None
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
@@ -55,7 +55,7 @@
         value.holder,
         value.replaced,
         row.version,
-        value.bans,
+        value.leader,
         value.voters,
         value.quorums,
         value.ordered,
--- a/src/dewledge/shell/pooling/succession_driver.py
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -37,6 +37,7 @@
     TellClaim,
     TestReach,
     Ticked,
+    TryLeader,
     WitnessReported,
     WriteClaim,
 )
@@ -206,6 +207,8 @@
             self._read_status(group, effect.database)
         elif isinstance(effect, TellClaim):
             self.tell_claim(group.view.name, effect.processes)
+        elif isinstance(effect, TryLeader):
+            self.take_leader(LeaderNotice(self._own_name, effect.database))
         elif isinstance(effect, StepDown):
             self._step_down(group, effect)
         elif isinstance(effect, WriteClaim):
@@ -308,7 +311,7 @@
             ClaimValue(
                 self._own_name,
                 effect.replaced,
-                effect.bans,
+                effect.leader,
                 effect.voters,
                 effect.quorums,
                 effect.ordered,
