Choose only a database that says that it does not lead

Where nothing fences, a candidate must have told that it follows, or be the last ordered one; and its lead counts as the ordered one only in a term above all that were told.

--- a/src/dewledge/core/succession/replacement.py
+++ b/src/dewledge/core/succession/replacement.py
@@ -61,6 +61,8 @@
         self._promoted_at = LONG_AGO
         self._has_promoted = False
         self._ended_leads_at = LONG_AGO
+        self._least_term = 0
+        """Of the candidate once it leads by this order; in an older one it led before."""
         self.is_done = False
         """Whether the new primary has said that it leads."""
         self._stepped_down_at: float | None = None
@@ -102,7 +104,7 @@
         """The chosen database says that it leads: others learn it also without the store."""
         if event.database != self.candidate or event.status is None:
             return []
-        self.is_done = event.status.is_primary
+        self.is_done = event.status.is_primary and event.status.term >= self._least_term
         return [AnnounceLeader(event.database)] if self.is_done else []
 
     def take_promotion(self, event: PromotionAnswered) -> Step:
@@ -138,7 +140,7 @@
             return Step(effects)
         if self._is_unfenced:
             effects += self._end_false_leads(names, now)
-            names = [name for name in names if name not in survey.leading]
+            names = [name for name in names if survey.follows(name)]
         chosen = self._ordered_before or choose(names, survey.statuses, {})
         if chosen is None or (chosen not in survey.statuses and not self._waited_for_status(now)):
             if now > self._phase_since + PROMOTION_LIMIT_SECONDS:
@@ -151,6 +153,7 @@
             return Step(effects)
         self.candidate = chosen
         if self._is_unfenced:
+            self._least_term = survey.least_term_after(chosen)
             return Step(effects, Phase.RELEASING, "chosen")
         return Step([*effects, *self._order(now)], Phase.PROMOTING, "chosen")
 
@@ -173,7 +176,7 @@
     def _end_false_leads(self, names: Sequence[str], now: float) -> Sequence[SuccessionEffect]:
         """Databases that lead by no claim step down: named as leader they would serve at once."""
         ordered = self._ordered_before
-        false = [name for name in names if name in self._survey.leading and name != ordered]
+        false = [name for name in names if self._survey.leads(name) and name != ordered]
         if not false or now < self._ended_leads_at + STEP_DOWN_AGAIN_SECONDS:
             return []
         self._ended_leads_at = now
--- a/src/dewledge/core/succession/survey.py
+++ b/src/dewledge/core/succession/survey.py
@@ -47,10 +47,22 @@
         """A term above all that were told."""
         return max((status.term for status in self.statuses.values()), default=0) + 1
 
-    @property
-    def leading(self) -> frozenset[str]:
-        """The databases that say that they lead."""
-        return frozenset(name for name, status in self.statuses.items() if status.is_primary)
+    def leads(self, name: str) -> bool:
+        """Tells whether a database says that it leads."""
+        status = self.statuses.get(name)
+        return status is not None and status.is_primary
+
+    def follows(self, name: str) -> bool:
+        """Tells whether a database says that it does not lead."""
+        status = self.statuses.get(name)
+        return status is not None and not status.is_primary
+
+    def least_term_after(self, chosen: str) -> int:
+        """Returns the least term in which `chosen` can lead by an order that is given now."""
+        status = self.statuses.get(chosen)
+        if status is not None and status.is_primary:
+            return status.term
+        return self.next_term
 
     def forget_asked(self) -> None:
         """Has all be asked once more."""
--- a/tests/core/succession/test_release.py
+++ b/tests/core/succession/test_release.py
@@ -169,6 +169,20 @@
         self.wait(0.1)
         self.assertEqual(self.last_write().ordered, "p")
 
+    def test_one_that_has_told_nothing_may_lead_still_and_is_not_chosen(self) -> None:
+        self.lose_primary()
+        self.confirm()
+        self.see(self.last_write())
+        self.wait(3.0)
+        self.assertEqual(self.last_write().ordered, "")
+        self.assertEqual(self.succession.phase, Phase.CHOOSING)
+
+    def test_a_lead_of_an_older_term_is_not_the_one_ordered(self) -> None:
+        self.lose_and_claim()
+        self.know("b", "c")
+        self.handle(StatusRead("r2", DatabaseStatus(True, 1, LogPosition(1, 6))))
+        self.assertEqual(self.succession.phase, Phase.PROMOTING)
+
     def test_it_is_not_over_before_the_chosen_one_leads(self) -> None:
         self.lose_and_claim()
         self.announce("r2", "primary")
