--- a/src/dewledge/core/succession/standing_claim.py
+++ b/src/dewledge/core/succession/standing_claim.py
@@ -14,7 +14,7 @@
 from dewledge.core.succession.situation import Situation
 
 STANDING_AGAIN_SECONDS = 3.0
-SETTLED_SECONDS = 2.5
+SETTLED_SECONDS = 1.0
 """The processes are the same for so long before the voters are changed."""
 TELL_AGAIN_SECONDS = 0.25
 
--- a/tests/core/succession/test_release.py
+++ b/tests/core/succession/test_release.py
@@ -290,7 +290,7 @@
 class StandingVotersTest(UnfencedCase):
     def test_the_voters_follow_the_processes_once_these_have_settled(self) -> None:
         self.see(WriteClaim("", 0, None, ("a",)), holder="b")
-        self.wait(2.0)
+        self.wait(0.8)
         self.assertEqual(self.of(WriteClaim), [])
         self.wait(8.0)
         self.assertEqual(self.of(WriteClaim)[0], WriteClaim("", 10, None, MEMBERS, (("a",),)))
--- a/tests/platform/test_pooler_process.py
+++ b/tests/platform/test_pooler_process.py
@@ -37,10 +37,12 @@
 
 
 class PoolerCase(unittest.TestCase):
+    fences = True
+
     def setUp(self) -> None:
         self.store = TableStore()
         self.addCleanup(self.store.close)
-        self.group = WireGroup("menus", self.store)
+        self.group = WireGroup("menus", self.store, fences=self.fences)
         self.addCleanup(self.group.close)
         self.version = 0
         self.put_configuration()
@@ -87,6 +89,7 @@
             metrics_address=free_address(),
             store_address=self.store.address,
             duty_address=self.store.address,
+            promotions_fenced=self.fences,
             timings=PoolerTimings(stop_bound=1.0),
             zones={"north": "n", "middle": "n", "south": "s"},
         )
--- a/tests/platform/wire_databases.py
+++ b/tests/platform/wire_databases.py
@@ -149,6 +149,8 @@
             role = ROLE_WORDS[database.leads]
             term, number = database.applied
             return [f"DATAROW {role} {term} {term}.{number} 0 0 0 1", "COMPLETE -"]
+        elif word == "STEPDOWN":
+            return self._step_down(int(rest))
         elif word == "PARSE":
             name, access, _ = rest.split(" ", 2)
             self.names[name] = access
@@ -156,6 +158,15 @@
             return self._work(statement_id, word, rest)
         return ["COMPLETE -"]
 
+    def _step_down(self, newer_term: int) -> list[str]:
+        database = self.database
+        term, number = database.applied
+        database.group.stepped_down.append(database.name)
+        if term < newer_term:
+            database.leads = False
+        role = ROLE_WORDS[database.leads]
+        return [f"DATAROW {role} {term} {term}.{number} 0 0 0 1", "COMPLETE -"]
+
     def _work(self, statement_id: str, word: str, rest: str) -> list[str]:
         database = self.database
         writes = word == "WRITE"
@@ -172,11 +183,11 @@
         if word == "COMMIT":
             self.state = "I"
             written, self.written = self.written, []
-            database.group.commit(written)
+            database.group.commit(written, database)
         elif writes and self.state == "T":
             self.written.append(rest)
         elif writes:
-            database.group.commit([rest])
+            database.group.commit([rest], database)
         thing = rest.partition(" ")[0]
         value = database.values.get(thing, "none")
         return [f"DATAROW {value}", f"COMPLETE signed.{statement_id}"]
@@ -196,10 +207,24 @@
 
 
 class WireGroup:
-    """Three databases; replicas have a commit at once, or `lag_seconds` later."""
-
-    def __init__(self, name: str, store: TableStore, promote_seconds: float = 0.1) -> None:
+    """Three databases; replicas have a commit at once, or `lag_seconds` later.
+
+    fences: a promotion takes the lead from the old primary; else that goes on until it is told to
+    step down, or for a second.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: TableStore,
+        promote_seconds: float = 0.1,
+        fences: bool = True,
+    ) -> None:
         self.name = name
+        self.fences = fences
+        self.stepped_down: list[str] = []
+        self.committed_late: list[str] = []
+        """What an old primary committed after another had taken the lead."""
         self.store = store
         self.lock = threading.Lock()
         self._promote_seconds = promote_seconds
@@ -211,9 +236,14 @@
             database.announce()
         store.on_promote = self.promote
 
-    def commit(self, written: list[str]) -> None:
+    def commit(self, written: list[str], origin: WireDatabase) -> None:
         if not written:
             return
+        newest = max(database.applied[0] for database in self.databases.values())
+        if origin.applied[0] < newest:
+            self.committed_late += written
+            self._apply(origin, written)
+            return
         for database in self.databases.values():
             if not database.alive:
                 continue
@@ -246,9 +276,13 @@
             with self.lock:
                 if chosen.leads:
                     return
+                applied = (chosen.applied[0] + 1, chosen.applied[1])
                 for database in self.databases.values():
+                    if database.leads and not self.fences:
+                        self._end_later(database)
+                        continue
                     database.leads = database is chosen
-                    database.applied = (chosen.applied[0] + 1, chosen.applied[1])
+                    database.applied = applied
             for database in self.databases.values():
                 if database.alive:
                     database.announce()
@@ -256,6 +290,18 @@
         threading.Thread(target=take_over, daemon=True).start()
         return True
 
+    def _end_later(self, database: WireDatabase) -> None:
+        """An old primary that nobody tells becomes a replica a second later."""
+
+        def end() -> None:
+            with self.lock:
+                database.leads = False
+                database.applied = max(each.applied for each in self.databases.values())
+
+        timer = threading.Timer(1.0, end)
+        timer.daemon = True
+        timer.start()
+
     def close(self) -> None:
         for database in self.databases.values():
             database.crash()
