Ask replicas that probably lack a position last

Cause: the order of the databases knew distances and loads, not lags. Change: lags predicted from the positions in answers (core/pooling/replica_lag.py).

--- a/src/dewledge/core/pooling/freshness.py
+++ b/src/dewledge/core/pooling/freshness.py
@@ -45,6 +45,14 @@
         while self._proofs[0].sent_at < sent_at - KEEP_SECONDS:
             self._proofs.popleft()
 
+    def first_above(self, position: LogPosition) -> float | None:
+        """Returns the time of the oldest proof above `position`, None if none is above it."""
+        return next((proof.sent_at for proof in self._proofs if proof.position > position), None)
+
+    def first_reaching(self, position: LogPosition) -> float | None:
+        """Returns the time of the oldest proof that holds `position`, None if none does."""
+        return next((proof.sent_at for proof in self._proofs if proof.position >= position), None)
+
     def floor(self, arrived: float, bound: float) -> ProvenPosition | None:
         """Returns the oldest proof that a read arrived at `arrived` may rest on, or None."""
         for proof in self._proofs:
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -8,6 +8,7 @@
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.freshness import FreshnessHistory
 from dewledge.core.pooling.group_view import LONG_AGO, DatabaseRecord, GroupView
+from dewledge.core.pooling.replica_lag import ReplicaLags
 from dewledge.core.pooling.routes import Route
 from dewledge.core.pooling.scheduling import Scheduler
 from dewledge.core.pooling.statements import Reply, StatementKind, TransactionState
@@ -68,6 +69,7 @@
         self.view = GroupView(name)
         self.right = right or LeadRight(Fencing.PLATFORM)
         self.history = FreshnessHistory()
+        self._lags = ReplicaLags(self.history)
         self.pools: dict[str, ConnectionPool] = {}
         self._place = place
         self._opener = opener
@@ -243,7 +245,13 @@
             return [] if primary is None else [Target(primary, Proof.NONE)]
         floor = read_floor(route, self.history, need)
         excluded = self._doubted if self.relay is None else None
-        return read_targets(self.view, floor, primary, self._distance, self._load, excluded)
+        return read_targets(
+            self.view, floor, primary, self._distance, self._load, self._lacks, excluded
+        )
+
+    def observe_position(self, database_id: str, position: LogPosition) -> None:
+        """Notes the position in a database's answer."""
+        self._lags.observe(database_id, position, self._clock())
 
     def roll_back(self, connection: DatabaseConnection, scheduler: Scheduler) -> None:
         """Ends a transaction on a connection, then takes the connection back into its pool."""
@@ -271,6 +279,9 @@
     def _distance(self, record: DatabaseRecord) -> int:
         return self._place.distance(record.zone)
 
+    def _lacks(self, record: DatabaseRecord, floor: LogPosition) -> bool:
+        return self._lags.lacks(record.id, floor, self._clock())
+
     def _load(self, record: DatabaseRecord) -> int:
         pool = self.pools.get(record.id)
         if pool is None:
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -169,6 +169,7 @@
             return
         self._timers.clear_limit()
         if isinstance(verdict, Reply) and verdict.failure is not None:
+            self._observe(verdict)
             self._note(verdict.failure.code)
             self._set_up_refused(connection, verdict, verdict.failure)
             return
@@ -242,6 +243,7 @@
         if self._finished or epoch != self._held.epoch:
             return
         self._timers.clear_limit()
+        self._observe(reply)
         if reply is None:
             self._note("lost")
             self._lost()
@@ -258,6 +260,10 @@
             self._note("done")
             self._done(reply)
 
+    def _observe(self, reply: Reply | None) -> None:
+        if reply is not None and reply.position is not None and self._held.database_id:
+            self._group.observe_position(self._held.database_id, reply.position)
+
     def _answers_without_right(self) -> bool:
         """Another may lead by now, so nothing is said of what the old primary has done."""
         connection = self._held.connection
--- a/src/dewledge/core/pooling/targets.py
+++ b/src/dewledge/core/pooling/targets.py
@@ -62,11 +62,13 @@
     primary: DatabaseRecord | None,
     distance: Callable[[DatabaseRecord], int],
     load: Callable[[DatabaseRecord], int],
+    lacks: Callable[[DatabaseRecord, LogPosition], bool],
     excluded: str | None = None,
 ) -> Sequence[Target]:
     """Returns the targets of a read: near and unloaded first, replicas before the primary.
 
     The primary stands last once more, under proof of its lead, for a floor that none shows.
+    lacks: whether a database probably lacks the floor; such ones come after all others.
     excluded: a database that cannot be reached.
     """
     leading = [] if primary is None else [Target(primary, Proof.LEAD)]
@@ -74,10 +76,11 @@
         return leading
     leader = None if primary is None else primary.id
 
-    def cost(record: DatabaseRecord) -> tuple[int, bool]:
+    def cost(record: DatabaseRecord) -> tuple[bool, int, bool]:
         leads = record.id == leader
         penalty = LOAD_OF_LEADING if leads else 0
-        return (load(record) + LOAD_PER_ZONE_STEP * distance(record) + penalty, leads)
+        weight = load(record) + LOAD_PER_ZONE_STEP * distance(record) + penalty
+        return (not leads and lacks(record, floor), weight, leads)
 
     serving = [
         record
--- a/tests/core/pooling/test_freshness.py
+++ b/tests/core/pooling/test_freshness.py
@@ -96,18 +96,23 @@
 
 class ReadTargetsTest(unittest.TestCase):
     def test_the_order_of_the_databases_that_may_serve_a_read(self) -> None:
+        far_leader = {"p": 2, "near": 0, "far": 2}
+        near_leader = {"p": 0, "near": 2, "far": 2}
         cases = (
-            ("near replica first", {"p": 2, "near": 0, "far": 2}, {}, ["near", "far", "p"]),
-            ("loaded ones later", {"p": 2, "near": 0, "far": 2}, {"near": 5}, ["far", "near", "p"]),
-            ("near primary before far replicas", {"p": 0, "near": 2, "far": 2}, {}, ["p", "near"]),
-            ("near replica before near primary", {"p": 0, "near": 0, "far": 2}, {}, ["near", "p"]),
-            ("replica of the region first", {"p": 0, "near": 1, "far": 2}, {}, ["near", "p"]),
-            ("loaded primary later", {"p": 0, "near": 2, "far": 2}, {"p": 3}, ["near", "far", "p"]),
+            ("near replica first", far_leader, {}, (), ["near", "far", "p"]),
+            ("loaded ones later", far_leader, {"near": 5}, (), ["far", "near", "p"]),
+            ("near primary before far replicas", near_leader, {}, (), ["p", "near"]),
+            ("near replica first", {"p": 0, "near": 0, "far": 2}, {}, (), ["near", "p"]),
+            ("replica of the region first", {"p": 0, "near": 1, "far": 2}, {}, (), ["near", "p"]),
+            ("loaded primary later", near_leader, {"p": 3}, (), ["near", "far", "p"]),
+            ("lacking ones last", far_leader, {}, ("near",), ["far", "p", "near"]),
+            ("the primary before all that lack", far_leader, {}, ("near", "far"), ["p", "near"]),
+            ("a primary never lacks", near_leader, {}, ("p", "near"), ["p", "far", "near"]),
         )
         view = GroupView(GROUP)
         for each in (record("p", 1, "primary"), record("near", 2), record("far", 3)):
             view = view.with_record(each, 0.0)
-        for title, distance, load, expected in cases:
+        for title, distance, load, lacking, expected in cases:
             with self.subTest(title):
                 targets = read_targets(
                     view,
@@ -115,6 +120,7 @@
                     view.primary,
                     lambda database, distance=distance: distance[database.id],  # type: ignore[misc]
                     lambda database, load=load: load.get(database.id, 0),  # type: ignore[misc]
+                    lambda database, _floor, lacking=lacking: database.id in lacking,  # type: ignore[misc]
                 )
                 order = [target.database.id for target in targets[:-1]]
                 self.assertEqual(order[: len(expected)], expected)
