Read at a primary that has shown its lead without showing it again; tell all before a step down

Two changes that need each other. Where nothing fences, the right to use a primary says that nobody else is promoted, so a single read there need not stand in a transaction that only a primary opens: one round trip in place of two. A replica would answer such a read too, so before a leaving primary steps down every process knows the claim on it and proves each read again.

--- a/src/dewledge/core/pooling/database_search.py
+++ b/src/dewledge/core/pooling/database_search.py
@@ -100,7 +100,9 @@
         transaction = self._session.transaction
         if not is_replica_read or (transaction is not None and not transaction.read_only):
             return False
-        return all(target.proof is Proof.LEAD for target in self._targets) and bool(self._targets)
+        return bool(self._targets) and all(
+            target.proof is not Proof.FLOOR for target in self._targets
+        )
 
     def _find_targets(self, transaction: OpenTransaction | None) -> Sequence[Target]:
         need = ReadNeed(self._arrived, self._session.floor)
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -245,8 +245,10 @@
             return [] if primary is None else [Target(primary, Proof.NONE)]
         floor = read_floor(route, self.history, need)
         excluded = self._doubted if self.relay is None else None
+        is_proven = primary is not None and self.right.is_proven(primary.id)
+        proof = Proof.RIGHT if is_proven else Proof.LEAD
         return read_targets(
-            self.view, floor, primary, self._distance, self._load, self._lacks, excluded
+            self.view, floor, primary, self._distance, self._load, self._lacks, excluded, proof
         )
 
     def observe_position(self, database_id: str, position: LogPosition) -> None:
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -74,6 +74,8 @@
         self._sent_at = 0.0
         self._reruns = 0
         self._proves_lead = False
+        self._has_begun = False
+        self._token = 0
         self._finished = False
 
     def start(self) -> None:
@@ -102,13 +104,14 @@
 
     def _given(self, connection: DatabaseConnection) -> None:
         self._held.take(connection)
-        self._proves_lead = False
+        self._proves_lead = self._has_begun = False
         if self._lacks_right(connection):
             self._withhold()
             return
         steps = plan_setup(self._session, connection, self._statement, self._is_pinned)
         begin = self._begin_kind()
-        self._proves_lead = begin is StatementKind.BEGIN
+        self._has_begun = begin is StatementKind.BEGIN
+        self._proves_lead = self._has_begun or self._reads_by_right
         if not steps and begin is None:
             self._send(connection)
             return
@@ -134,21 +137,24 @@
         if self._is_pinned:
             self._lose_transaction(ErrorCode.TRANSACTION_LOST, "the primary is being replaced")
             return
-        if self._proves_lead:
-            self._held.roll_back()
-        else:
-            self._held.release()
+        self._give_back()
         self._search.go_on()
 
+    @property
+    def _reads_by_right(self) -> bool:
+        """Whether this is a single read whose database need not prove its lead once more."""
+        target = self._search.target
+        return self._transaction is None and target is not None and target.proof is Proof.RIGHT
+
     def _begin_kind(self) -> StatementKind | None:
         """A read that must come from the primary runs in a transaction that only it opens."""
         transaction = self._transaction
         target = self._search.target
         if transaction is not None and transaction.connection is not None:
             return None
-        if target is None or target.proof is Proof.NONE:
+        if target is None or target.proof is Proof.NONE or self._reads_by_right:
             return None
-        if target.proof is Proof.LEAD:
+        if target.proof in (Proof.LEAD, Proof.RIGHT):
             return StatementKind.BEGIN
         return StatementKind.BEGIN_READ_ONLY if transaction is not None else None
 
@@ -214,6 +220,7 @@
 
     def _send(self, connection: DatabaseConnection) -> None:
         self._sent_at = self._scheduler.now()
+        self._token = self._group.right.token
         epoch = self._held.next_epoch()
         target = self._search.target
         floor = target.floor if self._transaction is None and target is not None else None
@@ -260,6 +267,14 @@
             self._note("done")
             self._done(reply)
 
+    @property
+    def _has_shown_lead(self) -> bool:
+        """Whether the database would have refused this if it did not lead."""
+        transaction = self._transaction
+        if transaction is None:
+            return self._writes or self._has_begun
+        return transaction.leads and not self._is_commit
+
     def _observe(self, reply: Reply | None) -> None:
         if reply is not None and reply.position is not None and self._held.database_id:
             self._group.observe_position(self._held.database_id, reply.position)
@@ -271,6 +286,8 @@
 
     def _done(self, reply: Reply) -> None:
         transaction = self._transaction
+        if self._has_shown_lead:
+            self._group.right.prove(self._held.database_id, self._token)
         if transaction is None:
             if reply.position is not None:
                 self._learner.take_single(
@@ -383,7 +400,7 @@
         self._fail(code, message)
 
     def _give_back(self) -> None:
-        if self._proves_lead and self._transaction is None:
+        if self._has_begun and not self._is_pinned:
             self._held.roll_back()
         else:
             self._held.release()
--- a/src/dewledge/core/pooling/targets.py
+++ b/src/dewledge/core/pooling/targets.py
@@ -21,11 +21,13 @@
 
     FLOOR: it compares its log with a position; any database may do so.
     LEAD: the statement runs in a transaction that only a primary opens and keeps.
+    RIGHT: it has shown that it leads, and nobody else does while this process may use it.
     NONE: the statement itself is refused by any other database than the primary.
     """
 
     FLOOR = "floor"
     LEAD = "lead"
+    RIGHT = "right"
     NONE = "none"
 
 
@@ -64,14 +66,15 @@
     load: Callable[[DatabaseRecord], int],
     lacks: Callable[[DatabaseRecord, LogPosition], bool],
     excluded: str | None = None,
+    primary_proof: Proof = Proof.LEAD,
 ) -> Sequence[Target]:
     """Returns the targets of a read: near and unloaded first, replicas before the primary.
 
-    The primary stands last once more, under proof of its lead, for a floor that none shows.
+    The primary stands last once more, under `primary_proof`, for a floor that none shows.
     lacks: whether a database probably lacks the floor; such ones come after all others.
     excluded: a database that cannot be reached.
     """
-    leading = [] if primary is None else [Target(primary, Proof.LEAD)]
+    leading = [] if primary is None else [Target(primary, primary_proof)]
     if floor is None:
         return leading
     leader = None if primary is None else primary.id
--- a/src/dewledge/core/succession/lead_release.py
+++ b/src/dewledge/core/succession/lead_release.py
@@ -33,7 +33,10 @@
         self._own_name = own_name
         self._replaced = replaced
         self._may_step_down = may_step_down
+        self._notice: ClaimRecall | None = None
+        """Of the first own claim: who knows it has each read prove the lead, or uses none."""
         self._recall: ClaimRecall | None = None
+        """Of the first own claim under which the old primary may not be used."""
         self._told_at = LONG_AGO
         self._asked_at = LONG_AGO
         self._asked_since: float | None = None
@@ -47,10 +50,16 @@
 
     def take_claim(self, claim: Claim, now: float) -> None:
         """The own claim stands in the store."""
-        if self._recall is not None or claim.allows(self._replaced):
-            return
-        self._recall = ClaimRecall(claim, now)
-        self._recall.take(self._own_name, now)
+        if self._notice is None:
+            self._notice = self._begin_recall(claim, now)
+        if self._recall is None and not claim.allows(self._replaced):
+            is_first = self._notice.claim.token == claim.token
+            self._recall = self._notice if is_first else self._begin_recall(claim, now)
+
+    def _begin_recall(self, claim: Claim, now: float) -> ClaimRecall:
+        recall = ClaimRecall(claim, now)
+        recall.take(self._own_name, now)
+        return recall
 
     def take(self, event: ClaimKnown | SteppedDown, now: float) -> None:
         """Takes what a process or the old primary told."""
@@ -58,21 +67,31 @@
             is_down = event.status is not None and not event.status.is_primary
             if event.database == self._replaced and is_down:
                 self.stepped_down = event.status
-        elif self._recall is not None and event.token >= self._recall.claim.token:
-            self._recall.take(event.process, now)
+            return
+        for recall in (self._notice, self._recall):
+            if recall is not None and event.token >= recall.claim.token:
+                recall.take(event.process, now)
 
     def tell(self, registered: RegisteredProcesses, now: float) -> Sequence[TellClaim]:
         """Returns whom to tell the claim, now and again until all know it."""
-        if self._recall is None or now < self._told_at + TELL_AGAIN_SECONDS:
+        recall = self._recall or self._notice
+        if recall is None or now < self._told_at + TELL_AGAIN_SECONDS:
             return []
         self._told_at = now
-        missing = self._recall.missing(registered.names)
+        missing = recall.missing(registered.names)
         return [TellClaim(tuple(missing))] if missing else []
 
-    def step_down(self, term: int, now: float) -> Sequence[StepDown]:
-        """Returns the word to the old primary; gives up on it after a while."""
+    def step_down(
+        self, term: int, registered: RegisteredProcesses, now: float
+    ) -> Sequence[StepDown]:
+        """Returns the word to the old primary; gives up on it after a while.
+
+        Before it all know that it leaves: it serves on until then, and single reads afterwards.
+        """
         if not self._may_step_down or self.stepped_down is not None:
             return []
+        if self._notice is None or not self._notice.is_over(registered, now):
+            return []
         if self._asked_since is None:
             self._asked_since = now
         if now >= self._asked_since + STEP_DOWN_LIMIT_SECONDS:
--- a/src/dewledge/core/succession/lead_right.py
+++ b/src/dewledge/core/succession/lead_right.py
@@ -44,6 +44,7 @@
         """The newest claim known."""
         self.confirmed_at = LONG_AGO
         """At this time (steady clock, seconds) no claim existed that this process does not know."""
+        self._proven = ("", -1)
 
     @property
     def token(self) -> int:
@@ -72,6 +73,20 @@
             return False
         return not claim.allows(database_id)
 
+    def prove(self, database_id: str, token: int) -> None:
+        """A database has shown that it leads, in answer to what was sent under claim `token`."""
+        self._proven = (database_id, token)
+
+    def is_proven(self, database_id: str) -> bool:
+        """Tells whether a database has shown that it leads under the newest claim.
+
+        It leads on then while this process has the right to use it: without a newer claim nobody
+        is promoted. So a read need not prove it again, unless it is to step down under this claim.
+        """
+        if self.fencing is Fencing.PLATFORM or self._proven != (database_id, self.token):
+            return False
+        return self.claim is None or self.claim.replaced != database_id
+
     def allows(self, database_id: str, now: float) -> bool:
         """Tells whether a database may be used as primary at `now`."""
         return self.is_confirmed(now) and not self.is_banned(database_id)
--- a/src/dewledge/core/succession/replacement.py
+++ b/src/dewledge/core/succession/replacement.py
@@ -190,7 +190,9 @@
     def _release_old(self, situation: Situation) -> Step:
         """Nobody may use the old primary any more when the new one is promoted."""
         release, now = self._release, situation.now
-        effects: list[SuccessionEffect] = [*release.step_down(self._survey.next_term, now)]
+        effects: list[SuccessionEffect] = [
+            *release.step_down(self._survey.next_term, situation.registered, now)
+        ]
         if not self._is_order_noted:
             effects += self._note(situation)
         effects += release.tell(situation.registered, now)
--- a/tests/core/pooling/test_use_of_primary.py
+++ b/tests/core/pooling/test_use_of_primary.py
@@ -141,6 +141,44 @@
         self.ban()
         self.assertIsNone(session.read().failure)
 
+    def own(self) -> list[StatementKind]:
+        return self.harness.model.own
+
+    def test_a_read_need_not_prove_a_lead_that_was_shown(self) -> None:
+        self.confirm()
+        session = self.session(Consistency.PRIMARY)
+        session.read()
+        self.assertEqual(self.own(), [StatementKind.BEGIN, StatementKind.ROLLBACK])
+        session.read()
+        self.assertEqual(len(self.own()), 2)
+        self.assertIsNotNone(self.harness.group.history.newest)
+
+    def test_it_is_shown_anew_under_each_claim_and_to_one_that_leaves(self) -> None:
+        cases = (
+            ("a standing claim", Claim("h", "", 5, "p"), 2),
+            ("it is being replaced", Claim("h", "p", 5, "p"), 4),
+        )
+        for name, claim, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.confirm()
+                session = self.session(Consistency.PRIMARY)
+                session.read()
+                self.own().clear()
+                self.right.take_claim(claim)
+                session.read()
+                session.read()
+                self.assertEqual(len(self.own()), expected)
+
+    def test_what_was_sent_before_a_claim_shows_nothing_under_it(self) -> None:
+        self.confirm()
+        session = self.session(Consistency.PRIMARY)
+        session.start(StatementKind.READ, argument="thing")
+        self.harness.scheduler.advance(0.006)
+        self.right.take_claim(Claim("h", "", 5, "p"))
+        self.harness.scheduler.advance(0.3)
+        self.assertFalse(self.right.is_proven("p"))
+
     def test_a_fencing_platform_asks_for_nothing(self) -> None:
         self.harness.group.right = LeadRight(Fencing.PLATFORM)
         self.assertIsNone(self.session().write().failure)
--- a/tests/core/succession/test_release.py
+++ b/tests/core/succession/test_release.py
@@ -249,6 +249,7 @@
         self.announce("p", "primary", draining=True)
         self.wait(0.5)
         self.see(self.last_write())
+        self.know("b", "c")
 
     def test_it_steps_down_before_another_is_promoted(self) -> None:
         self.plan()
@@ -260,6 +261,17 @@
         self.handle(SteppedDown("p", DatabaseStatus(False, 2, LogPosition(1, 9))))
         self.assertEqual([e.database for e in self.of(Promote)], ["r2"])  # type: ignore[union-attr]
 
+    def test_before_that_all_know_that_it_leaves(self) -> None:
+        self.announce("p", "primary", draining=True)
+        self.wait(0.5)
+        self.see(self.last_write())
+        self.tell(r1=4, r2=9, p=9)
+        self.see(self.last_write())
+        self.wait(0.5)
+        self.assertEqual(self.of(StepDown), [])
+        self.know("b", "c")
+        self.assertEqual(self.of(StepDown), [StepDown("p", 2)])
+
     def test_the_successor_first_receives_the_last_commits(self) -> None:
         self.plan()
         self.tell(r1=4, r2=9, p=9)
