--- a/src/dewledge/core/succession/lead_right.py
+++ b/src/dewledge/core/succession/lead_right.py
@@ -19,7 +19,7 @@
 
 from dewledge.core.succession.messages import Claim
 
-RIGHT_SECONDS = 1.5
+RIGHT_SECONDS = 1.75
 """How long a word on the newest claim is good for."""
 LONG_AGO = -1e9
 
--- a/src/dewledge/core/succession/vouching.py
+++ b/src/dewledge/core/succession/vouching.py
@@ -15,7 +15,7 @@
 from dewledge.core.succession.lead_right import LONG_AGO, LeadRight
 from dewledge.core.succession.messages import Claim
 
-ASK_AFTER_SECONDS = 0.8
+ASK_AFTER_SECONDS = 1.25
 """A store's word that is older than this is backed by the voters'."""
 ASK_AGAIN_SECONDS = 0.25
 MAX_GROUPS_ASKED = 40
