--- a/src/dewledge/core/sharing/readers.py
+++ b/src/dewledge/core/sharing/readers.py
@@ -14,7 +14,8 @@
 
 MOST_READING_ALL = 3
 """Up to so many processes each read the store themselves."""
-LEAST_READERS = 2
+READERS = 2
+"""Where not all read: one of each of two regions, or two of the only region."""
 FOLLOWERS_PER_PROCESS = 8
 """Few, as each change goes over the link of a small machine so many times."""
 
@@ -31,24 +32,29 @@
 ) -> ReadingPlan:
     """Returns what the process `own_name` does among `members`, itself one of them.
 
-    One process of each region reads, and two at least. region_of: of a zone.
+    region_of: of a zone.
     """
     if len(members) <= MOST_READING_ALL:
         return ReadingPlan(True)
     regions = _by_region(members, region_of)
-    readers = [names[0] for names in regions.values()]
-    if len(readers) < LEAST_READERS:
-        readers = list(next(iter(regions.values()))[:LEAST_READERS])
+    readers = _readers(regions)
     if own_name in readers:
         return ReadingPlan(True)
     order = regions[region_of(members[own_name].zone)]
     near = [name for name in order if name in readers]
     far = [name for name in readers if name not in near]
-    parent = order[(order.index(own_name) - 1) // FOLLOWERS_PER_PROCESS]
-    sources = dict.fromkeys([parent, *near, *far])
+    place = order.index(own_name)
+    parents = [order[(place - 1) // FOLLOWERS_PER_PROCESS]] if place > 0 else []
+    sources = dict.fromkeys([*parents, *near, *far])
     return ReadingPlan(False, tuple(sources))
 
 
+def _readers(regions: Mapping[str, Sequence[str]]) -> Sequence[str]:
+    if len(regions) == 1:
+        return next(iter(regions.values()))[:READERS]
+    return [names[0] for names in regions.values()][:READERS]
+
+
 def _by_region(
     members: Mapping[str, Member], region_of: Callable[[str], str]
 ) -> Mapping[str, Sequence[str]]:
