--- a/tests/test_no_fitting.py
+++ b/tests/test_no_fitting.py
@@ -1,7 +1,7 @@
 """Nothing in the sources or the deploy files names a deployment, a place, a class or a day.
 
-A word is kept here as a digest, so that the list itself names none; words of the sources are compared
-by theirs.
+A word is kept here as a digest, so that the list itself names none; words of the sources are
+compared by theirs.
 """
 
 import hashlib
@@ -17,34 +17,34 @@
 WORD = re.compile(r"[a-z]{4,}")
 DIGEST_CHARACTERS = 12
 NAMED = frozenset(
-    """
-149211668ed7
-26053c1c2684
-2d5f4d7e1e6e
-36e194762eb1
-40c38bc4f1e1
-42aef2f38656
-4e61dd3e6fb0
-54f9d2cec3ad
-5f79593dbb26
-630aa10ac7f5
-646fe999c9da
-6eed09370f20
-7e628fb37d6c
-8e6ab022f066
-9a55588d8064
-9df513f1937a
-a9423b17e82a
-c108f9afa484
-cd6c07bb2bbf
-d128b6760194
-d20742369baa
-d618716f9dfa
-d9ab65ebf42c
-f4e7af788f51
-f89dd6cedfc1
-f9adcb6c0dba
-""".split()
+    [
+        "149211668ed7",
+        "26053c1c2684",
+        "2d5f4d7e1e6e",
+        "36e194762eb1",
+        "40c38bc4f1e1",
+        "42aef2f38656",
+        "4e61dd3e6fb0",
+        "54f9d2cec3ad",
+        "5f79593dbb26",
+        "630aa10ac7f5",
+        "646fe999c9da",
+        "6eed09370f20",
+        "7e628fb37d6c",
+        "8e6ab022f066",
+        "9a55588d8064",
+        "9df513f1937a",
+        "a9423b17e82a",
+        "c108f9afa484",
+        "cd6c07bb2bbf",
+        "d128b6760194",
+        "d20742369baa",
+        "d618716f9dfa",
+        "d9ab65ebf42c",
+        "f4e7af788f51",
+        "f89dd6cedfc1",
+        "f9adcb6c0dba",
+    ]
 )
 
 
