--- a/src/dewledge/shell/pooling/claim_keeper.py
+++ b/src/dewledge/shell/pooling/claim_keeper.py
@@ -105,7 +105,15 @@
                 self._claim_known(known.group, ClaimKnown(known.process, known.token))
 
     def claim_taken(self, group: str, claim: Claim) -> None:
-        """A claim came out of the store: its holder is told, at last through the store."""
+        """A claim is news: its holder is told that it is known, at last through the store."""
+        logger.bind(
+            group=group,
+            holder=claim.holder,
+            replaced=claim.replaced,
+            leader="any" if claim.leader is None else claim.leader,
+            ordered=claim.ordered,
+            token=claim.token,
+        ).info("claim_known")
         if claim.leader is not None and claim.holder != self._own_name:
             delay = TELL_STORE_AFTER_SECONDS
             self._loop.call_later(delay, lambda: self._tell_store(group, claim.token))
@@ -129,13 +137,10 @@
             if is_lapsed == (name in self._lapsed):
                 continue
             age_ms = int((now - right.confirmed_at) * 1000) if right.confirmed_at > 0 else -1
-            line = logger.bind(group=name, token=right.token, age_ms=age_ms)
-            if is_lapsed:
-                self._lapsed.add(name)
-                line.info("lead_right_lapsed")
-            else:
-                self._lapsed.discard(name)
-                line.info("lead_right_regained")
+            logger.bind(group=name, token=right.token, age_ms=age_ms).info(
+                "lead_right_lapsed" if is_lapsed else "lead_right_regained"
+            )
+            self._lapsed ^= {name}
 
     def _send_claim(self, group: str, addresses: Sequence[str]) -> None:
         claim = self._rights.of(group).claim
