--- a/tests/platform_days/days.py
+++ b/tests/platform_days/days.py
@@ -54,6 +54,9 @@
     'kind = "primary_cut", share = 0.5, for_s = 6.0',
     'kind = "primary_cut", share = 0.5, for_s = 6.0, how = "replicas"',
     'kind = "primary_cut", share = 0.5, for_s = 6.0, how = "core"',
+    'kind = "primary_cut", share = 0.5, for_s = 6.0, how = "split"',
+    'kind = "platform_down", for_s = 6.0, how = "nodes silent revoke", share = 0.33',
+    'kind = "replace_core", x = 1.0',
     'kind = "applied_late", x = 0.5, for_s = 6.0, how = "cloud"',
     'kind = "srv_cut", share = 0.5, for_s = 6.0, how = "fronts"',
     'kind = "srv_cut", share = 0.5, for_s = 6.0, how = "some lossy"',
@@ -65,15 +68,18 @@
     'kind = "srv_crash", how = "dark primary", for_s = 6.0',
     'kind = "primary_cut", share = 0.5, for_s = 6.0, how = "replicas"',
     'kind = "primary_cut", share = 0.6, for_s = 6.0',
+    'kind = "primary_cut", share = 0.6, for_s = 6.0, how = "split"',
     'kind = "release", how = "primary"',
     'kind = "node_freeze", on = "core", count = 1, for_s = 4.0, how = "leader"',
     'kind = "node_kill", on = "core", count = 1, for_s = 3.0, how = "leader race"',
     'kind = "platform_down", for_s = 6.0, how = "silent"',
+    'kind = "platform_down", for_s = 9.0, how = "nodes reset revoke meet", share = 0.33',
     'kind = "platform_slow", x = 60.0, for_s = 6.0',
     'kind = "platform_lost", x = 0.4, for_s = 6.0, how = "late"',
     'kind = "platform_compact", x = 5.5, for_s = 12.0',
     'kind = "roll_term", share = 1.0, x = 1.0, gap_s = 1.3',
     'kind = "config_storm", for_s = 4.0, gap_s = 0.3',
+    'kind = "herd_kill", on = "core", how = "off", for_s = 2.0',
 )
 """Troubles of which every two are played together."""
 
