--- a/src/dewledge/core/pooling/connection_setup.py
+++ b/src/dewledge/core/pooling/connection_setup.py
@@ -33,6 +33,14 @@
     return f"p{digest}"
 
 
+def statement_for_database(session: SessionState, statement: Statement) -> Statement:
+    """Returns a client's statement as a database gets it, under its own names."""
+    if statement.kind is not StatementKind.EXECUTE:
+        return statement
+    name = prepared_name(session.prepared[statement.name])
+    return Statement(statement.id, statement.kind, name=name, argument=statement.argument)
+
+
 def plan_setup(
     session: SessionState, connection: DatabaseConnection, statement: Statement, is_pinned: bool
 ) -> Sequence[SetupStep]:
--- /dev/null
+++ b/src/dewledge/core/pooling/lead_use.py
@@ -0,0 +1,77 @@
+"""Whether one statement may use its database as primary, and what it has shown of the database."""
+
+from dewledge.core.pooling.group import Group
+from dewledge.core.pooling.session_state import OpenTransaction
+from dewledge.core.pooling.statements import StatementKind
+from dewledge.core.pooling.targets import Proof, Target
+
+
+class LeadUse:
+    """Of one attempt after the other; `plan` begins each."""
+
+    def __init__(
+        self, group: Group, transaction: OpenTransaction | None, writes: bool, is_commit: bool
+    ) -> None:
+        """`transaction`: the client's, None for a statement outside of transactions."""
+        self._group = group
+        self._transaction = transaction
+        self._writes = writes
+        self._is_commit = is_commit
+        self._target: Target | None = None
+        self._token = 0
+        self.has_begun = False
+        """Whether the attempt opens a transaction that only a primary opens."""
+
+    @property
+    def is_pinned(self) -> bool:
+        """Whether the client's transaction has its connection already."""
+        return self._transaction is not None and self._transaction.connection is not None
+
+    @property
+    def proves(self) -> bool:
+        """Whether a success shows that the database held every commit when it was sent."""
+        return self.has_begun or self._reads_by_right
+
+    def plan(self, target: Target | None) -> None:
+        """An attempt begins; `target` is None for a statement of a pinned transaction."""
+        self._target = target
+        self.has_begun = self.begin_kind is StatementKind.BEGIN
+
+    @property
+    def begin_kind(self) -> StatementKind | None:
+        """A read that must come from the primary runs in a transaction that only it opens."""
+        target = self._target
+        if self.is_pinned or target is None or target.proof is Proof.NONE or self._reads_by_right:
+            return None
+        if target.proof in (Proof.LEAD, Proof.RIGHT):
+            return StatementKind.BEGIN
+        return StatementKind.BEGIN_READ_ONLY if self._transaction is not None else None
+
+    def is_lacking(self, database_id: str) -> bool:
+        """Tells whether the database would have to lead, and may not be used so any more."""
+        transaction, target = self._transaction, self._target
+        if transaction is not None and transaction.connection is not None:
+            needs_lead = transaction.leads
+        else:
+            needs_lead = target is not None and target.proof is not Proof.FLOOR
+        return needs_lead and not self._group.may_lead(database_id)
+
+    def note_sending(self) -> None:
+        """The statement leaves now."""
+        self._token = self._group.right.token
+
+    def note_success(self, database_id: str) -> None:
+        """The statement succeeded: the database leads if it would have refused it otherwise."""
+        transaction = self._transaction
+        if transaction is None:
+            has_shown_lead = self._writes or self.has_begun
+        else:
+            has_shown_lead = transaction.leads and not self._is_commit
+        if has_shown_lead:
+            self._group.right.prove(database_id, self._token)
+
+    @property
+    def _reads_by_right(self) -> bool:
+        """Whether this is a single read whose database need not prove its lead once more."""
+        target = self._target
+        return self._transaction is None and target is not None and target.proof is Proof.RIGHT
--- a/src/dewledge/core/pooling/session_state.py
+++ b/src/dewledge/core/pooling/session_state.py
@@ -4,6 +4,7 @@
 
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.routes import Route
+from dewledge.core.pooling.statements import Statement, StatementKind
 from dewledge.core.positions import LogPosition
 
 MAX_VALUES = 256
@@ -56,6 +57,12 @@
         self.transaction: OpenTransaction | None = None
         self.floor: LogPosition | None = None
 
+    def writes(self, statement: Statement) -> bool:
+        """Tells whether a statement writes; one to execute has to be prepared here."""
+        if statement.kind is StatementKind.EXECUTE:
+            return self.prepared[statement.name].writes
+        return statement.kind is StatementKind.WRITE
+
     def raise_floor(self, position: LogPosition | None) -> None:
         """Notes the position of an own commit; later reads must show it."""
         if position is not None and (self.floor is None or position > self.floor):
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -7,11 +7,16 @@
 
 from collections.abc import Callable
 
-from dewledge.core.pooling.connection_setup import plan_setup, prepared_name, send_setup
+from dewledge.core.pooling.connection_setup import (
+    plan_setup,
+    send_setup,
+    statement_for_database,
+)
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.database_search import RETRY_PAUSE_SECONDS, DatabaseSearch
 from dewledge.core.pooling.group import Group
 from dewledge.core.pooling.held_connection import HeldConnection
+from dewledge.core.pooling.lead_use import LeadUse
 from dewledge.core.pooling.position_learning import PositionLearner
 from dewledge.core.pooling.routes import Route
 from dewledge.core.pooling.run_record import RunRecord
@@ -26,7 +31,6 @@
     StatementKind,
     TransactionState,
 )
-from dewledge.core.pooling.targets import Proof
 from dewledge.errors import ErrorCode
 
 SETUP_LIMIT_SECONDS = 0.4
@@ -53,12 +57,13 @@
         self._statement = statement
         self._answer = answer
         self._transaction = session.transaction
-        self._writes = self._does_write()
+        self._writes = session.writes(statement)
         self._is_commit = statement.kind is StatementKind.COMMIT
         self._deadline = services.scheduler.now() + route.statement_timeout
         self._record = RunRecord(services, session, route, statement)
         self._timers = RunTimers(services.scheduler)
         self._held = HeldConnection(services, group)
+        self._lead = LeadUse(group, self._transaction, self._writes, self._is_commit)
         self._learner = PositionLearner(group, session)
         self._search = DatabaseSearch(
             services,
@@ -73,9 +78,6 @@
         )
         self._sent_at = 0.0
         self._reruns = 0
-        self._proves_lead = False
-        self._has_begun = False
-        self._token = 0
         self._finished = False
 
     def start(self) -> None:
@@ -94,24 +96,16 @@
             self._timers.clear()
             self._held.drop()
 
-    def _does_write(self) -> bool:
-        statement = self._statement
-        if statement.kind is StatementKind.EXECUTE:
-            return self._session.prepared[statement.name].writes
-        return statement.kind is StatementKind.WRITE
-
     # Preparing the connection.
 
     def _given(self, connection: DatabaseConnection) -> None:
         self._held.take(connection)
-        self._proves_lead = self._has_begun = False
-        if self._lacks_right(connection):
-            self._withhold()
+        self._lead.plan(self._search.target)
+        if self._lead.is_lacking(connection.database_id):
+            self._withhold(is_begun=False)
             return
-        steps = plan_setup(self._session, connection, self._statement, self._is_pinned)
-        begin = self._begin_kind()
-        self._has_begun = begin is StatementKind.BEGIN
-        self._proves_lead = self._has_begun or self._reads_by_right
+        steps = plan_setup(self._session, connection, self._statement, self._lead.is_pinned)
+        begin = self._lead.begin_kind
         if not steps and begin is None:
             self._send(connection)
             return
@@ -121,56 +115,31 @@
         self._timers.limit(self._scheduler.now() + SETUP_LIMIT_SECONDS, self._setup_silent)
         send_setup(connection, steps, begin, floor, lambda verdict: self._set_up(epoch, verdict))
 
-    def _lacks_right(self, connection: DatabaseConnection) -> bool:
-        """Tells whether the database would have to lead, and may not be used so any more."""
-        transaction = self._transaction
-        if transaction is not None and transaction.connection is not None:
-            needs_lead = transaction.leads
-        else:
-            target = self._search.target
-            needs_lead = target is not None and target.proof is not Proof.FLOOR
-        return needs_lead and not self._group.may_lead(connection.database_id)
-
-    def _withhold(self) -> None:
+    def _withhold(self, is_begun: bool) -> None:
         """The statement does not leave: the primary is being replaced, or may be."""
         self._note("without_right")
-        if self._is_pinned:
+        if self._lead.is_pinned:
             self._lose_transaction(ErrorCode.TRANSACTION_LOST, "the primary is being replaced")
             return
-        self._give_back()
+        if is_begun:
+            self._give_back()
+        else:
+            self._held.release()
         self._search.go_on()
 
-    @property
-    def _reads_by_right(self) -> bool:
-        """Whether this is a single read whose database need not prove its lead once more."""
-        target = self._search.target
-        return self._transaction is None and target is not None and target.proof is Proof.RIGHT
-
-    def _begin_kind(self) -> StatementKind | None:
-        """A read that must come from the primary runs in a transaction that only it opens."""
-        transaction = self._transaction
-        target = self._search.target
-        if transaction is not None and transaction.connection is not None:
-            return None
-        if target is None or target.proof is Proof.NONE or self._reads_by_right:
-            return None
-        if target.proof in (Proof.LEAD, Proof.RIGHT):
-            return StatementKind.BEGIN
-        return StatementKind.BEGIN_READ_ONLY if transaction is not None else None
-
     def _set_up(self, epoch: int, verdict: Reply | None | bool) -> None:
         connection = self._held.connection
         if self._finished or epoch != self._held.epoch or connection is None:
             return
-        if verdict is True and self._lacks_right(connection):
+        if verdict is True and self._lead.is_lacking(connection.database_id):
             self._timers.clear_limit()
-            self._withhold()
+            self._withhold(is_begun=True)
             return
         if verdict is True:
             transaction = self._transaction
             if transaction is not None and transaction.connection is None:
                 transaction.connection = connection
-                transaction.leads = self._proves_lead
+                transaction.leads = self._lead.has_begun
             self._send(connection)
             return
         self._timers.clear_limit()
@@ -190,19 +159,15 @@
         if failure.code is ErrorCode.DATABASE_UNREACHABLE:
             self._held.suspect()
         clean = reply.state is TransactionState.IDLE and not connection.unanswered
-        if not self._is_pinned and clean and failure.code is not ErrorCode.WRONG_DATABASE:
+        if not self._lead.is_pinned and clean and failure.code is not ErrorCode.WRONG_DATABASE:
             self._held.release()
             self._search.go_on()
             return
         self._set_up_lost()
 
-    @property
-    def _is_pinned(self) -> bool:
-        return self._transaction is not None and self._transaction.connection is not None
-
     def _set_up_lost(self) -> None:
         """The statement has not been sent: another connection may serve it."""
-        pinned = self._is_pinned
+        pinned = self._lead.is_pinned
         self._held.drop()
         if pinned:
             self._lose_transaction(ErrorCode.TRANSACTION_LOST, "connection lost")
@@ -220,25 +185,19 @@
 
     def _send(self, connection: DatabaseConnection) -> None:
         self._sent_at = self._scheduler.now()
-        self._token = self._group.right.token
+        self._lead.note_sending()
         epoch = self._held.next_epoch()
         target = self._search.target
         floor = target.floor if self._transaction is None and target is not None else None
         self._timers.limit(self._attempt_limit(), self._silent)
         self._timers.watch_answer(lambda: self._look_for_answer(epoch))
-        connection.send(self._for_database(), lambda reply: self._answered(epoch, reply), floor)
+        statement = statement_for_database(self._session, self._statement)
+        connection.send(statement, lambda reply: self._answered(epoch, reply), floor)
 
     def _look_for_answer(self, epoch: int) -> None:
         if not self._finished and epoch == self._held.epoch:
             self._held.suspect()
 
-    def _for_database(self) -> Statement:
-        statement = self._statement
-        if statement.kind is not StatementKind.EXECUTE:
-            return statement
-        name = prepared_name(self._session.prepared[statement.name])
-        return Statement(statement.id, statement.kind, name=name, argument=statement.argument)
-
     def _attempt_limit(self) -> float:
         if self._writes or self._transaction is not None or self._reruns:
             return self._deadline
@@ -267,14 +226,6 @@
             self._note("done")
             self._done(reply)
 
-    @property
-    def _has_shown_lead(self) -> bool:
-        """Whether the database would have refused this if it did not lead."""
-        transaction = self._transaction
-        if transaction is None:
-            return self._writes or self._has_begun
-        return transaction.leads and not self._is_commit
-
     def _observe(self, reply: Reply | None) -> None:
         if reply is not None and reply.position is not None and self._held.database_id:
             self._group.observe_position(self._held.database_id, reply.position)
@@ -282,16 +233,15 @@
     def _answers_without_right(self) -> bool:
         """Another may lead by now, so nothing is said of what the old primary has done."""
         connection = self._held.connection
-        return connection is not None and self._lacks_right(connection)
+        return connection is not None and self._lead.is_lacking(connection.database_id)
 
     def _done(self, reply: Reply) -> None:
         transaction = self._transaction
-        if self._has_shown_lead:
-            self._group.right.prove(self._held.database_id, self._token)
+        self._lead.note_success(self._held.database_id)
         if transaction is None:
             if reply.position is not None:
                 self._learner.take_single(
-                    reply.position, self._sent_at, self._writes, self._proves_lead
+                    reply.position, self._sent_at, self._writes, self._lead.proves
                 )
             self._give_back()
             self._finish(_for_client(reply, TransactionState.IDLE))
@@ -400,7 +350,7 @@
         self._fail(code, message)
 
     def _give_back(self) -> None:
-        if self._has_begun and not self._is_pinned:
+        if self._lead.has_begun and not self._lead.is_pinned:
             self._held.roll_back()
         else:
             self._held.release()
