Learn how long a database may take to accept a connection before it counts as missed

Measured in the incident: 0.45 of the 0.98 s from the first doubt of a silent primary to the next one are two tests of 0.3 s, one after the other by 0.1 s, while connections are accepted within 30 ms. The limit follows the observed times now (mean and four deviations, 0.15 to 0.3 s).

--- a/src/dewledge/shell/pooling/database_opener.py
+++ b/src/dewledge/shell/pooling/database_opener.py
@@ -13,6 +13,7 @@
 from dewledge.core.pooling.statements import Reply, Statement
 from dewledge.core.positions import LogPosition
 from dewledge.core.sharing.holders import FALLBACK_CONNECTIONS
+from dewledge.core.succession.reach_limit import ReachLimit
 from dewledge.errors import ErrorCode, ProtocolError
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.pooling.byte_stream import ByteStream, Connecting
@@ -31,8 +32,11 @@
         user: str,
         new_codec: Callable[[], DatabaseCodec],
         find: Callable[[str], DatabaseRecord | None],
+        reach_limit: ReachLimit | None = None,
     ) -> None:
+        """`reach_limit`: is told how long connections take to be accepted."""
         self._loop = loop
+        self._reach_limit = reach_limit or ReachLimit()
         self._user = user
         self._new_codec = new_codec
         self._find = find
@@ -50,8 +54,10 @@
             self._loop.call_later(0.0, lambda: failed(ErrorCode.DATABASE_UNREACHABLE))
             return
         known = record
+        started_at = self._loop.now()
 
         def connected(sock: socket.socket) -> None:
+            self._reach_limit.observe(self._loop.now() - started_at)
             _DatabaseLink(
                 self._loop, sock, known, self._user, self._new_codec(), opened, failed, closed
             )
--- a/src/dewledge/shell/pooling/directory.py
+++ b/src/dewledge/shell/pooling/directory.py
@@ -11,6 +11,7 @@
 from dewledge.core.positions import LogPosition
 from dewledge.core.sharing.holders import Holding, holding_of, share_of_connections
 from dewledge.core.succession.lead_right import LeadRights
+from dewledge.core.succession.reach_limit import ReachLimit
 from dewledge.errors import ProtocolError
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.event_loop import EventLoop
@@ -42,7 +43,10 @@
         self._place = Place(settings.zone, settings.zones)
         self._members = members
         self._rights = rights
-        self._direct = DirectOpener(loop, settings.name, platform.new_database_codec, self.find)
+        self.reach_limit = ReachLimit()
+        self._direct = DirectOpener(
+            loop, settings.name, platform.new_database_codec, self.find, self.reach_limit
+        )
         self._opener = SharingOpener(self._direct, channels, self._find_way)
         channels.proof_told = self._take_proof
         self.group_changed: Callable[[str], None] = lambda group: None
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -130,6 +130,7 @@
             lambda record: self._succession.doubt(record.group, record.id),
             self._succession.take_answer,
             self._succession.take_leader,
+            self._directory.reach_limit,
         )
         self._tables = TableReading(
             self._loop, settings, platform, self._links, self._members, self._executor
--- a/src/dewledge/shell/pooling/witnesses.py
+++ b/src/dewledge/shell/pooling/witnesses.py
@@ -4,13 +4,12 @@
 from collections.abc import Callable, Sequence
 
 from dewledge.core.pooling.group_view import DatabaseRecord
+from dewledge.core.succession.reach_limit import ReachLimit
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.pooling.byte_stream import Connecting
 from dewledge.shell.pooling.peer_messages import LeaderNotice, WitnessAnswer, WitnessQuestion
 from dewledge.shell.pooling.peer_socket import PeerSocket
 
-REACH_LIMIT_SECONDS = 0.3
-
 
 class Witnesses:
     """The questions on databases of one process, and its answers."""
@@ -24,6 +23,7 @@
         asked: Callable[[DatabaseRecord], None],
         answered: Callable[[WitnessAnswer], None],
         leader_told: Callable[[LeaderNotice], None],
+        reach_limit: ReachLimit,
     ) -> None:
         """`asked`: another process doubts this database."""
         self._loop = loop
@@ -31,6 +31,7 @@
         self._own_name = own_name
         self._find = find
         self._asked = asked
+        self._reach_limit = reach_limit
         peers.on(WitnessQuestion, self._take_question)
         peers.on(WitnessAnswer, lambda answer, _sender: answered(answer))
         peers.on(LeaderNotice, lambda notice, _sender: leader_told(notice))
@@ -45,12 +46,15 @@
 
     def test(self, record: DatabaseRecord, done: Callable[[bool], None]) -> None:
         """Tests whether a database's address takes connections."""
+        limit = self._reach_limit.seconds
+        started_at = self._loop.now()
 
         def connected(sock: socket.socket) -> None:
+            self._reach_limit.observe(self._loop.now() - started_at)
             sock.close()
             done(True)
 
-        Connecting(self._loop, record.address, REACH_LIMIT_SECONDS, connected, lambda: done(False))
+        Connecting(self._loop, record.address, limit, connected, lambda: done(False))
 
     def _take_question(self, question: WitnessQuestion, sender: str) -> None:
         record = self._find(question.database)
--- /dev/null
+++ b/tests/core/succession/test_reach_limit.py
@@ -0,0 +1,27 @@
+"""How long a connection may take before its database counts as missed."""
+
+import unittest
+
+from dewledge.core.succession.reach_limit import LEAST_SECONDS, MOST_SECONDS, ReachLimit
+
+
+class ReachLimitTest(unittest.TestCase):
+    def test_what_was_observed_decides_within_bounds(self) -> None:
+        cases = (
+            ("nothing yet", [], MOST_SECONDS, MOST_SECONDS),
+            ("near ones", [0.001] * 30, LEAST_SECONDS, LEAST_SECONDS),
+            ("regions mixed", [0.001, 0.024] * 30, LEAST_SECONDS, LEAST_SECONDS),
+            ("far ones", [0.18, 0.2] * 30, 0.2, 0.28),
+            ("very slow ones", [0.5] * 30, MOST_SECONDS, MOST_SECONDS),
+        )
+        for name, observed, least, most in cases:
+            with self.subTest(name):
+                limit = ReachLimit()
+                for seconds in observed:
+                    limit.observe(seconds)
+                self.assertLessEqual(least, limit.seconds)
+                self.assertLessEqual(limit.seconds, most)
+
+
+if __name__ == "__main__":
+    unittest.main()
