--- /dev/null
+++ b/tests/unfenced/test_guards.py
@@ -0,0 +1,38 @@
+"""Each guard that keeps an old primary from being used, switched off: the days then break."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from dewledge.core.pooling.lead_use import LeadUse
+from dewledge.core.succession.claim_recall import ClaimRecall
+from dewledge.core.succession.lead_right import LeadRight
+from tests.unfenced.day import UnfencedDay
+
+SECONDS = 30.0
+
+
+def constant(value: bool) -> Callable[..., bool]:
+    return lambda *_arguments: value
+
+
+GUARDS: tuple[tuple[str, Any, str, bool, tuple[int, ...]], ...] = (
+    ("any primary may be used", LeadRight, "allows", True, (6, 7)),
+    ("the right never lapses", LeadRight, "is_confirmed", True, (12,)),
+    ("nobody is waited for", ClaimRecall, "is_over", True, (3,)),
+    ("the right is not asked for", LeadUse, "is_lacking", False, (6, 11)),
+)
+"""Name, where the guard is, what it is made to say, and seeds of days that it holds."""
+
+
+class GuardsTest(unittest.TestCase):
+    def test_without_it_a_replaced_primary_is_used(self) -> None:
+        for name, owner, method, answer, seeds in GUARDS:
+            with self.subTest(name), mock.patch.object(owner, method, constant(answer)):
+                found = [v for seed in seeds for v in UnfencedDay(seed).play(SECONDS).violations()]
+                self.assertTrue(any("committed" in violation for violation in found), found)
+
+
+if __name__ == "__main__":
+    unittest.main()
