--- a/tests/platform_days/sites.py
+++ b/tests/platform_days/sites.py
@@ -39,6 +39,8 @@
         text,
     ),
     "far-regions": _set("cross_region_ms", "60.0"),
+    "nine-connections": _set("conn_cap", "9"),
+    "fenced": lambda text: text.replace("fenced = false", "fenced = true"),
     "unfenced": lambda text: text.replace("fenced = true", "fenced = false"),
     "small-store": _both(_set("writes_per_s", "20.0"), _set("reads_per_s", "60.0")),
 }
