Have the holder of a claim read the claims table as soon as its claim stands

Cause: the holder waits until its own table is as new as its claim, so that it knows all who have rows; with two readers it is a follower more often and learned that late. Only where the platform does not fence.

--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -261,6 +261,8 @@
         if fencing is Fencing.PLATFORM:
             self._tables.add(TABLE, self._coordination_snapshot, self._coordination_rows)
             return
+        # The holder of a claim waits for all that have rows beside it, so it has to know these.
+        self._succession.claim_written = lambda: self._tables.read_soon(TABLE)
         self._tables.add(
             TABLE,
             self._coordination_snapshot,
--- a/src/dewledge/shell/pooling/succession_driver.py
+++ b/src/dewledge/shell/pooling/succession_driver.py
@@ -96,6 +96,8 @@
         self._registered = RegisteredProcesses()
         self.tell_claim: Callable[[str, Sequence[str]], None] = lambda group, processes: None
         """Called with a group whose newest claim these processes are to be told."""
+        self.claim_written: Callable[[], None] = lambda: None
+        """Called once a claim of this process stands in the store."""
         self.claim_taken: Callable[[str, Claim], None] = lambda group, claim: None
         """Called with a group and a claim on it that is news."""
 
@@ -326,7 +328,12 @@
             self._read_claim_back(group, key)
             return
         row = StoreRow(key, value, version)
-        self._loop.post(lambda: self.take_rows([row]))
+
+        def tell() -> None:
+            self.take_rows([row])
+            self.claim_written()
+
+        self._loop.post(tell)
 
     def _read_claim_back(self, group: str, key: str) -> None:
         try:
--- a/src/dewledge/shell/pooling/table_reading.py
+++ b/src/dewledge/shell/pooling/table_reading.py
@@ -121,6 +121,10 @@
             watcher.set_reader(is_alone)
         self._follower.follow([] if is_alone else addresses)
 
+    def read_soon(self, table: str) -> None:
+        """Has a table read from the store at once: what others tell of it may come later."""
+        self._read_store(table)
+
     def _region_of(self, zone: str) -> str:
         return self._regions.get(zone, zone)
 
--- a/tests/unfenced/test_unfenced_days.py
+++ b/tests/unfenced/test_unfenced_days.py
@@ -23,5 +23,17 @@
         self.assertGreater(promotions, DAYS)
 
 
+class HolderTest(unittest.TestCase):
+    def test_a_holder_is_told_when_its_claim_stands_to_learn_whom_to_wait_for(self) -> None:
+        day = UnfencedDay(1, faults=())
+        told: list[str] = []
+        for process in day.processes.values():
+            process.driver.claim_written = lambda: told.append("told")
+        day.play(0.0)
+        claims = [key for key in day.store.rows if key.startswith("claim/")]
+        self.assertEqual(len(claims), 1)
+        self.assertGreaterEqual(len(told), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
