--- a/src/dewledge/cli/explain_command.py
+++ b/src/dewledge/cli/explain_command.py
@@ -1,6 +1,7 @@
 """`dewledge explain`: one statement's way out of the logs of one or more processes."""
 
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated
 
@@ -9,6 +10,8 @@
 from dewledge.cli.check import read_text
 from dewledge.cli.output import CommandFailed
 from dewledge.errors import ErrorCode
+from dewledge.explain.log_lines import LogRecord, parse_lines
+from dewledge.explain.lost_report import LostBy, lost_json, lost_text
 
 
 def explain(
@@ -19,21 +22,29 @@
     ] = None,
     slow: Annotated[int, typer.Option(help="Explain the slowest statements, so many.")] = 0,
     failed: Annotated[bool, typer.Option("--failed", help="Explain all that failed.")] = False,
+    lost: Annotated[
+        bool, typer.Option("--lost", help="Sum up what was refused, late or broken.")
+    ] = False,
+    by: Annotated[LostBy, typer.Option(help="With --lost: what the sums are of.")] = LostBy.CAUSE,
+    examples: Annotated[int, typer.Option(help="With --lost: statements shown of each cause.")] = 3,
+    as_json: Annotated[bool, typer.Option("--json", help="With --lost: one JSON object.")] = False,
 ) -> None:
-    """Explain a statement from log lines.
+    """Explain a statement from log lines, or sum up what was lost and why.
 
     Lines of one process keep their order; processes are matched by what they told each other, not
     by their clocks.
     """
     from dewledge.explain import report
-    from dewledge.explain.log_lines import LogRecord, parse_lines
+    from dewledge.explain.lost import find_lost
 
-    if not (statement or slow or failed):
-        raise CommandFailed("name a statement, --slow or --failed", ErrorCode.MALFORMED_REQUEST)
-    texts = {path.stem: read_text(path) for path in log or []}
-    if not texts:
-        texts = {"input": sys.stdin.read()}
-    logs = {name: parse_lines(name, text.splitlines()) for name, text in texts.items()}
+    if not (statement or slow or failed or lost):
+        message = "name a statement, --slow, --failed or --lost"
+        raise CommandFailed(message, ErrorCode.MALFORMED_REQUEST)
+    logs = _read_logs(log or [])
+    if lost:
+        found = find_lost(logs)
+        typer.echo(lost_json(found, by) if as_json else lost_text(found, by, examples))
+        return
     lines: list[LogRecord] = []
     if statement:
         lines += report.find(logs, statement)
@@ -44,3 +55,10 @@
     if not lines:
         raise CommandFailed("no such statement in these logs", ErrorCode.NOT_FOUND)
     typer.echo("\n\n".join(report.explain(logs, line) for line in lines))
+
+
+def _read_logs(paths: Sequence[Path]) -> dict[str, Sequence[LogRecord]]:
+    texts = {path.stem: read_text(path) for path in paths}
+    if not texts:
+        texts = {"input": sys.stdin.read()}
+    return {name: parse_lines(name, text.splitlines()) for name, text in texts.items()}
--- a/src/dewledge/core/pooling/events.py
+++ b/src/dewledge/core/pooling/events.py
@@ -12,17 +12,20 @@
 
     way: each attempt as database:proof:outcome, in order.
     floor: the position the read had to show. waited_ms: from arrival to the answer.
+    target_ms: within which the route wants its operations answered.
     """
 
     statement: str
     session: str
     route: str
+    group: str
     consistency: str
     kind: str
     way: str
     outcome: str
     floor: str
     waited_ms: int
+    target_ms: int
     configuration: int
 
 
--- a/src/dewledge/core/pooling/run_record.py
+++ b/src/dewledge/core/pooling/run_record.py
@@ -38,12 +38,14 @@
                 statement=self._statement.id,
                 session=self._session.name,
                 route=self._route.name,
+                group=self._route.group,
                 consistency=self._route.consistency,
                 kind=self._statement.kind,
                 way=",".join(self._way),
                 outcome="done" if reply.failure is None else reply.failure.code,
                 floor="" if floor is None else f"{floor.term}.{floor.offset}",
                 waited_ms=self._elapsed_ms(),
+                target_ms=int(self._route.target_latency * MILLISECONDS),
                 configuration=self._services.routes.version,
             )
         )
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -30,6 +30,7 @@
 from dewledge.shell.pooling.platform_adapter import PlatformAdapter
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
 from dewledge.shell.pooling.settings_file import SettingsFile
+from dewledge.shell.pooling.stall_watch import StallWatch
 from dewledge.shell.pooling.succession_driver import SuccessionDriver
 from dewledge.shell.pooling.table_reading import (
     RIGHT_WAIT_SECONDS,
@@ -157,6 +158,7 @@
         self._services.suspect = self._succession.doubt
         self._directory.group_changed = self._succession.look_at
         self._leaving_since: float | None = None
+        self._stall_watch = StallWatch(SWEEP_SECONDS)
 
     def run(self) -> None:
         """Serves until the process has left."""
@@ -290,6 +292,9 @@
 
     def _sweep(self) -> None:
         now = self._loop.now()
+        stall = self._stall_watch.tick(now)
+        if stall is not None:
+            self._log.record(stall)
         self._end_resting_transactions(now)
         for group in self._services.groups.values():
             group.trim_connections()
--- /dev/null
+++ b/src/dewledge/shell/pooling/stall_watch.py
@@ -0,0 +1,30 @@
+"""Notices that the process stood still: frozen, or without a processor, for longer than usual."""
+
+import msgspec
+
+STALL_SECONDS = 0.3
+"""A tick that comes so much too late is told: more than a slow machine's turn between two ticks,
+and less than the latency target of any route seen so far (0.4 s)."""
+
+
+class ProcessStoodStill(msgspec.Struct, frozen=True):
+    """The process did nothing for a while, so what waited here waited for that. For the log."""
+
+    stood_still_ms: int
+
+
+class StallWatch:
+    """Compares when a tick came with when it was due."""
+
+    def __init__(self, interval: float) -> None:
+        """`interval`: seconds between two ticks."""
+        self._interval = interval
+        self._last: float | None = None
+
+    def tick(self, now: float) -> ProcessStoodStill | None:
+        """Notes a tick; returns how long the process stood still before it, if it did."""
+        before, self._last = self._last, now
+        late = 0.0 if before is None else now - before - self._interval
+        if late < STALL_SECONDS:
+            return None
+        return ProcessStoodStill(int(late * 1000))
--- /dev/null
+++ b/tests/explain/test_lost.py
@@ -0,0 +1,227 @@
+"""`dewledge explain --lost`: causes on a day whose plan tells them, sums, and the command."""
+
+import io
+import json
+import tempfile
+import unittest
+from collections.abc import Sequence
+from contextlib import redirect_stdout
+from pathlib import Path
+
+from dewledge.cli.main import run
+from dewledge.explain.log_lines import LogRecord, parse_lines
+from dewledge.explain.lost import LossKind, LostCause, LostStatement, find_lost
+from dewledge.explain.lost_report import LostBy, lost_text, sum_lost
+
+PLANTED_DAY = Path(__file__).parent / "planted_day.log"
+"""From nine processes on a day of the users' bench with five troubles that stand apart: a burst, a
+primary that goes dark, three machines that stand still, answers that are lost, a split. Of the
+statements that were done one a database and half second is kept."""
+
+PLANTED = (
+    (
+        "burst",
+        {LostCause.LOAD},
+        ("3091b4ac28cc89ea", "0f31ff78486bfcf2", "a153414b6695ee11", "43b476fe53663587"),
+    ),
+    (
+        "lost primary",
+        {LostCause.PRIMARY_LOST, LostCause.DATABASE_SILENT},
+        ("eb6ab4a351fa840e", "43bc9d680295a603", "68e5996e64f4582f", "df06037830618270"),
+    ),
+    (
+        "machines that stand still",
+        {LostCause.STOOD_STILL, LostCause.PROCESS_LOST},
+        ("66b8a40a98a71bdf", "928a346371fc9552", "b8920149351fc9cb", "ee5ae748360784cf"),
+    ),
+    ("answers lost", {LostCause.ANSWER_LOST}, ("53b4624e2399d5ef", "faea7d8df76d9df2")),
+    (
+        "split",
+        {LostCause.CUT},
+        (
+            "2bade8116d3bd9d7",
+            "7c57778c4a8f787f",
+            "86f09cae7368584d",
+            "e5dfb4f14568ec5e",
+            "41bd6d346185d816",
+            "f2a8efa69d15ddf2",
+        ),
+    ),
+)
+"""Trouble, causes that name it, and statements drawn at random from its seconds."""
+
+STATEMENT = (
+    "time=2026-01-01T09:00:{second:06.3f}+0000 event=statement_answered statement={id} "
+    "route={route} group=g consistency=primary kind=write way={way} outcome={outcome} "
+    "waited_ms={waited} target_ms=400"
+)
+STARTED = (
+    "time=2026-01-01T08:00:00+0000 event=pooler_started name=node zone=z1",
+    "time=2026-01-01T08:00:01+0000 event=configuration_taken version=1",
+)
+
+
+def statement(
+    second: float, way: str, outcome: str, waited: int, name: str = "s", route: str = "r"
+) -> str:
+    return STATEMENT.format(
+        second=second, id=name, way=way, outcome=outcome, waited=waited, route=route
+    )
+
+
+def planted_logs() -> dict[str, Sequence[LogRecord]]:
+    lines: dict[str, list[str]] = {}
+    for line in PLANTED_DAY.read_text().splitlines():
+        process, _, rest = line.partition(" ")
+        lines.setdefault(process, []).append(rest)
+    return {process: parse_lines(process, found) for process, found in lines.items()}
+
+
+def lost_of(*logs: tuple[str, ...]) -> list[LostStatement]:
+    names = [f"node-{number}" for number in range(1, len(logs) + 1)]
+    return find_lost(
+        {
+            name: parse_lines(name, [*STARTED, *lines])
+            for name, lines in zip(names, logs, strict=True)
+        }
+    )
+
+
+class PlantedDayTest(unittest.TestCase):
+    def test_twenty_statements_are_named_as_the_plan_tells(self) -> None:
+        lost = {item.statement: item for item in find_lost(planted_logs())}
+        for trouble, causes, statements in PLANTED:
+            for name in statements:
+                with self.subTest(trouble, statement=name):
+                    self.assertIn(lost[name].cause, causes, lost[name].shown_by)
+
+
+class CauseTest(unittest.TestCase):
+    def test_each_cause(self) -> None:
+        change = "time=2026-01-01T09:00:{}+0000 event=phase_changed group=g database=d phase={} {}"
+        at = "time=2026-01-01T09:00:{}+0000 event={}"
+        refused = statement(5.0, "d:none:given_up@100", "overloaded", 100)
+        silent = statement(5.0, "d:none:silent@400", "statement_timeout", 400)
+        served = statement(5.5, "d:none:done@10", "done", 10, "other")
+        checking = change.format("04.900", "checking", "reason=no_answer")
+        cases: tuple[tuple[str, LostCause, tuple[tuple[str, ...], ...]], ...] = (
+            ("queue full, nothing else", LostCause.LOAD, ((refused,),)),
+            (
+                "stood still",
+                LostCause.STOOD_STILL,
+                ((refused, at.format("05.500", "process_stood_still stood_still_ms=2000")),),
+            ),
+            (
+                "planned change",
+                LostCause.PLANNED_CHANGE,
+                ((change.format("04.900", "claiming", "reason=draining"), refused),),
+            ),
+            (
+                "replaced",
+                LostCause.PRIMARY_LOST,
+                (
+                    (checking, refused),
+                    (at.format("06.000", "promotion_answered group=g accepted=True"),),
+                ),
+            ),
+            ("doubted here, used elsewhere", LostCause.CUT, ((checking, refused), (served,))),
+            (
+                "the doubt was none",
+                LostCause.LOAD,
+                ((checking, change.format("04.930", "steady", "reason=reachable"), refused),),
+            ),
+            ("nobody has an answer", LostCause.DATABASE_SILENT, ((silent,), ())),
+            ("others have answers", LostCause.CUT, ((silent,), (served,))),
+            (
+                "the link to another process was lost",
+                LostCause.PROCESS_LOST,
+                ((at.format("04.900", "link_lost peer=p reason=closed"), silent),),
+            ),
+            (
+                "another process stood still",
+                LostCause.PROCESS_LOST,
+                (
+                    (silent,),
+                    (served, at.format("05.500", "process_stood_still stood_still_ms=900")),
+                ),
+            ),
+            (
+                "no word on claims anywhere",
+                LostCause.STORE_AWAY,
+                (
+                    (at.format("04.000", "lead_right_lapsed group=g"), refused),
+                    (at.format("04.000", "store_lost table=t"),),
+                ),
+            ),
+            (
+                "no word on claims here",
+                LostCause.CUT,
+                ((at.format("04.000", "lead_right_lapsed group=g"), refused), ()),
+            ),
+            (
+                "answer lost",
+                LostCause.ANSWER_LOST,
+                ((statement(5.0, "d:none:lost@9", "connection_lost", 9),),),
+            ),
+            (
+                "replicas behind",
+                LostCause.REPLICAS_BEHIND,
+                ((statement(5.0, "d:floor:not_fresh@9,d:lead:given_up@99", "overloaded", 99),),),
+            ),
+            ("no way at all", LostCause.UNKNOWN, ((statement(5.0, "", "internal", 9),),)),
+        )
+        for name, expected, logs in cases:
+            with self.subTest(name):
+                (found,) = [item for item in lost_of(*logs) if item.statement == "s"]
+                self.assertEqual(found.cause, expected, found.shown_by)
+
+    def test_kinds(self) -> None:
+        cases = (
+            (statement(1.0, "d:none:done@500", "done", 500), LossKind.LATE),
+            (statement(1.0, "d:none:given_up@100", "overloaded", 100), LossKind.REFUSED),
+            (statement(1.0, "d:none:lost@10", "connection_lost", 10), LossKind.BROKEN),
+        )
+        for line, expected in cases:
+            with self.subTest(expected):
+                (found,) = lost_of((line,))
+                self.assertEqual((found.kind, found.zone), (expected, "z1"))
+        self.assertEqual(lost_of((statement(1.0, "d:none:done@10", "done", 10),)), [])
+
+
+class SumTest(unittest.TestCase):
+    def test_sums_by_each_key(self) -> None:
+        lost = lost_of(
+            (
+                statement(1.2, "d:none:given_up@100", "overloaded", 100, "a", "r1"),
+                statement(2.1, "d:none:lost@10", "connection_lost", 10, "b", "r2"),
+                statement(2.2, "d:none:given_up@100", "overloaded", 100, "c", "r2"),
+            )
+        )
+        expected = {
+            LostBy.CAUSE: [("load", 2), ("answer_lost", 1)],
+            LostBy.ROUTE: [("r2", 2), ("r1", 1)],
+            LostBy.ZONE: [("z1", 3)],
+            LostBy.SECOND: [("09:00:01", 1), ("09:00:02", 2)],
+        }
+        for by, sums in expected.items():
+            with self.subTest(by):
+                self.assertEqual([(it.key, it.total) for it in sum_lost(lost, by)], sums)
+        self.assertIn("3 statements were lost", lost_text(lost, LostBy.CAUSE, 1))
+
+
+class CommandTest(unittest.TestCase):
+    def test_text_and_json(self) -> None:
+        directory = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        log = directory / "node-1.log"
+        log.write_text(statement(1.0, "d:none:given_up@100", "overloaded", 100) + "\n")
+        for options, expected in (((), "refused"), (("--by", "route", "--json"), '"by": "route"')):
+            output = io.StringIO()
+            with redirect_stdout(output):
+                code = run(["explain", "--lost", f"--log={log}", *options])
+            self.assertEqual(code, 0)
+            self.assertIn(expected, output.getvalue())
+        self.assertEqual(json.loads(output.getvalue())["statements"][0]["cause"], "load")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_log_and_settings.py
+++ b/tests/platform/test_log_and_settings.py
@@ -156,12 +156,14 @@
             "7",
             "s1",
             "r",
+            "g",
             "primary",
             "read",
             "r1:floor:not_fresh@3,p:lead:done@20",
             "done",
             "",
             20,
+            600,
             3,
         )
         metrics.observe_statement(event)
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,9 +1,11 @@
 """Runs every test, prints failures and the known-red list, and closes with one count line.
 
 Test modules are spread over a few processes, longest first. DEWLEDGE_TEST_JOBS sets how many; names
-of modules as arguments run just these.
+of modules as arguments run just these. `--busy N` keeps N processors busy meanwhile; `--times N`
+runs each module N times, to see whether a test holds.
 """
 
+import argparse
 import io
 import os
 import sys
@@ -13,6 +15,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.busy import busy_processors
+
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 SLOWEST_SHOWN = 10
@@ -130,11 +134,23 @@
 
 def main() -> int:
     """Runs the tests; the exit code is 0 only if nothing but known faults failed."""
+    options = parse_options(sys.argv[1:])
     jobs = int(os.environ.get("DEWLEDGE_TEST_JOBS", DEFAULT_JOBS))
+    modules = (options.modules or find_modules()) * options.times
     started = time.monotonic()
-    reports = run_modules(sys.argv[1:] or find_modules(), jobs)
+    with busy_processors(options.busy):
+        reports = run_modules(modules, jobs)
     return print_summary(reports, time.monotonic() - started)
 
 
+def parse_options(arguments: list[str]) -> argparse.Namespace:
+    """Reads the command line: modules, busy (processes), times (runs of each module)."""
+    parser = argparse.ArgumentParser(prog="python -m tests.run", description="Runs the tests.")
+    parser.add_argument("modules", nargs="*", help="names of test modules; all when none is given")
+    parser.add_argument("--busy", type=int, default=0, help="processors kept busy meanwhile")
+    parser.add_argument("--times", type=int, default=1, help="how often each module is run")
+    return parser.parse_args(arguments)
+
+
 if __name__ == "__main__":
     sys.exit(main())
