Start a pooler without what only other commands need, and listen for clients first

By the log's own times power was back at 35.4 s and a process started at 39.4 to 40.2 s; on those machines (0.12 of a core) 2.46 of the 2.9 s between are imports: pydantic 0.73 and the settings' models 0.27, urllib3 0.36, typer 0.32, loguru 0.19, prometheus 0.13, the product's own modules 0.19 s.

--- a/src/__main__.py
+++ b/src/__main__.py
@@ -1,6 +1,30 @@
-"""Starts the command from a source tree: `python3 src pooler ...`."""
+"""Starts the command from a source tree: `python3 src pooler ...`.
+
+`pooler` alone, with its settings file named by the environment, is how platforms start it: that way
+is free of what only other commands need.
+"""
+
+import os
+import sys
+from pathlib import Path
+
+from dewledge.cli.pooler_start import SETTINGS_VARIABLE, run_pooler
+
+
+def _start() -> None:
+    config = os.environ.get(SETTINGS_VARIABLE)
+    if sys.argv[1:] != ["pooler"] or not config:
+        from dewledge.cli.main import main
+
+        main()
+        return
+    try:
+        run_pooler(Path(config))
+    except Exception as error:
+        from dewledge.cli.output import print_error
+
+        sys.exit(print_error(error))
 
-from dewledge.cli.main import main
 
 if __name__ == "__main__":
-    main()
+    _start()
--- a/src/dewledge/adapters/http_exchange.py
+++ b/src/dewledge/adapters/http_exchange.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import time
+from collections.abc import Mapping, Sequence
 
 import httptools
 import msgspec
@@ -19,6 +20,10 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MIN_WAIT_SECONDS = 0.001
 
+SocketOption = tuple[int, int, int | bytes]
+"""Level, name and value, as setsockopt takes them."""
+NO_HEADERS: Mapping[str, str] = {}
+
 
 class HttpAnswer(msgspec.Struct, frozen=True):
     """Status and body of an answer."""
@@ -38,17 +43,25 @@
 class HttpExchange:
     """A client's end of one connection; used by one thread at a time."""
 
-    def __init__(self, address: str, timeout: float) -> None:
+    def __init__(self, address: str, timeout: float, options: Sequence[SocketOption] = ()) -> None:
         """Connects within `timeout` seconds. Raises OSError or ValueError."""
         self._socket = socket.create_connection(split_address(address), timeout)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for option in options:
+            self._socket.setsockopt(*option)
         self._readable = select.poll()
         self._readable.register(self._socket, select.POLLIN)
-        self._host = address.encode()
+        self._host = address
         self.closed = False
 
     def request(
-        self, method: str, target: str, body: bytes, timeout: float, send_before: float = NO_LIMIT
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout: float,
+        send_before: float = NO_LIMIT,
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> HttpAnswer:
         """Sends one request and waits for its answer, `timeout` seconds in all.
 
@@ -60,7 +73,8 @@
             self.close()
             raise ClosedBeforeSending("the connection was closed by the other side")
         try:
-            self._send_first(self._encode(method, target, body), deadline, send_before)
+            request = self._encode(method, target, body, headers)
+            self._send_first(request, deadline, send_before)
             return self._receive(deadline)
         except OSError as error:
             self.close()
@@ -75,14 +89,14 @@
             self.closed = True
             self._socket.close()
 
-    def _encode(self, method: str, target: str, body: bytes) -> bytes:
-        return b"%b %b HTTP/1.1\r\nHost: %b\r\nContent-Length: %d\r\n\r\n%b" % (
-            method.encode(),
-            target.encode(),
-            self._host,
-            len(body),
-            body,
-        )
+    def _encode(self, method: str, target: str, body: bytes, headers: Mapping[str, str]) -> bytes:
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Host: {self._host}",
+            f"Content-Length: {len(body)}",
+            *(f"{name}: {value}" for name, value in headers.items()),
+        ]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
     def _send_first(self, request: bytes, deadline: float, send_before: float) -> None:
         # A process that was frozen until now must not send what it decided before. So the clock is
--- a/src/dewledge/cli/explain_command.py
+++ b/src/dewledge/cli/explain_command.py
@@ -29,7 +29,7 @@
     examples: Annotated[int, typer.Option(help="With --lost: statements shown of each cause.")] = 3,
     as_json: Annotated[bool, typer.Option("--json", help="With --lost: one JSON object.")] = False,
 ) -> None:
-    """Explain a statement from log lines, or sum up what was lost and why.
+    """Explain a statement, or what was lost, from log lines.
 
     Lines of one process keep their order; processes are matched by what they told each other, not
     by their clocks.
--- a/src/dewledge/core/pooling/events.py
+++ b/src/dewledge/core/pooling/events.py
@@ -43,3 +43,9 @@
     group: str
     database: str
     statement: str
+
+
+class ProcessStoodStill(PoolingEvent, frozen=True):
+    """The process did nothing for a while, so what waited here waited for that."""
+
+    stood_still_ms: int
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -1,16 +1,22 @@
 """Calls to the platform's store and to the calls that are the duty of one node. They block.
 
-One instance is used by one thread at a time per connection; urllib3 keeps the connections.
+May be called from any thread; HttpCalls keeps the connections.
 """
 
 import base64
 import json
 import socket
 import struct
+from urllib.parse import urlencode
 
 import msgspec
-import urllib3
 
+from dewledge.adapters.http_calls import (
+    AnswerMissing,
+    HttpCalls,
+    ServerUnreachable,
+    SocketOption,
+)
 from dewledge.core.coordination_store import (
     CALL_LIMIT_SECONDS,
     FeedAnswer,
@@ -20,6 +26,7 @@
     TableRows,
 )
 from dewledge.errors import (
+    ProtocolError,
     StoreConditionFailed,
     StoreError,
     StoreOutcomeUnknown,
@@ -31,8 +38,8 @@
 PAGE_ROWS = 500
 ACCEPTED = 200
 FENCED = 409
-_KEEPALIVE = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+_JSON = {"Content-Type": "application/json"}
+_KEEPALIVE: list[SocketOption] = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
@@ -63,12 +70,11 @@
     """The store at one address."""
 
     def __init__(self, address: str) -> None:
-        self._base = f"http://{address}"
-        self._http = urllib3.PoolManager(maxsize=8, retries=False, socket_options=_KEEPALIVE)
+        self._calls = HttpCalls(address, CONNECT_SECONDS, _KEEPALIVE)
 
     def change_address(self, address: str) -> None:
         """Sends later calls to another "ip:port"."""
-        self._base = f"http://{address}"
+        self._calls.change_address(address)
 
     def read_table(self, table: str, limit: float = CALL_LIMIT_SECONDS) -> TableRows:
         """Returns all rows of a table's empty part."""
@@ -105,23 +111,17 @@
     def _request(
         self, method: str, path: str, query: dict[str, str], timeout: float, body: object | None
     ) -> _Answer:
-        limits = urllib3.Timeout(connect=min(CONNECT_SECONDS, timeout), read=timeout)
+        target = f"{path}?{urlencode(query)}" if query else path
+        content = b"" if body is None else json.dumps(body).encode()
         try:
-            response = self._http.request(
-                method,
-                self._base + path,
-                fields=query or None,
-                body=None if body is None else json.dumps(body).encode(),
-                headers={"Content-Type": "application/json"},
-                timeout=limits,
-            )
-        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
-            raise StoreError(f"cannot reach the store: {e.__class__.__name__}") from e
-        except urllib3.exceptions.HTTPError as error:
-            raise StoreOutcomeUnknown(f"no answer: {error.__class__.__name__}") from error
-        _raise_for_status(response.status)
+            answer = self._calls.call(method, target, content, timeout, _JSON)
+        except ServerUnreachable as error:
+            raise StoreError(f"cannot reach the store: {error}") from error
+        except (AnswerMissing, ProtocolError) as error:
+            raise StoreOutcomeUnknown(f"no answer: {error}") from error
+        _raise_for_status(answer.status)
         try:
-            return msgspec.json.decode(response.data, type=_Answer)
+            return msgspec.json.decode(answer.body, type=_Answer)
         except msgspec.DecodeError as error:
             raise StoreOutcomeUnknown(f"unreadable answer: {error}") from error
 
@@ -134,28 +134,24 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._base = f"http://{address}"
         options = [*_KEEPALIVE, (socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)]
-        self._http = urllib3.PoolManager(maxsize=2, retries=False, socket_options=options)
+        self._calls = HttpCalls(address, CONNECT_SECONDS, options)
 
     def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
         """Asks for a new primary; returns whether the platform took it. Raises StoreError."""
         headers = {
-            "Content-Type": "application/json",
+            **_JSON,
             "Dewledge-Lease-Holder": holder,
             "Dewledge-Fencing-Token": str(fencing_token),
         }
         body = json.dumps({"service": group, "id": database_id}).encode()
-        limits = urllib3.Timeout(connect=CONNECT_SECONDS, read=CALL_LIMIT_SECONDS)
         try:
-            response = self._http.request(
-                "POST", self._base + "/promote", body=body, headers=headers, timeout=limits
-            )
-        except urllib3.exceptions.HTTPError as error:
-            raise StoreOutcomeUnknown(f"no answer: {error.__class__.__name__}") from error
-        if response.status not in (ACCEPTED, FENCED):
-            raise StoreError(f"the platform answered {response.status}")
-        return response.status == ACCEPTED
+            answer = self._calls.call("POST", "/promote", body, CALL_LIMIT_SECONDS, headers)
+        except (ServerUnreachable, AnswerMissing, ProtocolError) as error:
+            raise StoreOutcomeUnknown(f"no answer: {error}") from error
+        if answer.status not in (ACCEPTED, FENCED):
+            raise StoreError(f"the platform answered {answer.status}")
+        return answer.status == ACCEPTED
 
 
 def _store_row(row: _Row) -> StoreRow:
--- a/src/dewledge/pooler_settings.py
+++ b/src/dewledge/pooler_settings.py
@@ -1,71 +1,76 @@
 """The settings of one pooler process: a TOML file, checked as a whole."""
 
+from collections.abc import Mapping
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
 
-from dewledge.errors import ErrorCode, InvalidInput
-from dewledge.settings import NAME_PATTERN, ListenAddress, RemoteAddress, Seconds, read_toml
-from dewledge.validation import findings_of_validation
+from dewledge.checked_values import build_checked, checked_by
+from dewledge.core.addresses import check_remote_address, split_address
+from dewledge.errors import InvalidInput
+from dewledge.settings_text import NAME_PATTERN, read_toml
 
+LONGEST_BOUND_SECONDS = 86_400
 
-class _Section(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="forbid", validate_default=True)
+ListenAddress = Annotated[str, checked_by(split_address)]
+RemoteAddress = Annotated[str, checked_by(check_remote_address)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=LONGEST_BOUND_SECONDS)]
 
 
-class PoolerTimings(_Section):
+def _means(text: str) -> msgspec.Meta:
+    return msgspec.Meta(description=text)
+
+
+class PoolerTimings(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds in seconds."""
 
-    drain_bound: Seconds = Field(
-        default=7.0, description="A database that leaves gets no new work later than this."
-    )
-    stop_bound: Seconds = Field(
-        default=6.0, description="From the stop signal to the end of the process."
-    )
-    configuration_bound: Seconds = Field(
-        default=4.0, description="A configuration is in force within this."
+    drain_bound: Annotated[
+        Seconds, _means("A database that leaves gets no new work later than this.")
+    ] = 7.0
+    stop_bound: Annotated[Seconds, _means("From the stop signal to the end of the process.")] = 6.0
+    configuration_bound: Annotated[Seconds, _means("A configuration is in force within this.")] = (
+        4.0
     )
 
 
-class PoolerSettings(_Section):
+class PoolerSettings(msgspec.Struct, frozen=True, kw_only=True):
     """All settings of `dewledge pooler`."""
 
-    name: Annotated[str, Field(pattern=NAME_PATTERN)] = Field(
-        description="Unique name of this process."
-    )
-    zone: str = Field(description="Zone of this machine, as databases name theirs.")
-    client_address: ListenAddress = Field(description="ip:port for clients' sessions.")
-    ready_address: ListenAddress = Field(description="ip:port for readiness probes (HTTP).")
-    peer_address: ListenAddress = Field(description="ip:port for other poolers (UDP and TCP).")
-    metrics_address: ListenAddress = Field(description="ip:port for metrics (HTTP).")
-    store_address: RemoteAddress = Field(description="ip:port of the platform's store.")
-    duty_address: RemoteAddress | None = Field(
-        default=None, description="ip:port that takes promotions."
-    )
-    promotions_fenced: bool = Field(
-        default=False,
-        description="Whether the platform takes the lead from the old primary in a promotion and"
-        " refuses old tokens; if not, the poolers see to it that nobody uses the old one.",
-    )
-    max_client_connections: int = Field(
-        default=3500, ge=1, description="Clients' connections open at once."
-    )
-    log_level: Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"] = Field(
-        default="INFO", description="Least severe events that are logged."
-    )
-    zones: dict[str, str] = Field(default={}, description="The region of each zone.")
-    timings: PoolerTimings = Field(default=PoolerTimings(), description="See below.")
+    name: Annotated[str, msgspec.Meta(pattern=NAME_PATTERN), _means("Unique name of this process.")]
+    zone: Annotated[str, _means("Zone of this machine, as databases name theirs.")]
+    client_address: Annotated[ListenAddress, _means("ip:port for clients' sessions.")]
+    ready_address: Annotated[ListenAddress, _means("ip:port for readiness probes (HTTP).")]
+    peer_address: Annotated[ListenAddress, _means("ip:port for other poolers (UDP and TCP).")]
+    metrics_address: Annotated[ListenAddress, _means("ip:port for metrics (HTTP).")]
+    store_address: Annotated[RemoteAddress, _means("ip:port of the platform's store.")]
+    duty_address: Annotated[RemoteAddress | None, _means("ip:port that takes promotions.")] = None
+    promotions_fenced: Annotated[
+        bool,
+        _means(
+            "Whether the platform takes the lead from the old primary in a promotion and"
+            " refuses old tokens; if not, the poolers see to it that nobody uses the old one."
+        ),
+    ] = False
+    max_client_connections: Annotated[
+        int, msgspec.Meta(ge=1), _means("Clients' connections open at once.")
+    ] = 3500
+    log_level: Annotated[
+        Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"],
+        _means("Least severe events that are logged."),
+    ] = "INFO"
+    zones: Annotated[dict[str, str], _means("The region of each zone.")] = {}
+    timings: PoolerTimings = PoolerTimings()
+
+
+def check_pooler_settings(values: Mapping[str, Any], place: str) -> PoolerSettings:
+    """Returns the settings of plain values. Raises InvalidInput with every finding."""
+    return build_checked(values, PoolerSettings, place)
 
 
 def load_pooler_settings(path: Path) -> PoolerSettings:
     """Reads and checks a settings file. Raises InvalidInput with every finding."""
-    values = read_toml(path)
-    try:
-        return PoolerSettings.model_validate(values)
-    except ValidationError as error:
-        findings = findings_of_validation(error, path.name, ErrorCode.INVALID_SETTING)
-        raise InvalidInput(findings) from error
+    return check_pooler_settings(read_toml(path), path.name)
 
 
 def is_pooler_file(path: Path) -> bool:
--- a/src/dewledge/settings.py
+++ b/src/dewledge/settings.py
@@ -1,6 +1,5 @@
 """The settings of one proxy process: a TOML file, overridden by flags, checked as a whole."""
 
-import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -8,11 +7,11 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from dewledge.core.addresses import check_remote_address, split_address
-from dewledge.errors import ErrorCode, Finding, InvalidInput
+from dewledge.errors import ErrorCode, InvalidInput
+from dewledge.settings_text import NAME_PATTERN, read_toml
 from dewledge.validation import findings_of_validation
 
 MIN_SESSION_KEY_CHARACTERS = 32
-NAME_PATTERN = r"^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$"
 SHA256_PATTERN = r"^[0-9a-f]{64}$"
 
 
@@ -194,22 +193,6 @@
         raise InvalidInput(findings) from error
 
 
-def read_toml(path: Path) -> dict[str, Any]:
-    """Reads a settings file. Raises InvalidInput if it cannot be read or is not TOML."""
-    try:
-        return tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise _single_finding(path.name, f"cannot be read: {error.strerror}") from error
-    except UnicodeDecodeError as error:
-        raise _single_finding(path.name, f"is not UTF-8: {error.reason}") from error
-    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
-        raise _single_finding(path.name, f"is not TOML: {error}") from error
-
-
-def _single_finding(place: str, message: str) -> InvalidInput:
-    return InvalidInput([Finding(place, ErrorCode.INVALID_SETTING, message)])
-
-
 def _override(values: dict[str, Any], name: str, value: object) -> None:
     *sections, last = name.split(".")
     target = values
--- a/src/dewledge/shell/pooling/client_listener.py
+++ b/src/dewledge/shell/pooling/client_listener.py
@@ -13,7 +13,7 @@
 from dewledge.core.pooling.statements import Failure, Reply
 from dewledge.shell.event_loop import READABLE, EventLoop
 from dewledge.shell.pooling.byte_stream import ByteStream
-from dewledge.shell.sockets import listen_tcp
+from dewledge.shell.sockets import bound_address
 
 ACCEPT_BATCH = 64
 
@@ -74,17 +74,18 @@
     def __init__(
         self,
         loop: EventLoop,
-        address: str,
+        listener: socket.socket,
         services: PoolServices,
         new_codec: Callable[[], ClientCodec],
         max_connections: int,
     ) -> None:
-        """Binds `address`. Raises OSError if it cannot."""
+        """`listener`: listens already, so that clients who come early wait and are not refused."""
         self._loop = loop
         self._services = services
         self._new_codec = new_codec
         self._max_connections = max_connections
-        self._listener, self.address = listen_tcp(address)
+        self._listener = listener
+        self.address = bound_address(listener)
         self._names = itertools.count(1)
         self.connections: set[ClientConnection] = set()
 
--- a/src/dewledge/shell/pooling/pooler_metrics.py
+++ b/src/dewledge/shell/pooling/pooler_metrics.py
@@ -1,55 +1,149 @@
-"""Counters and histograms of one pooler, in the Prometheus text format.
+"""Counters, histograms and gauges of one pooler, in the Prometheus text format.
 
-Labels are bounded: kinds, codes and event names are constants of the code.
+Labels are bounded: kinds, codes and event names are constants of the code. The figures are plain
+numbers; the library that writes the format is imported when somebody first asks for them, since a
+process that starts serves nobody until its imports are done.
 """
 
-from prometheus_client import Counter, Histogram
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING
+
+import msgspec
 
 from dewledge.core.pooling.events import StatementAnswered
-from dewledge.shell.metrics import MetricsRegistry
+
+if TYPE_CHECKING:
+    from prometheus_client import Metric
 
 LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0)
+"""Upper bounds in seconds: finer around the latency targets of routes, 0.4 to 1 s."""
 MILLISECONDS = 1000.0
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+"""Of the text format that `render` writes."""
+
+
+class StatementLabels(msgspec.Struct, frozen=True):
+    """What a statement is counted under."""
+
+    kind: str
+    consistency: str
+    outcome: str
+
+
+class DurationLabels(msgspec.Struct, frozen=True):
+    """What a statement's duration is counted under."""
+
+    kind: str
+    consistency: str
+
+
+class AttemptLabels(msgspec.Struct, frozen=True):
+    """What an attempt at a database is counted under."""
+
+    proof: str
+    result: str
 
 
-class PoolerMetrics(MetricsRegistry):
-    """The registry of one process."""
+class _Durations:
+    """How many durations fell under each bound, and their sum in seconds."""
 
     def __init__(self) -> None:
-        super().__init__()
-        self._statements = Counter(
-            "dewledge_statements",
-            "Clients' statements answered.",
-            ("kind", "consistency", "outcome"),
-            registry=self._registry,
-        )
-        self._seconds = Histogram(
-            "dewledge_statement_seconds",
-            "Seconds from a statement to its answer.",
-            ("kind", "consistency"),
-            buckets=LATENCY_BUCKETS,
-            registry=self._registry,
-        )
-        self._attempts = Counter(
-            "dewledge_statement_attempts",
-            "Attempts of statements at databases, by how they ended.",
-            ("proof", "result"),
-            registry=self._registry,
-        )
-        self._events = Counter(
-            "dewledge_pooler_events", "Events logged.", ("event",), registry=self._registry
-        )
+        self.counts = [0] * (len(LATENCY_BUCKETS) + 1)
+        self.total = 0.0
+
+    def add(self, seconds: float) -> None:
+        self.counts[bisect_left(LATENCY_BUCKETS, seconds)] += 1
+        self.total += seconds
+
+    def cumulative(self) -> Iterator[tuple[str, float]]:
+        """Yields each bound with the count of what is not above it."""
+        count = 0
+        for bound, added in zip((*LATENCY_BUCKETS, float("inf")), self.counts, strict=True):
+            count += added
+            yield ("+Inf" if bound == float("inf") else str(bound), float(count))
+
+
+class _Gauge(msgspec.Struct, frozen=True):
+    name: str
+    description: str
+    read: Callable[[], float]
+
+
+class PoolerMetrics:
+    """The figures of one process."""
+
+    def __init__(self) -> None:
+        self._statements: Counter[StatementLabels] = Counter()
+        self._seconds: dict[DurationLabels, _Durations] = {}
+        self._attempts: Counter[AttemptLabels] = Counter()
+        self._events: Counter[str] = Counter()
+        self._gauges: list[_Gauge] = []
+
+    def add_gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Adds a gauge whose value is read when metrics are asked for."""
+        self._gauges.append(_Gauge(f"dewledge_{name}", description, read))
 
     def observe_statement(self, event: StatementAnswered) -> None:
         """Counts an answered statement with its attempts."""
-        self._statements.labels(event.kind, event.consistency, event.outcome).inc()
-        seconds = event.waited_ms / MILLISECONDS
-        self._seconds.labels(event.kind, event.consistency).observe(seconds)
+        self._statements[StatementLabels(event.kind, event.consistency, event.outcome)] += 1
+        labels = DurationLabels(event.kind, event.consistency)
+        durations = self._seconds.setdefault(labels, _Durations())
+        durations.add(event.waited_ms / MILLISECONDS)
         for attempt in event.way.split(","):
             parts = attempt.partition("@")[0].split(":")
             if len(parts) == len(("database", "proof", "result")):
-                self._attempts.labels(parts[1] or "pinned", parts[2]).inc()
+                self._attempts[AttemptLabels(parts[1] or "pinned", parts[2])] += 1
 
     def count_event(self, name: str) -> None:
         """Counts one logged event."""
-        self._events.labels(name).inc()
+        self._events[name] += 1
+
+    def render(self) -> bytes:
+        """Returns all metrics in the text format."""
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> Iterable["Metric"]:
+        """Yields the metrics; called by the library that writes the format."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        statements = CounterMetricFamily(
+            "dewledge_statements",
+            "Clients' statements answered.",
+            labels=StatementLabels.__struct_fields__,
+        )
+        for statement, count in self._statements.items():
+            statements.add_metric(msgspec.structs.astuple(statement), count)
+        yield statements
+        seconds = HistogramMetricFamily(
+            "dewledge_statement_seconds",
+            "Seconds from a statement to its answer.",
+            labels=DurationLabels.__struct_fields__,
+        )
+        for labels, durations in self._seconds.items():
+            values = msgspec.structs.astuple(labels)
+            seconds.add_metric(values, list(durations.cumulative()), durations.total)
+        yield seconds
+        attempts = CounterMetricFamily(
+            "dewledge_statement_attempts",
+            "Attempts of statements at databases, by how they ended.",
+            labels=AttemptLabels.__struct_fields__,
+        )
+        for attempt, count in self._attempts.items():
+            attempts.add_metric(msgspec.structs.astuple(attempt), count)
+        yield attempts
+        events = CounterMetricFamily("dewledge_pooler_events", "Events logged.", labels=("event",))
+        for name, count in self._events.items():
+            events.add_metric((name,), count)
+        yield events
+        for gauge in self._gauges:
+            yield GaugeMetricFamily(gauge.name, gauge.description, value=gauge.read())
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -1,6 +1,7 @@
 """One pooler process, put together: clients, databases, the store's tables, readiness, the end."""
 
 import secrets
+import socket
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -16,7 +17,6 @@
 from dewledge.shell.event_loop import EventLoop
 from dewledge.shell.http_messages import Exchange, HttpLimits, HttpResponse
 from dewledge.shell.http_server import HttpServer
-from dewledge.shell.metrics import CONTENT_TYPE as METRICS_TYPE
 from dewledge.shell.pooling.channel_client import ChannelClient
 from dewledge.shell.pooling.channel_server import ChannelServer
 from dewledge.shell.pooling.claim_keeper import ClaimKeeper
@@ -28,6 +28,7 @@
 from dewledge.shell.pooling.outgoing_links import OutgoingLinks
 from dewledge.shell.pooling.peer_socket import PeerSocket
 from dewledge.shell.pooling.platform_adapter import PlatformAdapter
+from dewledge.shell.pooling.pooler_metrics import CONTENT_TYPE as METRICS_TYPE
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
 from dewledge.shell.pooling.settings_file import SettingsFile
 from dewledge.shell.pooling.stall_watch import StallWatch
@@ -38,6 +39,7 @@
     TableReading,
 )
 from dewledge.shell.pooling.witnesses import Witnesses
+from dewledge.shell.sockets import listen_tcp
 
 SWEEP_SECONDS = 0.25
 TAKE_SHARE = 0.55
@@ -54,10 +56,12 @@
         settings: PoolerSettings,
         platform: PlatformAdapter,
         settings_file: Path | None = None,
+        client_listener: socket.socket | None = None,
     ) -> None:
         """Binds all addresses. Raises OSError if one cannot be bound.
 
         settings_file: read again when it changes or the process is told to.
+        client_listener: listens at the clients' address already; bound here if there is none.
         """
         self._settings_file = SettingsFile(settings_file)
         self._settings = settings
@@ -83,7 +87,7 @@
         )
         self._clients = ClientListener(
             self._loop,
-            settings.client_address,
+            client_listener or listen_tcp(settings.client_address)[0],
             self._services,
             platform.new_client_codec,
             settings.max_client_connections,
@@ -218,7 +222,7 @@
     def _add_gauges(self) -> None:
         groups = self._services.groups
         gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
-            ("client_sessions", "Clients' sessions open.", self._count_sessions),
+            ("client_sessions", "Clients' sessions open.", lambda: len(self._clients.connections)),
             (
                 "database_connections",
                 "Connections to databases.",
@@ -232,23 +236,14 @@
                 ),
             ),
             ("members", "Processes that registered.", lambda: self._members.count),
-            ("links", "Links to processes that hold connections.", self._count_links),
-            ("channels_lent", "Channels of other processes.", self._count_channels),
+            ("links", "Links to processes that hold connections.", lambda: self._links.open_count),
+            ("channels_lent", "Channels of other processes.", lambda: self._lending.channel_count),
             ("configuration_version", "In force.", lambda: self._services.routes.version),
             ("ready", "1 while new sessions are taken.", lambda: float(self.is_ready)),
         )
         for name, description, read in gauges:
             self._metrics.add_gauge(name, description, read)
 
-    def _count_links(self) -> float:
-        return self._links.open_count
-
-    def _count_channels(self) -> float:
-        return self._lending.channel_count
-
-    def _count_sessions(self) -> float:
-        return len(self._clients.connections)
-
     def reload(self) -> None:
         """Reads the settings file again. May be called from a signal handler."""
         self._loop.post(self._reload)
--- a/src/dewledge/shell/pooling/settings_file.py
+++ b/src/dewledge/shell/pooling/settings_file.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+import msgspec
 from loguru import logger
 
 from dewledge.errors import InvalidInput
@@ -32,13 +33,15 @@
         except InvalidInput as error:
             logger.bind(findings=error.message).error("settings_refused")
             return None
-        changed = [name for name in PoolerSettings.model_fields if differs(present, read, name)]
+        changed = [
+            name for name in PoolerSettings.__struct_fields__ if differs(present, read, name)
+        ]
         fixed = [name for name in changed if name in FIXED]
         kept = {name: getattr(present, name) for name in fixed}
         logger.bind(changed=",".join(changed), need_restart=",".join(fixed)).info(
             "settings_reloaded"
         )
-        return read.model_copy(update=kept) if changed else None
+        return msgspec.structs.replace(read, **kept) if changed else None
 
     def _stamp(self) -> tuple[int, int] | None:
         if self._path is None:
--- a/src/dewledge/shell/pooling/stall_watch.py
+++ b/src/dewledge/shell/pooling/stall_watch.py
@@ -1,18 +1,12 @@
 """Notices that the process stood still: frozen, or without a processor, for longer than usual."""
 
-import msgspec
+from dewledge.core.pooling.events import ProcessStoodStill
 
 STALL_SECONDS = 0.3
 """A tick that comes so much too late is told: more than a slow machine's turn between two ticks,
 and less than the latency target of any route seen so far (0.4 s)."""
 
 
-class ProcessStoodStill(msgspec.Struct, frozen=True):
-    """The process did nothing for a while, so what waited here waited for that. For the log."""
-
-    stood_still_ms: int
-
-
 class StallWatch:
     """Compares when a tick came with when it was due."""
 
--- a/tests/platform/test_log_and_settings.py
+++ b/tests/platform/test_log_and_settings.py
@@ -15,7 +15,7 @@
 
 from dewledge.core.pooling.events import StatementAnswered
 from dewledge.errors import InvalidInput
-from dewledge.pooler_settings import PoolerSettings, load_pooler_settings
+from dewledge.pooler_settings import check_pooler_settings, load_pooler_settings
 from dewledge.shell.pooling.log_writer import MAX_WAITING_LINES, LogWriter
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
 from dewledge.shell.pooling.settings_file import SettingsFile
@@ -56,7 +56,7 @@
 class DeployFilesTest(unittest.TestCase):
     def test_the_template_gives_settings_without_findings(self) -> None:
         values = tomllib.loads(fill(TEMPLATE.read_text(), FIELDS))
-        settings = PoolerSettings.model_validate(values)
+        settings = check_pooler_settings(values, "template")
         self.assertEqual(settings.zones, {"a": "north", "b": "south"})
         self.assertEqual(settings.timings.drain_bound, 7.0)
 
--- a/tests/platform/test_pooler_page.py
+++ b/tests/platform/test_pooler_page.py
@@ -5,8 +5,10 @@
 import unittest
 from pathlib import Path
 
+import msgspec
 from prometheus_client.parser import text_string_to_metric_families
 
+from dewledge.checked_values import descriptions
 from dewledge.core.pooling import events as pooling_events
 from dewledge.core.succession.messages import PhaseChanged
 from dewledge.pooler_settings import PoolerSettings, PoolerTimings
@@ -53,6 +55,12 @@
     return events
 
 
+def default_text(field: msgspec.structs.FieldInfo) -> str:
+    if field.default is None:
+        return "none"
+    return str(field.default if field.default is not msgspec.NODEFAULT else field.default_factory())
+
+
 class PageTest(unittest.TestCase):
     def test_events(self) -> None:
         listed = re.findall(r"^\| `(\w+)` \|", section("Events"), re.MULTILINE)
@@ -65,12 +73,12 @@
         listed = {name: (default, meaning) for name, default, meaning in rows}
         expected: dict[str, tuple[str, str]] = {}
         for prefix, model in (("", PoolerSettings), ("timings.", PoolerTimings)):
-            for name, field in model.model_fields.items():
-                if name == "timings":
+            meanings = descriptions(model)
+            for field in msgspec.structs.fields(model):
+                if field.name == "timings":
                     continue
-                default = "none" if field.default is None else str(field.default)
-                text = "required" if field.is_required() else f"`{default}`"
-                expected[prefix + name] = (text, field.description or "")
+                text = "required" if field.required else f"`{default_text(field)}`"
+                expected[prefix + field.name] = (text, meanings[field.name])
         self.assertEqual(listed, expected)
 
     def test_metrics(self) -> None:
--- a/tests/platform/test_stall_watch.py
+++ b/tests/platform/test_stall_watch.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from dewledge.shell.pooling.stall_watch import STALL_SECONDS, ProcessStoodStill, StallWatch
+from dewledge.core.pooling.events import ProcessStoodStill
+from dewledge.shell.pooling.stall_watch import STALL_SECONDS, StallWatch
 
 
 class StallWatchTest(unittest.TestCase):
