Ask the store for less at a start: no early claims, no early feeds, and word that is told once

Change: where the platform fences, a standing claim waits until the judges are the same for a second, as it did elsewhere; a table is read once and then followed only as the plan of readers says, for the first second only the members' table where few are known; a publisher tells a follower at once what word came while its question was under way.

--- a/src/dewledge/core/succession/standing_claim.py
+++ b/src/dewledge/core/succession/standing_claim.py
@@ -47,6 +47,9 @@
         if self._right.fencing is Fencing.PLATFORM:
             if self._right.claim is not None or members[0] != self._own_name:
                 return []
+            if now < self._members_since + SETTLED_SECONDS:
+                # Who has just started knows nobody, and would claim what all others claim too.
+                return []
             return self._write(situation, False)
         return self._keep_voters(situation)
 
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -138,7 +138,7 @@
             self._directory.reach_limit,
         )
         self._tables = TableReading(
-            self._loop, settings, platform, self._links, self._members, self._executor
+            self._loop, settings, platform, self._links, self._members, self._executor, TABLE
         )
         self._tables.add(
             platform.configuration_table,
--- a/src/dewledge/shell/pooling/table_publisher.py
+++ b/src/dewledge/shell/pooling/table_publisher.py
@@ -1,5 +1,6 @@
 """Answers processes that follow the store's tables through this one."""
 
+import math
 from collections.abc import Mapping
 
 import msgspec
@@ -28,6 +29,8 @@
         self._tables = tables
         self._waiting: dict[IncomingLink, HeldQuestion] = {}
         self._timers: dict[IncomingLink, Timer] = {}
+        self._told: dict[IncomingLink, dict[str, float]] = {}
+        """How new each table was when a follower was last told of it (steady clock, seconds)."""
 
     @property
     def follower_count(self) -> int:
@@ -35,9 +38,9 @@
         return len(self._waiting)
 
     def take_question(self, link: IncomingLink, question: FollowTables) -> None:
-        """Answers now if there is news, else later."""
+        """Answers now if there is news or younger word on how new a table is, else later."""
         held = HeldQuestion(question, self._loop.now())
-        if self._has_news(question):
+        if self._has_news(question) or self._has_younger_word(link, question):
             self._answer(link, held)
             return
         self._waiting[link] = held
@@ -74,6 +77,20 @@
                 return True
         return False
 
+    def _has_younger_word(self, link: IncomingLink, question: FollowTables) -> bool:
+        """Tells whether word came while the follower's question was under way.
+
+        It would stand here until the next word, and the follower would doubt what it knows.
+        """
+        told = self._told.get(link)
+        if told is None:
+            return False
+        for position in question.positions:
+            table = self._tables.get(position.table)
+            if table is not None and table.confirmed_at > told.get(position.table, math.inf):
+                return True
+        return False
+
     def _answer(self, link: IncomingLink, held: HeldQuestion) -> None:
         now, question = self._loop.now(), held.question
         news: list[TableNews] = []
@@ -82,4 +99,10 @@
             if table is not None:
                 news.append(table.news(position.version, now, question.takes_large))
         if not link.closed:
+            self._note_told(link)
             link.send(TablesAnswered(question.number, tuple(news), now - held.came_at))
+
+    def _note_told(self, link: IncomingLink) -> None:
+        for known in [known for known in self._told if known.closed]:
+            del self._told[known]
+        self._told[link] = {name: table.confirmed_at for name, table in self._tables.items()}
--- a/src/dewledge/shell/pooling/table_reading.py
+++ b/src/dewledge/shell/pooling/table_reading.py
@@ -1,5 +1,6 @@
 """How this process learns the store's tables: by reading, or by following who reads."""
 
+import math
 from collections.abc import Callable
 from concurrent.futures import Executor
 
@@ -24,6 +25,9 @@
 """Of the configuration's bound: a call that the store swallows is noticed a second later."""
 URGENT_WAIT_SECONDS = 1.0
 """A reader that others follow looks more often: what they know is older by their question."""
+START_SECONDS = 1.0
+"""Processes that start together register within this. Who knows few others until then looks for
+more and reads the other tables once only: following is cheaper than reading beside them."""
 RIGHT_WAIT_SECONDS = 0.9
 """Where the right to use primaries rests on the store's word, it has to be young."""
 
@@ -39,8 +43,11 @@
         links: OutgoingLinks,
         members: MemberTable,
         executor: Executor,
+        members_table: str,
     ) -> None:
+        """`members_table`: the table that tells who else there is."""
         self._loop = loop
+        self._members_table = members_table
         self._own_name = settings.name
         self._regions = settings.zones
         bound = settings.timings.configuration_bound
@@ -60,6 +67,7 @@
             lambda: members.count,
         )
         self._plan = ReadingPlan(True)
+        self._starts_until = math.inf
 
     def add(
         self,
@@ -89,6 +97,8 @@
 
     def start(self) -> None:
         """Starts to read: who does not know the members yet cannot follow one."""
+        self._starts_until = self._loop.now() + START_SECONDS
+        self._loop.call_later(START_SECONDS, self._end_of_start)
         for watcher in self._watchers.values():
             self._executor.submit(watcher.run)
 
@@ -118,9 +128,19 @@
             shared_wait = self._tables[name].wait_seconds
             longest = self._read_by_all_wait if is_read_by_all else shared_wait
             watcher.wait_seconds = min(longest, shared_wait) if watcher.confirms_whole else longest
-            watcher.set_reader(is_alone)
+            waits = is_read_by_all and name != self._members_table and self._is_starting
+            watcher.set_reader(is_alone and not waits)
         self._follower.follow([] if is_alone else addresses)
 
+    @property
+    def _is_starting(self) -> bool:
+        return self._loop.now() < self._starts_until
+
+    def _end_of_start(self) -> None:
+        self._starts_until = self._loop.now()
+        if self._members.is_known:
+            self.members_changed()
+
     def read_soon(self, table: str) -> None:
         """Has a table read from the store at once: what others tell of it may come later."""
         self._read_store(table)
--- a/src/dewledge/shell/pooling/table_watcher.py
+++ b/src/dewledge/shell/pooling/table_watcher.py
@@ -59,7 +59,7 @@
         self._post = post
         self._stopped = threading.Event()
         self._wanted = threading.Event()
-        self._is_reader = True
+        self._is_reader = False
         self._newest = -1
         self._has_read_whole = False
         self._failures = 0
@@ -81,7 +81,7 @@
         self._wanted.set()
 
     def run(self) -> None:
-        """Follows the table. Runs on a thread of an executor."""
+        """Reads the table once, then as `set_reader` tells. Runs on a thread of an executor."""
         while not self._stopped.is_set():
             self._wanted.wait()
             if self._stopped.is_set():
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -110,6 +110,11 @@
         self.stand_in.put("op", "config", b"1")
         thread.start()
         self.wait_for(lambda: self.seen.get("config") == b"1")
+        self.calls_of_start = self.stand_in.calls
+        self.watcher.set_reader(True)
+
+    def test_it_reads_the_table_once_and_waits_to_be_told_to_follow_it(self) -> None:
+        self.assertEqual(self.calls_of_start, 1)
 
     def wait_for(self, condition: Callable[[], bool]) -> None:
         self.assertTrue(wait_until(condition))
--- a/tests/platform/test_table_publisher.py
+++ b/tests/platform/test_table_publisher.py
@@ -95,6 +95,17 @@
         self.assertAlmostEqual(answer.held_seconds, 0.5)
         self.assertAlmostEqual(answer.news[0].age_seconds, 0.0)
 
+    def test_word_that_came_while_no_question_stood_is_told_with_the_next_one(self) -> None:
+        self.confirm()
+        self.scheduler.advance(0.2)
+        self.confirm()
+        self.assertEqual(len(self.link.sent), 1)
+        question = FollowTables(2, (TablePosition("op", 5),))
+        self.publisher.take_question(self.link, question)
+        self.assertAlmostEqual(self.link.sent[-1].news[0].age_seconds, 0.0)
+        self.publisher.take_question(self.link, question)
+        self.assertEqual(len(self.link.sent), 2, "the same word is not told again at once")
+
     def test_without_any_the_question_is_answered_in_the_end(self) -> None:
         self.scheduler.advance(HOLD_SECONDS + 0.1)
         (answer,) = self.link.sent
