Have young word on a table at once after a change, and while its rows are taken

Cause: a feed call that brought rows counts as old as its sending, up to a second; the next one stood for another second. And a table's callbacks ran before the table counted as new: each process that planned to follow read the members once more at once (16 calls of 18).

Change: after an answer with rows the next call of a reader asks at once; the time of the word is set before the rows are handed on, where it needs no word of the feed.

Measured: test_after_a_change_there_is_young_word_at_once failed before and passes.

--- a/src/dewledge/shell/pooling/followed_table.py
+++ b/src/dewledge/shell/pooling/followed_table.py
@@ -59,6 +59,9 @@
         if delta.version < self._cache.version:
             return False
         is_news = bool(delta.rows) or not self._cache.is_known
+        if self._confirmed is None or not delta.is_whole:
+            # Known before the rows are taken: what they lead to may ask how sure the table is.
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if is_news:
             self._last_change = max(
                 delta.version if delta.is_whole else 0, *(row.version for row in delta.rows), 0
@@ -70,11 +73,8 @@
             self._cache.update(delta.rows, delta.version)
             if delta.rows:
                 self._changed(delta.rows, delta.version)
-        if self._confirmed is None:
-            self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        elif not delta.is_whole:
-            self.confirmed_at = max(self.confirmed_at, confirmed_at)
-            self._confirmed(self.confirmed_at)
+            if self._confirmed is not None:
+                self._confirmed(self.confirmed_at)
         return is_news
 
     def has_changed_after(self, version: int) -> bool:
--- a/src/dewledge/shell/pooling/table_watcher.py
+++ b/src/dewledge/shell/pooling/table_watcher.py
@@ -62,6 +62,9 @@
         self._is_reader = False
         self._newest = -1
         self._has_read_whole = False
+        self._has_brought_rows = False
+        """Then the word is as old as the call, which may have stood for its whole wait: the next
+        call asks at once, or all who follow would come to doubt it and ask themselves."""
         self._failures = 0
         self._wanted.set()
 
@@ -124,7 +127,7 @@
         self._hand_over(TableDelta(answer.rows, answer.version, True), sent_at)
 
     def _read_changes(self) -> None:
-        is_quick = self._failures > 0 or not self._is_reader
+        is_quick = self._failures > 0 or not self._is_reader or self._has_brought_rows
         is_quick = is_quick or (self.confirms_whole and self._has_read_whole)
         self._has_read_whole = False
         wait = 0.0 if is_quick else self.wait_seconds
@@ -134,6 +137,7 @@
         # An answer without rows was given when the wait was over, so it holds for that time.
         true_at = sent_at if answer.rows else sent_at + min(wait, time.monotonic() - sent_at)
         self._hand_over(TableDelta(answer.rows, self._newest, False), true_at)
+        self._has_brought_rows = bool(answer.rows)
         if answer.rows:
             self._stopped.wait(SPACING_SECONDS)
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -113,6 +113,16 @@
         self.calls_of_start = self.stand_in.calls
         self.watcher.set_reader(True)
 
+    def test_after_a_change_there_is_young_word_at_once(self) -> None:
+        self.watcher.wait_seconds = 3.0
+        self.wait_for(lambda: self.table.confirmed_at > time.monotonic() - 0.5)
+        time.sleep(1.5)
+        self.stand_in.put("op", "config", b"2")
+        self.wait_for(lambda: self.seen.get("config") == b"2")
+        changed_at = time.monotonic()
+        self.wait_for(lambda: self.table.confirmed_at >= changed_at)
+        self.assertLess(time.monotonic() - changed_at, 1.0)
+
     def test_it_reads_the_table_once_and_waits_to_be_told_to_follow_it(self) -> None:
         self.assertEqual(self.calls_of_start, 1)
 
