Name replicas that stay behind as the cause of full queues; split evidence from statements

By the attempts of each database all of them were of one group, whose two replicas sent back every read from second 3 to 30, so that its primary served alone (200 statements a second, three slots) and its queue was full.

Nothing that a pooler loads has changed.

--- a/tests/explain/test_lost.py
+++ b/tests/explain/test_lost.py
@@ -10,7 +10,8 @@
 
 from dewledge.cli.main import run
 from dewledge.explain.log_lines import LogRecord, parse_lines
-from dewledge.explain.lost import LossKind, LostCause, LostStatement, find_lost
+from dewledge.explain.lost import LossKind, LostStatement, find_lost
+from dewledge.explain.lost_evidence import LostCause
 from dewledge.explain.lost_report import LostBy, lost_text, sum_lost
 
 PLANTED_DAY = Path(__file__).parent / "planted_day.log"
@@ -168,6 +169,27 @@
                 LostCause.REPLICAS_BEHIND,
                 ((statement(5.0, "d:floor:not_fresh@9,d:lead:given_up@99", "overloaded", 99),),),
             ),
+            (
+                "queues at the primary of a group whose replicas are behind",
+                LostCause.REPLICAS_BEHIND,
+                (
+                    (refused,),
+                    (statement(4.5, "r:floor:not_fresh@9,d:lead:done@20", "done", 20, "other"),),
+                ),
+            ),
+            (
+                "queues at the primary of a group whose replicas serve",
+                LostCause.LOAD,
+                (
+                    (refused,),
+                    (
+                        statement(4.4, "r:floor:done@9", "done", 9, "x"),
+                        statement(4.5, "r:floor:done@9", "done", 9, "y"),
+                        statement(4.6, "r:floor:done@9", "done", 9, "z"),
+                        statement(4.7, "r:floor:not_fresh@9,d:lead:done@20", "done", 20, "o"),
+                    ),
+                ),
+            ),
             ("no way at all", LostCause.UNKNOWN, ((statement(5.0, "", "internal", 9),),)),
         )
         for name, expected, logs in cases:
