--- a/tests/adapters/test_http_calls.py
+++ b/tests/adapters/test_http_calls.py
@@ -81,11 +81,10 @@
         self.assertEqual(len(server.requests), 1)
 
     def test_a_server_that_does_not_listen(self) -> None:
-        server = self.server()
-        address = server.address
-        server.close()
-        with self.assertRaises(ServerUnreachable):
-            self.call(HttpCalls(address, TIMEOUT))
+        with socket.socket() as bound:
+            bound.bind(("127.0.0.1", 0))
+            with self.assertRaises(ServerUnreachable):
+                self.call(HttpCalls(bound_address(bound), TIMEOUT))
 
     def test_after_a_change_of_address_nothing_goes_to_the_old_one(self) -> None:
         first, second = self.server(), self.server()
