--- a/tests/explain/test_lost.py
+++ b/tests/explain/test_lost.py
@@ -17,7 +17,8 @@
 PLANTED_DAY = Path(__file__).parent / "planted_day.log"
 """From nine processes on a day of the users' bench with five troubles that stand apart: a burst, a
 primary that goes dark, three machines that stand still, answers that are lost, a split. Of the
-statements that were done one a database and half second is kept."""
+other statements one is kept for each process, database, result and second near the twenty. The
+rules were written on this day; with another seed they named 492 of 498 as planned (2636e697)."""
 
 PLANTED = (
     (
