Say of requests that never left nothing of others to the same peer

Each request was refused as "the peer is not a member", but reported as the loss of a link, and the core took all other requests to that peer for being in doubt. Of two such requests, both never sent, the second ended as unknown with connection_lost (logs: two outbound_link_lost of one peer, 0.5 ms apart, at the moment of the answer). The same went for a request that found no room in front of a link that works.

Change: a report of its own (RequestsUnsent): those requests go elsewhere, the others are awaited.

Ruled out by the logs: a link that ended (none did within 0.6 s of the answer), the farewell of the stopping proxy, an election. The overdue sign of life was not the cause.

--- a/src/dewledge/core/entry/answer_handler.py
+++ b/src/dewledge/core/entry/answer_handler.py
@@ -1,5 +1,7 @@
 """Takes gateways' answers, and the loss of a gateway, and settles or moves the requests on."""
 
+from collections.abc import Sequence
+
 from dewledge.core.calls import Operation
 from dewledge.core.entry.group import EntryGroup
 from dewledge.core.entry.group_description import with_gamble, with_primary_denied, with_unavailable
@@ -90,6 +92,13 @@
         pending.excluded += (pending.database,)
         self._router.retry(pending, message.code, now, at_once=False)
 
+    def handle_requests_unsent(self, peer: str, correlations: Sequence[int], now: float) -> None:
+        """Requests never left for a gateway, which the next ones had better avoid."""
+        self._router.sender.avoid_gateway(peer, now)
+        for correlation in correlations:
+            refused = StatementNotRun(correlation, ErrorCode.GATEWAY_UNREACHABLE, "never sent")
+            self.handle_not_run(peer, refused, now)
+
     def handle_peer_lost(self, peer: str, now: float) -> None:
         """The link to a gateway broke: what was sent over it may have arrived."""
         self._router.sender.avoid_gateway(peer, now)
--- a/src/dewledge/core/entry/entry.py
+++ b/src/dewledge/core/entry/entry.py
@@ -9,6 +9,7 @@
     handle_peer_message -> AnswerHandler -> RequestFinisher -> AnswerCaller
 """
 
+from collections.abc import Sequence
 from random import Random
 
 from dewledge.core.calls import Access, CallerRequest, Operation
@@ -94,11 +95,7 @@
         return self._state.take_effects()
 
     def handle_peer_message(self, peer: str, message: AnswerMessage, now: float) -> list[Effect]:
-        """Takes a gateway's answer.
-
-        A message that surely never left may be reported as
-        StatementNotRun(correlation, GATEWAY_UNREACHABLE) from its peer.
-        """
+        """Takes a gateway's answer."""
         match message:
             case StatementDone():
                 self._answers.handle_done(peer, message, now)
@@ -110,6 +107,13 @@
                 self._router.handle_status(peer, message, now)
         return self._state.take_effects()
 
+    def handle_requests_unsent(
+        self, peer: str, correlations: Sequence[int], now: float
+    ) -> list[Effect]:
+        """Requests to `peer` surely never left: they go elsewhere, and no other is touched."""
+        self._answers.handle_requests_unsent(peer, correlations, now)
+        return self._state.take_effects()
+
     def handle_peer_lost(self, peer: str, now: float) -> list[Effect]:
         """The link to `peer` broke; what was sent over it may have arrived."""
         self._answers.handle_peer_lost(peer, now)
--- a/src/dewledge/core/proxy/core.py
+++ b/src/dewledge/core/proxy/core.py
@@ -23,7 +23,7 @@
 from dewledge.core.jobs import JobResult, StatusReading
 from dewledge.core.membership.member import Member
 from dewledge.core.membership.placement import GatewayPlacement
-from dewledge.core.messages import Leaving, PeerMessage, StatementNotRun
+from dewledge.core.messages import Leaving, PeerMessage
 from dewledge.core.ports import MachineState
 from dewledge.core.proxy.effects import ProxyEffect
 from dewledge.core.proxy.parts import ProxyCoreSettings, ProxyParts
@@ -168,6 +168,17 @@
         """
         return self._handle(now, self._outbound_lost, peer, unsent_requests)
 
+    def handle_requests_unsent(
+        self, peer: str, unsent_requests: Iterable[int], now: float
+    ) -> list[ProxyEffect]:
+        """Notes that requests to `peer` never left, and nothing of the others sent to it.
+
+        unsent_requests: their correlations; none if it was another message that could not leave.
+        """
+        return self._handle(
+            now, self._parts.entry.handle_requests_unsent, peer, tuple(unsent_requests)
+        )
+
     def handle_inbound_lost(self, peer: str, now: float) -> list[ProxyEffect]:
         """Notes the end of the link that brought requests from `peer`."""
         return self._handle(now, self._parts.gateway.handle_peer_lost, peer)
@@ -248,11 +259,9 @@
         return effects
 
     def _outbound_lost(self, peer: str, unsent_requests: Iterable[int], now: float) -> list[Any]:
-        effects: list[Any] = []
-        for correlation in unsent_requests:
-            refused = StatementNotRun(correlation, ErrorCode.GATEWAY_UNREACHABLE, "never sent")
-            effects += self._parts.entry.handle_peer_message(peer, refused, now)
-        effects += self._parts.entry.handle_peer_lost(peer, now)
+        entry = self._parts.entry
+        effects: list[Any] = list(entry.handle_requests_unsent(peer, tuple(unsent_requests), now))
+        effects += entry.handle_peer_lost(peer, now)
         effects += self._parts.membership.note_peer_lost(peer, now)
         return effects
 
--- a/src/dewledge/shell/outbound_peer.py
+++ b/src/dewledge/shell/outbound_peer.py
@@ -7,7 +7,7 @@
 import errno
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 import msgspec
@@ -56,6 +56,19 @@
     unsent_requests: tuple[int, ...]
 
 
+class RequestsUnsent(msgspec.Struct, frozen=True):
+    """Requests that never left, though no link ended: others to the peer are still under way."""
+
+    peer: str
+    reason: str
+    requests: tuple[int, ...]
+
+
+def statement_requests(messages: Iterable[PeerMessage]) -> tuple[int, ...]:
+    """Returns the correlations of the statement requests among `messages`."""
+    return tuple(item.correlation for item in messages if isinstance(item, StatementRequest))
+
+
 class OutboundPeer:
     """Dials one peer and keeps what waits for the link."""
 
@@ -68,12 +81,14 @@
         random: Random,
         on_message: Callable[[str, PeerMessage], None],
         on_lost: Callable[[OutboundLost], None],
+        on_unsent: Callable[[RequestsUnsent], None],
     ) -> None:
         self._loop = loop
         self._hello = hello
         self._random = random
         self._on_message = on_message
         self._on_lost = on_lost
+        self._on_unsent = on_unsent
         self._waiting: deque[PeerMessage] = deque()
         self._dialling: socket.socket | None = None
         self._link: PeerLink | None = None
@@ -105,7 +120,9 @@
             self._send_now(self._link, message)
             return
         if len(self._waiting) >= MAX_WAITING_MESSAGES:
-            self._loop.post(lambda: self._report_lost("too much waits for the link", (message,)))
+            unsent = statement_requests((message,))
+            refused = RequestsUnsent(self.peer, "too much waits for the link", unsent)
+            self._loop.post(lambda: self._on_unsent(refused))
             return
         self._waiting.append(message)
         if self._link is None and self._dial_timer is None:
@@ -230,13 +247,8 @@
         self._cancel_dial_timer()
         self._grow_backoff()
         waiting, self._waiting = tuple(self._waiting), deque()
-        self._report_lost(reason, waiting, unsent)
-
-    def _report_lost(
-        self, reason: str, waiting: tuple[PeerMessage, ...], unsent: tuple[int, ...] = ()
-    ) -> None:
-        never_sent = [item.correlation for item in waiting if isinstance(item, StatementRequest)]
-        self._on_lost(OutboundLost(self.peer, reason, (*unsent, *never_sent)))
+        unsent += statement_requests(waiting)
+        self._on_lost(OutboundLost(self.peer, reason, unsent))
 
     def _grow_backoff(self) -> None:
         doubled = max(2 * self._backoff, FIRST_BACKOFF_SECONDS)
--- a/src/dewledge/shell/peer_links.py
+++ b/src/dewledge/shell/peer_links.py
@@ -11,9 +11,16 @@
 
 from loguru import logger
 
-from dewledge.core.messages import PROTOCOL_VERSION, Hello, PeerMessage, StatementRequest
+from dewledge.core.messages import PROTOCOL_VERSION, Hello, PeerMessage
 from dewledge.shell.event_loop import READABLE, EventLoop, Timer
-from dewledge.shell.outbound_peer import REPLIES, REQUESTS, OutboundLost, OutboundPeer
+from dewledge.shell.outbound_peer import (
+    REPLIES,
+    REQUESTS,
+    OutboundLost,
+    OutboundPeer,
+    RequestsUnsent,
+    statement_requests,
+)
 from dewledge.shell.peer_link import LinkClosed, PeerLink
 from dewledge.shell.sockets import listen_tcp, tune_link
 
@@ -34,6 +41,9 @@
     def outbound_lost(self, lost: OutboundLost) -> None:
         """The link for this proxy's requests to a peer ended or could not be made."""
 
+    def requests_unsent(self, unsent: RequestsUnsent) -> None:
+        """Requests to a peer never left; nothing is known of others to it."""
+
     def inbound_lost(self, peer: str) -> None:
         """The link that carried a peer's requests ended: it no longer awaits their answers."""
 
@@ -121,9 +131,9 @@
         outbound.send(message)
 
     def _refuse_unknown(self, peer: str, message: PeerMessage) -> None:
-        unsent = (message.correlation,) if isinstance(message, StatementRequest) else ()
-        lost = OutboundLost(peer, "the peer is not a member", unsent)
-        self._loop.post(lambda: self._outbound_lost(lost))
+        unsent = statement_requests((message,))
+        refused = RequestsUnsent(peer, "the peer is not a member", unsent)
+        self._loop.post(lambda: self._requests_unsent(refused))
 
     def _add_outbound(self, peer: str, address: str) -> OutboundPeer:
         outbound = OutboundPeer(
@@ -134,6 +144,7 @@
             self._random,
             self._take_message,
             self._outbound_lost,
+            self._requests_unsent,
         )
         self._outbound[peer] = outbound
         return outbound
@@ -149,6 +160,14 @@
             self._outbound.pop(lost.peer, None)
         self._handler.outbound_lost(lost)
 
+    def _requests_unsent(self, unsent: RequestsUnsent) -> None:
+        if self._closing:
+            return
+        logger.bind(peer=unsent.peer, reason=unsent.reason, requests=len(unsent.requests)).info(
+            "requests_unsent"
+        )
+        self._handler.requests_unsent(unsent)
+
     def _accept(self, _events: int) -> None:
         try:
             sock, _ = self._listener.accept()
--- a/src/dewledge/shell/proxy_driver.py
+++ b/src/dewledge/shell/proxy_driver.py
@@ -39,7 +39,7 @@
 from dewledge.shell.datagrams import DatagramSocket
 from dewledge.shell.event_loop import EventLoop, Timer
 from dewledge.shell.metrics import ProxyMetrics
-from dewledge.shell.outbound_peer import OutboundLost
+from dewledge.shell.outbound_peer import OutboundLost, RequestsUnsent
 from dewledge.shell.peer_links import PeerLinks
 from dewledge.shell.proxy_services import DeadlineBounds
 from dewledge.shell.store_calls import StoreCalls
@@ -206,6 +206,11 @@
         effects = self._core.handle_outbound_lost(lost.peer, lost.unsent_requests, self.now())
         self._carry_out(effects)
 
+    def requests_unsent(self, unsent: RequestsUnsent) -> None:
+        """Tells the core which requests never left, while those to the same peer go on."""
+        effects = self._core.handle_requests_unsent(unsent.peer, unsent.requests, self.now())
+        self._carry_out(effects)
+
     def inbound_lost(self, peer: str) -> None:
         """Tells the core that a peer no longer awaits answers."""
         self._carry_out(self._core.handle_inbound_lost(peer, self.now()))
--- a/tests/core/entry/entry_harness.py
+++ b/tests/core/entry/entry_harness.py
@@ -199,6 +199,10 @@
     def lose(self, peer: str) -> None:
         self.run(self.entry.handle_peer_lost(peer, self.now))
 
+    def refuse_unsent(self, peer: str, *correlations: int) -> None:
+        """Tells that requests to a peer never left, while others to it may have."""
+        self.run(self.entry.handle_requests_unsent(peer, correlations, self.now))
+
     def advance(self, seconds: float) -> None:
         """Moves the clock, waking the entry at each time that it asks for."""
         end = self.now + seconds
--- a/tests/core/entry/test_entry_retries.py
+++ b/tests/core/entry/test_entry_retries.py
@@ -121,6 +121,16 @@
         self.assertEqual(answer.outcome, Outcome.NOT_RUN)
         self.assertLess(len(harness.sent_of(StatementRequest)), 100)
 
+    def test_a_write_that_never_left_says_nothing_of_others_to_the_same_gateway(self) -> None:
+        harness = EntryHarness()
+        first, second = harness.call(), harness.call()
+        (peer, request), (same_peer, _) = harness.sent_of(StatementRequest)
+        self.assertEqual((peer, same_peer), ("ga", "ga"))
+        harness.refuse_unsent(peer, request.correlation)
+        self.assertIsNone(harness.answer(second), "its own answer is still awaited")
+        self.assertIsNone(harness.answer(first))
+        self.assertEqual(harness.last_request()[0], "gx", "the first goes to the next gateway")
+
     def test_dead_gateway_is_left_for_the_next_and_then_waited_for(self) -> None:
         harness = EntryHarness()
         request_id = harness.call()
--- a/tests/core/proxy/test_first_event_after_freeze.py
+++ b/tests/core/proxy/test_first_event_after_freeze.py
@@ -112,6 +112,7 @@
     "a peer connected": lambda it: it.core.handle_peer_connected(PEER, 7, it.now),
     "a peer's requests lost": lambda it: it.core.handle_inbound_lost("third", it.now),
     "a link lost": lambda it: it.core.handle_outbound_lost(PEER, (), it.now),
+    "a request unsent": lambda it: it.core.handle_requests_unsent(PEER, (1,), it.now),
     "a datagram": lambda it: it.core.handle_datagram(b"\xff", "127.0.0.1:3", it.now),
     "the machine list": lambda it: it.core.handle_machine_list((), it.now),
     "a poll's result": lambda it: it.core.handle_store_result(STORE_DOWN, it.now),
