Forget a replica's lag with the first answers that show its end

Cause, read in the code: a lag that was seen came down by a fifth with each answer, and a replica that is passed over gets one statement a second from each process. After a lag of 7 s it took some ten seconds more until reads went there again. The one statement a second was also spent by looking at the replica, not by sending to it.

Change: the estimate is the largest lag of the last two half seconds; a trial counts once a statement goes there.

Ruled out: that we keep the replicas behind.

--- a/src/dewledge/core/pooling/database_search.py
+++ b/src/dewledge/core/pooling/database_search.py
@@ -120,6 +120,7 @@
             self._wait_and_plan()
             return
         self.target = self._targets.pop(0)
+        self._group.note_tried(self.target.database.id)
         self._waiter = Waiter(self._route.priority, self._given, self._denied)
         self._group.pool(self.target.database.id).acquire(self._waiter, self._session.values)
 
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -255,6 +255,10 @@
         """Notes the position in a database's answer."""
         self._lags.observe(database_id, position, self._clock())
 
+    def note_tried(self, database_id: str) -> None:
+        """Notes that a statement is given to a database, so that its answer is awaited first."""
+        self._lags.note_tried(database_id, self._clock())
+
     def roll_back(self, connection: DatabaseConnection, scheduler: Scheduler) -> None:
         """Ends a transaction on a connection, then takes the connection back into its pool."""
         self.roll_back_on(connection, self.pool(connection.database_id), scheduler)
--- a/src/dewledge/core/pooling/replica_lag.py
+++ b/src/dewledge/core/pooling/replica_lag.py
@@ -10,17 +10,41 @@
 from dewledge.core.pooling.freshness import FreshnessHistory
 from dewledge.core.positions import LogPosition
 
-EASE = 0.2
-"""Share by which an estimate comes down with each smaller observation; it goes up at once."""
+SPAN_SECONDS = 0.5
+"""The estimate is the largest lag seen in this span and the one before it: long enough to hold
+some answers of a replica in use, short enough that a lag that is over is soon forgotten."""
 TRY_AGAIN_SECONDS = 1.0
-"""A database that has not been heard of for so long gets one statement to see."""
+"""A database that has not been heard of for so long gets one statement to see: in a lag of many
+seconds that is one detour a second for each process."""
 
 
 class LagEstimate(msgspec.Struct):
-    """seconds: how far behind a database was seen to be. observed_at: steady clock, seconds."""
+    """How far behind one database was seen to be, lags in seconds, times of the steady clock.
 
-    seconds: float
-    observed_at: float
+    span_began_at, largest_in_span: of the span at hand. largest_before: in the span before it.
+    heard_at: when it last answered, or was last given a statement to see.
+    """
+
+    span_began_at: float
+    largest_in_span: float
+    largest_before: float
+    heard_at: float
+
+    @property
+    def seconds(self) -> float:
+        """The lag to reckon with."""
+        return max(self.largest_in_span, self.largest_before)
+
+    def take(self, seen: float, now: float) -> None:
+        """Takes the lag that an answer showed."""
+        elapsed = now - self.span_began_at
+        if elapsed >= SPAN_SECONDS:
+            # What is older than two spans says nothing of now.
+            self.largest_before = self.largest_in_span if elapsed < 2 * SPAN_SECONDS else 0.0
+            self.largest_in_span = 0.0
+            self.span_began_at = now
+        self.largest_in_span = max(self.largest_in_span, seen)
+        self.heard_at = now
 
 
 class ReplicaLags:
@@ -36,22 +60,21 @@
         seen = 0.0 if lacking_since is None else max(now - lacking_since, 0.0)
         estimate = self._estimates.get(database_id)
         if estimate is None:
-            self._estimates[database_id] = LagEstimate(seen, now)
-            return
-        estimate.observed_at = now
-        if seen > estimate.seconds:
-            estimate.seconds = seen
+            self._estimates[database_id] = LagEstimate(now, seen, 0.0, now)
         else:
-            estimate.seconds += EASE * (seen - estimate.seconds)
+            estimate.take(seen, now)
 
     def lacks(self, database_id: str, floor: LogPosition, now: float) -> bool:
-        """Tells whether a database probably lacks `floor`; never of one that is not known."""
+        """Tells whether a database probably lacks `floor`; never of one not heard of lately."""
         estimate = self._estimates.get(database_id)
-        if estimate is None:
-            return False
-        if now > estimate.observed_at + TRY_AGAIN_SECONDS:
-            estimate.observed_at = now
+        if estimate is None or now > estimate.heard_at + TRY_AGAIN_SECONDS:
             return False
         since = self._history.first_reaching(floor)
         age = 0.0 if since is None else now - since
         return age < estimate.seconds
+
+    def note_tried(self, database_id: str, now: float) -> None:
+        """A statement goes to a database: others need not try it before it has answered."""
+        estimate = self._estimates.get(database_id)
+        if estimate is not None:
+            estimate.heard_at = max(estimate.heard_at, now)
