Read no table beside its first read, and none after the feed has ended

Change: a table that is not known yet is left to its watcher, which repeats a first read that fails; a feed that is no longer wanted ends with the call at hand.

--- a/src/dewledge/shell/pooling/followed_table.py
+++ b/src/dewledge/shell/pooling/followed_table.py
@@ -50,6 +50,11 @@
         """The newest version known, -1 before the table was read."""
         return self._cache.version
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the table was ever read, or told by another process."""
+        return self._cache.is_known
+
     def is_doubtful(self, now: float) -> bool:
         """Tells whether a change may have gone by unnoticed for longer than is usual."""
         return now > self.confirmed_at + self.wait_seconds + FOLLOWED_SLACK_SECONDS
--- a/src/dewledge/shell/pooling/table_follower.py
+++ b/src/dewledge/shell/pooling/table_follower.py
@@ -209,9 +209,13 @@
         self._read_if_doubtful()
 
     def _read_if_doubtful(self) -> None:
-        """Reads the store, so that a change is known in time though no source tells it."""
+        """Reads the store, so that a change is known in time though no source tells it.
+
+        A table that is not known yet is being read by its watcher, which repeats what fails.
+        """
         now = self._loop.now()
-        doubtful = [name for name, table in self._tables.items() if table.is_doubtful(now)]
+        known = {name: table for name, table in self._tables.items() if table.is_known}
+        doubtful = [name for name, table in known.items() if table.is_doubtful(now)]
         if not doubtful or now < self._not_before:
             return
         wait = max(OWN_READ_SECONDS, self._count_members() / OWN_READS_PER_SECOND)
--- a/src/dewledge/shell/pooling/table_watcher.py
+++ b/src/dewledge/shell/pooling/table_watcher.py
@@ -59,6 +59,8 @@
         self._post = post
         self._stopped = threading.Event()
         self._wanted = threading.Event()
+        self._is_asked = True
+        """Whether a read was asked for, and not only the feed; so is the first one."""
         self._is_reader = False
         self._newest = -1
         self._has_read_whole = False
@@ -73,9 +75,12 @@
         self._is_reader = is_reader
         if is_reader:
             self._wanted.set()
+        elif not self._is_asked and not self._stopped.is_set():
+            self._wanted.clear()
 
     def read_once(self) -> None:
         """Has the table's changes read once, soon."""
+        self._is_asked = True
         self._wanted.set()
 
     def stop(self) -> None:
@@ -89,6 +94,7 @@
             self._wanted.wait()
             if self._stopped.is_set():
                 return
+            self._is_asked = False
             if not self._is_reader:
                 self._wanted.clear()
             self._read()
@@ -150,7 +156,7 @@
             logger.bind(table=self._table, error=error.message).warning("store_lost")
         if not self._is_reader and self._newest >= 0:
             return
-        self._wanted.set()
+        self.read_once()
         longest = min(RETRY_SECONDS * self._failures, LONGEST_RETRY_SECONDS)
         if self._newest < 0:
             longest = FIRST_READ_PAUSE_SECONDS
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -168,6 +168,16 @@
         self.watcher.set_reader(True)
         self.wait_for(lambda: self.seen["config"] == b"3")
 
+    def test_one_that_is_no_reader_any_more_makes_no_call_after_the_one_at_hand(self) -> None:
+        self.watcher.wait_seconds = 1.0
+        self.wait_for(lambda: self.stand_in.calls > self.calls_of_start)
+        calls = self.stand_in.calls
+        self.watcher.set_reader(False)
+        self.stand_in.put("op", "config", b"2")
+        self.wait_for(lambda: self.seen["config"] == b"2")
+        threading.Event().wait(0.5)
+        self.assertEqual(self.stand_in.calls, calls)
+
     def test_what_it_knows_is_as_old_as_the_sending_of_the_call(self) -> None:
         before = time.monotonic()
         self.stand_in.put("op", "config", b"2")
