Doubt no database for one slow answer while it answers others

Change: silence is counted from the last answer of the database to any statement of this process (answer_watch.py). A lost primary is doubted as soon as before: 250 ms after it was last heard.

Not all tests go: a process with one statement a second at a database has heard nothing else of it. Ruled out: that the tests took the slots. Both new tests failed before.

--- /dev/null
+++ b/src/dewledge/core/pooling/answer_watch.py
@@ -0,0 +1,53 @@
+"""Tells a database that is silent from one that is slow, for one statement that waits on it.
+
+A statement that stays without an answer is no sign of a lost database while others get theirs: a
+database that is full answers late. Doubting it would have each process test its address, and such
+a test costs a full database more of what it lacks.
+"""
+
+from collections.abc import Callable
+
+from dewledge.core.pooling.group import Group
+from dewledge.core.pooling.held_connection import HeldConnection
+from dewledge.core.pooling.scheduling import Scheduler
+from dewledge.core.pooling.statements import Reply
+
+SUSPECT_AFTER_SECONDS = 0.25
+"""After so long without any answer of a database it is suspect; some round trips between regions
+and the work of the longest statements, and well under the time in which a lost primary is to be
+replaced. Nothing else changes for the statement."""
+
+
+class AnswerWatch:
+    """Watches the wait of one statement; `begin` starts it anew."""
+
+    def __init__(self, scheduler: Scheduler, group: Group, held: HeldConnection) -> None:
+        self._scheduler = scheduler
+        self._group = group
+        self._held = held
+        self.began_at = 0.0
+
+    def begin(self) -> None:
+        """Something is sent to the database now."""
+        self.began_at = self._scheduler.now()
+
+    def take(self, reply: Reply | None) -> None:
+        """Notes what an answer shows: that the database is there, and how far its log is."""
+        if reply is not None and reply.position is not None and self._held.database_id:
+            self._group.observe_position(self._held.database_id, reply.position)
+
+    def look(self, again: Callable[[float], None]) -> None:
+        """Suspects a database that has been silent for long enough, else looks `again` later."""
+        if self._held.connection is None:
+            return
+        silent_since = max(self.began_at, self._group.heard_at(self._held.database_id))
+        remaining = silent_since + SUSPECT_AFTER_SECONDS - self._scheduler.now()
+        if remaining > 0:
+            again(remaining)
+        else:
+            self._held.suspect()
+
+    def limit_passed(self) -> None:
+        """The statement waits no longer: suspects a database that no answer has come from."""
+        if self._group.heard_at(self._held.database_id) <= self.began_at:
+            self._held.suspect()
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -70,6 +70,7 @@
         self.right = right or LeadRight(Fencing.PLATFORM)
         self.history = FreshnessHistory()
         self._lags = ReplicaLags(self.history)
+        self._heard_at: dict[str, float] = {}
         self.pools: dict[str, ConnectionPool] = {}
         self._place = place
         self._opener = opener
@@ -252,8 +253,18 @@
         )
 
     def observe_position(self, database_id: str, position: LogPosition) -> None:
-        """Notes the position in a database's answer."""
-        self._lags.observe(database_id, position, self._clock())
+        """Notes the position in a database's answer, and that it answered."""
+        now = self._clock()
+        self._heard_at[database_id] = now
+        self._lags.observe(database_id, position, now)
+
+    def heard_at(self, database_id: str) -> float:
+        """Returns when a database last answered a statement of this process."""
+        return self._heard_at.get(database_id, LONG_AGO)
+
+    def note_tried(self, database_id: str) -> None:
+        """Notes that a statement is given to a database, so that its answer is awaited first."""
+        self._lags.note_tried(database_id, self._clock())
 
     def note_tried(self, database_id: str) -> None:
         """Notes that a statement is given to a database, so that its answer is awaited first."""
--- a/src/dewledge/core/pooling/run_timers.py
+++ b/src/dewledge/core/pooling/run_timers.py
@@ -4,9 +4,6 @@
 
 from dewledge.core.pooling.scheduling import ScheduledCall, Scheduler
 
-SUSPECT_AFTER_SECONDS = 0.25
-"""A statement without an answer for so long makes its database suspect; nothing else changes."""
-
 
 class RunTimers:
     """Each kind of timer replaces its earlier one."""
@@ -35,10 +32,10 @@
             self._pause.cancel()
         self._pause = self._scheduler.call_later(seconds, callback)
 
-    def watch_answer(self, callback: Callable[[], None]) -> None:
-        """Calls `callback` if a statement that is sent now stays without an answer."""
+    def watch_answer(self, seconds: float, callback: Callable[[], None]) -> None:
+        """Calls `callback` after `seconds`, to look whether the database is silent."""
         self._clear_suspicion()
-        self._suspicion = self._scheduler.call_later(SUSPECT_AFTER_SECONDS, callback)
+        self._suspicion = self._scheduler.call_later(seconds, callback)
 
     def clear(self) -> None:
         """Cancels all timers."""
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+from dewledge.core.pooling.answer_watch import SUSPECT_AFTER_SECONDS, AnswerWatch
 from dewledge.core.pooling.connection_setup import (
     plan_setup,
     send_setup,
@@ -65,6 +66,7 @@
         self._held = HeldConnection(services, group)
         self._lead = LeadUse(group, self._transaction, self._writes, self._is_commit)
         self._learner = PositionLearner(group, session)
+        self._watch = AnswerWatch(services.scheduler, group, self._held)
         self._search = DatabaseSearch(
             services,
             group,
@@ -112,6 +114,7 @@
         epoch = self._held.next_epoch()
         target = self._search.target
         floor = target.floor if target is not None else None
+        self._watch.begin()
         self._timers.limit(self._scheduler.now() + SETUP_LIMIT_SECONDS, self._setup_silent)
         send_setup(connection, steps, begin, floor, lambda verdict: self._set_up(epoch, verdict))
 
@@ -144,7 +147,7 @@
             return
         self._timers.clear_limit()
         if isinstance(verdict, Reply) and verdict.failure is not None:
-            self._observe(verdict)
+            self._watch.take(verdict)
             self._note(verdict.failure.code)
             self._set_up_refused(connection, verdict, verdict.failure)
             return
@@ -178,7 +181,7 @@
         if self._finished or self._held.connection is None:
             return
         self._note("silent_setup")
-        self._held.suspect()
+        self._watch.limit_passed()
         self._set_up_lost()
 
     # Sending it.
@@ -190,13 +193,17 @@
         target = self._search.target
         floor = target.floor if self._transaction is None and target is not None else None
         self._timers.limit(self._attempt_limit(), self._silent)
-        self._timers.watch_answer(lambda: self._look_for_answer(epoch))
+        self._watch.begin()
+        self._watch_answer(epoch, SUSPECT_AFTER_SECONDS)
         statement = statement_for_database(self._session, self._statement)
         connection.send(statement, lambda reply: self._answered(epoch, reply), floor)
 
-    def _look_for_answer(self, epoch: int) -> None:
-        if not self._finished and epoch == self._held.epoch:
-            self._held.suspect()
+    def _watch_answer(self, epoch: int, seconds: float) -> None:
+        def look() -> None:
+            if not self._finished and epoch == self._held.epoch:
+                self._watch.look(lambda remaining: self._watch_answer(epoch, remaining))
+
+        self._timers.watch_answer(seconds, look)
 
     def _attempt_limit(self) -> float:
         if self._writes or self._transaction is not None or self._reruns:
@@ -209,7 +216,7 @@
         if self._finished or epoch != self._held.epoch:
             return
         self._timers.clear_limit()
-        self._observe(reply)
+        self._watch.take(reply)
         if reply is None:
             self._note("lost")
             self._lost()
@@ -226,10 +233,6 @@
             self._note("done")
             self._done(reply)
 
-    def _observe(self, reply: Reply | None) -> None:
-        if reply is not None and reply.position is not None and self._held.database_id:
-            self._group.observe_position(self._held.database_id, reply.position)
-
     def _answers_without_right(self) -> bool:
         """Another may lead by now, so nothing is said of what the old primary has done."""
         connection = self._held.connection
@@ -314,7 +317,7 @@
         if self._finished or self._held.connection is None:
             return
         self._note("silent")
-        self._held.suspect()
+        self._watch.limit_passed()
         self._held.drop()
         if self._transaction is not None and self._is_commit:
             self._leave_unknown(Failure(ErrorCode.STATEMENT_TIMEOUT, "no answer"))
--- a/tests/core/pooling/test_statement_run.py
+++ b/tests/core/pooling/test_statement_run.py
@@ -187,6 +187,32 @@
         harness.scheduler.advance(0.3)
         self.assertEqual(harness.suspected, ["p"])
 
+    def test_a_slow_answer_raises_no_suspicion_while_others_are_answered(self) -> None:
+        """Each suspicion has the address tested: a cost that a full database cannot bear."""
+        harness = PoolerHarness()
+        slow, quick = harness.session(), harness.session()
+        quick.write()
+        harness.model.databases["p"].work = 0.6
+        slow.start(StatementKind.WRITE, argument="thing data")
+        harness.model.scheduler.advance(0.05)
+        harness.model.databases["p"].work = 0.01
+        for _ in range(5):
+            quick.write(wait=0.1)
+        self.assertEqual(harness.suspected, [])
+
+    def test_silence_is_counted_from_the_last_answer_of_any_statement(self) -> None:
+        harness = PoolerHarness()
+        lost, quick = harness.session(), harness.session()
+        quick.write()
+        harness.model.databases["p"].lose_answers = 1
+        lost.start(StatementKind.WRITE, argument="thing data")
+        harness.scheduler.advance(0.15)
+        quick.write(wait=0.1)
+        self.assertEqual(harness.suspected, [])
+        harness.model.databases["p"].silent = True
+        harness.scheduler.advance(0.2)
+        self.assertEqual(harness.suspected, ["p"])
+
 
 class RefusalTest(unittest.TestCase):
     def test_refusals_of_a_database_that_are_tried_again(self) -> None:
--- a/tests/platform/test_table_publisher.py
+++ b/tests/platform/test_table_publisher.py
@@ -78,7 +78,6 @@
     def test_many_processes_read_less_often_each(self) -> None:
         self.assertLess(len(self.reads(850, 60.0)), 12)
 
-
     def test_a_table_whose_first_read_is_under_way_is_not_read_beside_it(self) -> None:
         """The watcher repeats a first read that fails; a second one would only be paid for."""
         self.assertEqual(self.reads(9, 5.0, is_known=False), [])
