Let the more urgent have a full database's slots, and single statements before transactions

Change: a window for each database that a process holds connections to (slot_window.py): wide open until the database refuses, then cut by a quarter, growing with what is served. Behind it the pool's queue orders by urgency, then single statements before transactions, which take many statements for the worth of one. A statement of an open transaction passes, and takes a place while it runs; the holder sends it again when it finds no slot, as it does with single ones.

--- a/src/dewledge/core/pooling/answer_watch.py
+++ b/src/dewledge/core/pooling/answer_watch.py
@@ -10,7 +10,7 @@
 from dewledge.core.pooling.group import Group
 from dewledge.core.pooling.held_connection import HeldConnection
 from dewledge.core.pooling.scheduling import Scheduler
-from dewledge.core.pooling.statements import Reply
+from dewledge.core.pooling.statements import TAKES_SLOT, Reply, Statement
 
 SUSPECT_AFTER_SECONDS = 0.25
 """After so long without any answer of a database it is suspect; some round trips between regions
@@ -31,10 +31,18 @@
         """Something is sent to the database now."""
         self.began_at = self._scheduler.now()
 
-    def take(self, reply: Reply | None) -> None:
-        """Notes what an answer shows: that the database is there, and how far its log is."""
-        if reply is not None and reply.position is not None and self._held.database_id:
-            self._group.observe_position(self._held.database_id, reply.position)
+    def take(self, reply: Reply | None, statement: Statement | None) -> None:
+        """Notes what an answer shows: that the database is there, how far its log is, its slots.
+
+        statement: what was answered; None for what the proxy sent of its own before it.
+        """
+        database_id = self._held.database_id
+        if reply is None or not database_id:
+            return
+        if reply.position is not None:
+            self._group.observe_position(database_id, reply.position)
+        if statement is not None and statement.kind in TAKES_SLOT:
+            self._group.pool(database_id).note_answer(reply)
 
     def look(self, again: Callable[[float], None]) -> None:
         """Suspects a database that has been silent for long enough, else looks `again` later."""
--- a/src/dewledge/core/pooling/connection_pool.py
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -3,10 +3,12 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 from typing import Protocol
 
 from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.slot_window import SlotWindow
+from dewledge.core.pooling.statements import Reply
 from dewledge.errors import ErrorCode
 
 OPEN_BACKOFF_SECONDS = 0.25
@@ -25,6 +27,19 @@
     CLOSED = "closed"
 
 
+class Demand(IntEnum):
+    """What a waiter needs of a database that may be full. The lower comes first if as urgent.
+
+    SINGLE: one statement. TRANSACTION: many statements for the worth of one, so that while not all
+    can be served more callers are when these stand behind. OWN: a question of the proxy's own,
+    which is never held back.
+    """
+
+    OWN = 0
+    SINGLE = 1
+    TRANSACTION = 2
+
+
 class Opener(Protocol):
     """Opens connections; the shell meets it."""
 
@@ -41,30 +56,42 @@
 class Waiter:
     """A statement that waits for a connection."""
 
-    __slots__ = ("denied", "given", "order", "priority", "withdrawn")
+    __slots__ = ("demand", "denied", "given", "order", "priority", "withdrawn")
 
     def __init__(
         self,
         priority: int,
         given: Callable[[DatabaseConnection], None],
         denied: Callable[[Denial], None],
+        demand: Demand = Demand.OWN,
     ) -> None:
         self.priority = priority
+        self.demand = demand
         self.given = given
         self.denied = denied
         self.withdrawn = False
         self.order = 0
 
     def __lt__(self, other: "Waiter") -> bool:
-        return (self.priority, self.order) < (other.priority, other.order)
+        return self._rank < other._rank
+
+    @property
+    def _rank(self) -> tuple[int, Demand, int]:
+        return (self.priority, self.demand, self.order)
 
 
 class ConnectionPool:
     """Idle connections are given out last in, first out, the one of the same values first."""
 
     def __init__(
-        self, database_id: str, limit: int, opener: Opener, clock: Callable[[], float]
+        self,
+        database_id: str,
+        limit: int,
+        opener: Opener,
+        clock: Callable[[], float],
+        window: SlotWindow | None = None,
     ) -> None:
+        """`window`: bounds the statements at the database; None where other processes do so."""
         self.database_id = database_id
         self.limit = limit
         self.in_use = 0
@@ -74,6 +101,8 @@
         self._opening = 0
         self._idle: list[DatabaseConnection] = []
         self._waiters: list[Waiter] = []
+        self._window = window
+        self._lent: set[DatabaseConnection] = set()
         self._orders = itertools.count()
         self._not_before = 0.0
         self._generation = 0
@@ -103,7 +132,8 @@
         if self.retired:
             waiter.denied(Denial.CLOSED)
             return
-        connection = self._take_idle(values)
+        may_pass = not self._waiters or waiter < self._waiters[0]
+        connection = self._take_idle(values) if may_pass and self._has_room(waiter) else None
         if connection is not None:
             self._give(connection, waiter)
             return
@@ -114,9 +144,24 @@
         heapq.heappush(self._waiters, waiter)
         self._open_if_useful()
 
+    def note_answer(self, reply: Reply) -> None:
+        """Takes the answer to a statement that takes a slot, on a connection given here.
+
+        A transaction that rests now leaves its slot to who waits.
+        """
+        if self._window is None:
+            return
+        if reply.failure is None:
+            self._window.note_served(self.limit)
+        elif reply.failure.code is ErrorCode.OVERLOADED:
+            self._window.note_refused(self._clock())
+        self._serve_waiters()
+
     def release(self, connection: DatabaseConnection) -> None:
         """Takes a connection back; one of unknown state is closed, never given out again."""
         self.in_use -= 1
+        self._lent.discard(connection)
+        connection.is_single = False
         if self.retired or self.size >= self.limit or not self._is_reusable(connection):
             connection.close()
         else:
@@ -129,9 +174,10 @@
         while len(self._idle) > KEPT_IDLE and self._idle[0].idle_since < now - IDLE_SECONDS:
             self._idle[0].close()
 
-    def renew(self) -> None:
+    def renew(self, window: SlotWindow | None = None) -> None:
         """The way to the database is another one: connections of the old way are closed."""
         self._generation += 1
+        self._window = window
         self._not_before = 0.0
         self.close_idle()
 
@@ -176,26 +222,46 @@
 
     def _serve_waiters(self) -> None:
         while self._waiters and self._idle:
-            waiter = heapq.heappop(self._waiters)
-            if waiter.withdrawn:
+            if self._waiters[0].withdrawn:
+                heapq.heappop(self._waiters)
                 continue
-            connection = self._take_idle({})
+            connection = self._take_idle({}) if self._has_room(self._waiters[0]) else None
             if connection is None:
-                heapq.heappush(self._waiters, waiter)
                 break
-            self._give(connection, waiter)
+            self._give(connection, heapq.heappop(self._waiters))
         self._open_if_useful()
 
+    def _has_room(self, waiter: Waiter) -> bool:
+        if self._window is None or waiter.demand is Demand.OWN:
+            return True
+        return self._window.allows(self._running)
+
+    @property
+    def _running(self) -> int:
+        """The statements that are at the database, or on their way there."""
+        return sum(connection.is_single or connection.unanswered > 0 for connection in self._lent)
+
     def _give(self, connection: DatabaseConnection, waiter: Waiter) -> None:
         self.in_use += 1
+        self._lent.add(connection)
+        connection.is_single = waiter.demand is Demand.SINGLE
         connection.priority = waiter.priority
         waiter.given(connection)
 
     def _open_if_useful(self) -> None:
-        wanted = self.waiting
+        wanted = self._servable
         while self._opening < wanted and self.size < self.limit and not self.is_unreachable:
             self._open()
 
+    @property
+    def _servable(self) -> int:
+        """The statements that wait for nothing but a connection."""
+        if self._window is None:
+            return self.waiting
+        waiting = [waiter.demand for waiter in self._waiters if not waiter.withdrawn]
+        own = waiting.count(Demand.OWN)
+        return own + min(len(waiting) - own, self._window.room(self._running))
+
     def _open(self) -> None:
         self._opening += 1
         generation = self._generation
--- a/src/dewledge/core/pooling/database_connection.py
+++ b/src/dewledge/core/pooling/database_connection.py
@@ -34,6 +34,8 @@
         """Of the pool's way to the database; connections of an older way are not used again."""
         self.priority = 0
         """Of the statement that holds the connection."""
+        self.is_single = False
+        """Whether the statement that holds the connection is a single one."""
         self.is_retiring = False
         """Whether what carries the connection ends soon: it is not given out again."""
         self._transport = transport
--- a/src/dewledge/core/pooling/database_search.py
+++ b/src/dewledge/core/pooling/database_search.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-from dewledge.core.pooling.connection_pool import Denial, Waiter
+from dewledge.core.pooling.connection_pool import Demand, Denial, Waiter
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.group import SEEK_AGAIN_SECONDS, Group
 from dewledge.core.pooling.routes import Consistency, Route
@@ -121,7 +121,9 @@
             return
         self.target = self._targets.pop(0)
         self._group.note_tried(self.target.database.id)
-        self._waiter = Waiter(self._route.priority, self._given, self._denied)
+        is_single = self._session.transaction is None
+        demand = Demand.SINGLE if is_single else Demand.TRANSACTION
+        self._waiter = Waiter(self._route.priority, self._given, self._denied, demand)
         self._group.pool(self.target.database.id).acquire(self._waiter, self._session.values)
 
     def _wait_and_plan(self) -> None:
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -11,6 +11,7 @@
 from dewledge.core.pooling.replica_lag import ReplicaLags
 from dewledge.core.pooling.routes import Route
 from dewledge.core.pooling.scheduling import Scheduler
+from dewledge.core.pooling.slot_window import SlotWindow
 from dewledge.core.pooling.statements import Reply, StatementKind, TransactionState
 from dewledge.core.pooling.targets import (
     Proof,
@@ -100,7 +101,7 @@
             known = before.get(database_id)
             pool.limit = _pool_limit(holding)
             if known is not None and known.is_direct != holding.is_direct:
-                pool.renew()
+                pool.renew(_slot_window(holding))
 
     def holding(self, database_id: str) -> Holding:
         """Returns how this process reaches a database."""
@@ -117,8 +118,9 @@
         """Returns the pool before a database, for the statements of this process's clients."""
         pool = self.pools.get(database_id)
         if pool is None:
-            limit = _pool_limit(self.holding(database_id))
-            pool = ConnectionPool(database_id, limit, self._opener, self._clock)
+            holding = self.holding(database_id)
+            limit, window = _pool_limit(holding), _slot_window(holding)
+            pool = ConnectionPool(database_id, limit, self._opener, self._clock, window)
             self.pools[database_id] = pool
         return pool
 
@@ -128,8 +130,8 @@
             return self.pool(database_id)
         pool = self._fallback_pools.get(database_id)
         if pool is None:
-            limit = FALLBACK_CONNECTIONS
-            pool = ConnectionPool(database_id, limit, self._direct_opener, self._clock)
+            limit, window = FALLBACK_CONNECTIONS, SlotWindow(FALLBACK_CONNECTIONS)
+            pool = ConnectionPool(database_id, limit, self._direct_opener, self._clock, window)
             self._fallback_pools[database_id] = pool
         return pool
 
@@ -266,10 +268,6 @@
         """Notes that a statement is given to a database, so that its answer is awaited first."""
         self._lags.note_tried(database_id, self._clock())
 
-    def note_tried(self, database_id: str) -> None:
-        """Notes that a statement is given to a database, so that its answer is awaited first."""
-        self._lags.note_tried(database_id, self._clock())
-
     def roll_back(self, connection: DatabaseConnection, scheduler: Scheduler) -> None:
         """Ends a transaction on a connection, then takes the connection back into its pool."""
         self.roll_back_on(connection, self.pool(connection.database_id), scheduler)
@@ -321,5 +319,10 @@
             callback()
 
 
+def _slot_window(holding: Holding) -> SlotWindow | None:
+    """Statements that go through holders wait for slots there."""
+    return SlotWindow(holding.connections) if holding.is_direct else None
+
+
 def _pool_limit(holding: Holding) -> int:
     return holding.connections if holding.is_direct else CHANNELS_PER_DATABASE
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -147,7 +147,7 @@
             return
         self._timers.clear_limit()
         if isinstance(verdict, Reply) and verdict.failure is not None:
-            self._watch.take(verdict)
+            self._watch.take(verdict, None)
             self._note(verdict.failure.code)
             self._set_up_refused(connection, verdict, verdict.failure)
             return
@@ -216,7 +216,7 @@
         if self._finished or epoch != self._held.epoch:
             return
         self._timers.clear_limit()
-        self._watch.take(reply)
+        self._watch.take(reply, self._statement)
         if reply is None:
             self._note("lost")
             self._lost()
--- a/src/dewledge/core/pooling/statements.py
+++ b/src/dewledge/core/pooling/statements.py
@@ -32,6 +32,12 @@
     STEP_DOWN = "step_down"
 
 
+TAKES_SLOT = frozenset(
+    {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT}
+)
+"""What runs in one of a database's slots, or is refused as overloaded while none is free."""
+
+
 class Statement(msgspec.Struct, frozen=True):
     """One statement.
 
--- a/src/dewledge/core/sharing/channel_session.py
+++ b/src/dewledge/core/sharing/channel_session.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from dewledge.core.pooling.connection_pool import ConnectionPool, Denial, Waiter
+from dewledge.core.pooling.connection_pool import ConnectionPool, Demand, Denial, Waiter
 from dewledge.core.pooling.connection_setup import plan_setup, send_setup
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.group import Group
@@ -19,6 +19,7 @@
 from dewledge.core.pooling.services import PoolServices
 from dewledge.core.pooling.session_state import PreparedShape, SessionState
 from dewledge.core.pooling.statements import (
+    TAKES_SLOT,
     Failure,
     Reply,
     Statement,
@@ -160,7 +161,9 @@
             self._refuse(ErrorCode.OVERLOADED, "not served here any more")
             return
         self._pool = self._group.lending_pool(self._database_id)
-        self._waiter = Waiter(message.priority, self._given, self._denied)
+        is_single = message.statement.kind in TAKES_SLOT
+        demand = Demand.SINGLE if is_single else Demand.TRANSACTION
+        self._waiter = Waiter(message.priority, self._given, self._denied, demand)
         self._limit(QUEUE_LIMIT_SECONDS, self._waited_too_long)
         self._pool.acquire(self._waiter, self._state.values)
 
@@ -233,6 +236,8 @@
             self._drop(connection)
             self._end_channel()
             return
+        if self._current is not None and self._current.statement.kind in TAKES_SLOT:
+            self._pool.note_answer(reply)
         if self._finds_no_slot(reply):
             pause = SLOT_PAUSE_SECONDS * random.uniform(0.5, 1.5)
             self._limit(pause, lambda: self._send_again(connection))
@@ -247,12 +252,13 @@
     def _finds_no_slot(self, reply: Reply) -> bool:
         """Tells whether the database refused for want of a slot, and may be asked once more.
 
-        The statement keeps its connection: those that come later stand behind it.
+        The statement keeps its connection: those that come later stand behind it. One in a
+        transaction has cost work already, which a refusal would throw away.
         """
         if reply.failure is None or reply.failure.code is not ErrorCode.OVERLOADED:
             return False
-        is_single = not self._is_open and reply.state is TransactionState.IDLE
-        return is_single and self._services.scheduler.now() < self._refuse_at
+        is_unchanged = reply.state is self._transaction_state
+        return is_unchanged and self._services.scheduler.now() < self._refuse_at
 
     def _send_again(self, connection: DatabaseConnection) -> None:
         message = self._current
