Log when a database becomes full and when it has room again, and count the full ones

The window changes what a process believes of a database and whom it serves first, so it is told: database_full with the window, at most once a second for each database, database_has_room, and a gauge. No decision changes with it.

--- a/src/dewledge/core/pooling/connection_pool.py
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -122,6 +122,11 @@
         """Statements in use or waiting: what a further one stands behind."""
         return self.in_use + len(self._waiters)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the database refuses statements for want of slots."""
+        return self._window is not None and self._window.is_full
+
     @property
     def is_unreachable(self) -> bool:
         """Whether the last attempt to open a connection failed a moment ago."""
--- a/src/dewledge/core/pooling/events.py
+++ b/src/dewledge/core/pooling/events.py
@@ -45,6 +45,25 @@
     statement: str
 
 
+class DatabaseFull(PoolingEvent, frozen=True):
+    """A database had no slot for a statement, so that statements wait for their turn here.
+
+    window: how many may be there from this process. widest: how many it has connections for.
+    """
+
+    group: str
+    database: str
+    window: int
+    widest: int
+
+
+class DatabaseHasRoom(PoolingEvent, frozen=True):
+    """A database that was full runs all that this process has connections for again."""
+
+    group: str
+    database: str
+
+
 class ProcessStoodStill(PoolingEvent, frozen=True):
     """The process did nothing for a while, so what waited here waited for that."""
 
--- a/src/dewledge/core/pooling/group.py
+++ b/src/dewledge/core/pooling/group.py
@@ -6,6 +6,7 @@
 
 from dewledge.core.pooling.connection_pool import ConnectionPool, Opener
 from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.events import DatabaseFull, DatabaseHasRoom, PoolingEvent
 from dewledge.core.pooling.freshness import FreshnessHistory
 from dewledge.core.pooling.group_view import LONG_AGO, DatabaseRecord, GroupView
 from dewledge.core.pooling.replica_lag import ReplicaLags
@@ -85,6 +86,8 @@
         self._proof_waiters: list[Callable[[], None]] = []
         self._seeking_since = LONG_AGO
         self._doubted: str | None = None
+        self.record: Callable[[PoolingEvent], None] = lambda event: None
+        """Called with what is to be logged of the group's databases."""
         self.relay: str | None = None
         """The address of a process that reaches a database which this one does not."""
 
@@ -101,7 +104,7 @@
             known = before.get(database_id)
             pool.limit = _pool_limit(holding)
             if known is not None and known.is_direct != holding.is_direct:
-                pool.renew(_slot_window(holding))
+                pool.renew(self._slot_window(database_id, holding))
 
     def holding(self, database_id: str) -> Holding:
         """Returns how this process reaches a database."""
@@ -119,7 +122,7 @@
         pool = self.pools.get(database_id)
         if pool is None:
             holding = self.holding(database_id)
-            limit, window = _pool_limit(holding), _slot_window(holding)
+            limit, window = _pool_limit(holding), self._slot_window(database_id, holding)
             pool = ConnectionPool(database_id, limit, self._opener, self._clock, window)
             self.pools[database_id] = pool
         return pool
@@ -130,11 +133,25 @@
             return self.pool(database_id)
         pool = self._fallback_pools.get(database_id)
         if pool is None:
-            limit, window = FALLBACK_CONNECTIONS, SlotWindow(FALLBACK_CONNECTIONS)
+            limit = FALLBACK_CONNECTIONS
+            window = self._slot_window(database_id, Holding(limit))
             pool = ConnectionPool(database_id, limit, self._direct_opener, self._clock, window)
             self._fallback_pools[database_id] = pool
         return pool
 
+    def _slot_window(self, database_id: str, holding: Holding) -> SlotWindow | None:
+        """Returns none for a way through holders: statements wait for slots there."""
+        if not holding.is_direct:
+            return None
+
+        def changed(is_full: bool, size: int, widest: int) -> None:
+            if is_full:
+                self.record(DatabaseFull(self.view.name, database_id, size, widest))
+            else:
+                self.record(DatabaseHasRoom(self.view.name, database_id))
+
+        return SlotWindow(holding.connections, changed)
+
     def all_pools(self) -> Sequence[ConnectionPool]:
         """Returns the pools of all databases."""
         return [*self.pools.values(), *self._fallback_pools.values()]
@@ -319,10 +336,5 @@
             callback()
 
 
-def _slot_window(holding: Holding) -> SlotWindow | None:
-    """Statements that go through holders wait for slots there."""
-    return SlotWindow(holding.connections) if holding.is_direct else None
-
-
 def _pool_limit(holding: Holding) -> int:
     return holding.connections if holding.is_direct else CHANNELS_PER_DATABASE
--- a/src/dewledge/core/pooling/slot_window.py
+++ b/src/dewledge/core/pooling/slot_window.py
@@ -9,6 +9,9 @@
 other, as for the congestion window of TCP (Chiu and Jain 1989).
 """
 
+import math
+from collections.abc import Callable
+
 GROWTH = 0.2
 """Added to the size, divided by it, with each statement that ran: at 40 statements a second a size
 of one grows to three within a second, some times what that rate needs."""
@@ -17,15 +20,30 @@
 CUT_SPACING_SECONDS = 0.05
 """Refusals closer than this are of one moment: some times the work of a statement."""
 LEAST = 1.0
+TELL_SPACING_SECONDS = 1.0
+"""A database that is full now and then is told as such no more often than this."""
+
+WindowCallback = Callable[[bool, int, int], None]
+"""Takes whether the database is full, the size of the window, and the widest."""
 
 
 class SlotWindow:
     """The window of one pool; it begins wide open."""
 
-    def __init__(self, widest: int) -> None:
-        """`widest`: more is never needed, the connections of the pool."""
+    def __init__(
+        self, widest: int, changed: WindowCallback = lambda is_full, size, widest: None
+    ) -> None:
+        """`widest`: more is never needed, the connections of the pool.
+
+        changed: called when the database begins to be full, and when it has room for all again.
+        """
         self._size = float(max(widest, 1))
-        self._cut_at = float("-inf")
+        self._widest = widest
+        self._changed = changed
+        self._cut_at = -math.inf
+        self._told_at = -math.inf
+        self.is_full = False
+        """Whether the database has refused a statement since it last had room for all."""
 
     def allows(self, running: int) -> bool:
         """Tells whether a further statement may go to the database beside `running` others."""
@@ -37,10 +55,18 @@
 
     def note_served(self, widest: int) -> None:
         """A statement ran."""
+        self._widest = widest
         self._size = min(self._size + GROWTH / self._size, float(max(widest, 1)))
+        if self.is_full and self._size >= widest:
+            self.is_full = False
+            self._changed(False, int(self._size), widest)
 
     def note_refused(self, now: float) -> None:
         """The database refused a statement for want of a slot."""
         if now >= self._cut_at + CUT_SPACING_SECONDS:
             self._cut_at = now
             self._size = max(self._size * CUT_SHARE, LEAST)
+        if not self.is_full and now >= self._told_at + TELL_SPACING_SECONDS:
+            self.is_full = True
+            self._told_at = now
+            self._changed(True, int(self._size), self._widest)
--- a/src/dewledge/shell/pooling/directory.py
+++ b/src/dewledge/shell/pooling/directory.py
@@ -166,6 +166,7 @@
                 self._direct,
                 self._rights.of(name),
             )
+            group.record = self._services.record
             self._services.groups[name] = group
         return group
 
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -235,6 +235,13 @@
                     pool.waiting for group in groups.values() for pool in group.all_pools()
                 ),
             ),
+            (
+                "databases_full",
+                "Databases that refuse statements for want of slots.",
+                lambda: sum(
+                    pool.is_full for group in groups.values() for pool in group.all_pools()
+                ),
+            ),
             ("members", "Processes that registered.", lambda: self._members.count),
             ("links", "Links to processes that hold connections.", lambda: self._links.open_count),
             ("channels_lent", "Channels of other processes.", lambda: self._lending.channel_count),
--- a/tests/core/pooling/test_slot_window.py
+++ b/tests/core/pooling/test_slot_window.py
@@ -37,6 +37,20 @@
             window.note_refused(100.0 + step)
         self.assertEqual(window.room(0), 1)
 
+    def test_it_tells_once_that_the_database_is_full_and_once_that_it_has_room(self) -> None:
+        told: list[tuple[bool, int, int]] = []
+        window = SlotWindow(4, lambda *change: told.append(change))
+        for step in range(5):
+            window.note_refused(100.0 + 0.01 * step)
+        self.assertEqual(told, [(True, 3, 4)])
+        for _ in range(100):
+            window.note_served(4)
+        self.assertEqual(told, [(True, 3, 4), (False, 4, 4)])
+        window.note_refused(100.5)
+        self.assertFalse(window.is_full, "told a moment ago")
+        window.note_refused(101.5)
+        self.assertEqual(told[-1], (True, 2, 4))
+
     def test_it_opens_again_with_the_statements_that_run(self) -> None:
         window = SlotWindow(8)
         for step in range(100):
--- a/tests/platform/test_pooler_page.py
+++ b/tests/platform/test_pooler_page.py
@@ -21,6 +21,7 @@
 GAUGES = {
     "dewledge_client_sessions",
     "dewledge_database_connections",
+    "dewledge_databases_full",
     "dewledge_links",
     "dewledge_channels_lent",
     "dewledge_statements_waiting",
