Count no answer to an extra ping that was sent long ago

Found by reading while the drain test was traced: a proxy that sees no majority pings others out of turn. An answer that waited in its socket while the process was frozen counted as contact at the time it was read, though its ping had been sent before the freeze; the limit of two seconds only tidied the list. In a group of two or three members it has no effect, since the others count as dead by then; with more it could end the isolation with an older configuration. The age of the ping decides now. test_one_that_waited_over_a_freeze_counts_for_nothing; no test of whole proxies shows the effect.

--- a/src/dewledge/core/membership/contact.py
+++ b/src/dewledge/core/membership/contact.py
@@ -33,6 +33,12 @@
         }
         self._pings[sequence] = ContactPing(name, now)
 
-    def answered(self, sequence: int) -> ContactPing | None:
-        """Returns, and forgets, the ping that was answered."""
-        return self._pings.pop(sequence, None)
+    def answered(self, sequence: int, now: float) -> ContactPing | None:
+        """Returns, and forgets, the ping that was answered; None if that was too long ago.
+
+        An answer that waited while this process was frozen says nothing of who is in reach now.
+        """
+        ping = self._pings.pop(sequence, None)
+        if ping is None or now - ping.sent_at >= LONGEST_WAIT:
+            return None
+        return ping
--- a/src/dewledge/core/membership/dialogue.py
+++ b/src/dewledge/core/membership/dialogue.py
@@ -127,7 +127,7 @@
             if ack.store_age is not None and envelope.sender == probe.target.name:
                 self._note_store_contact(probe.sent_at - ack.store_age, envelope.revision)
             return
-        contact = self._contact_pings.answered(ack.sequence)
+        contact = self._contact_pings.answered(ack.sequence, now)
         relay = self._relays.answered(ack.sequence)
         if contact is not None and contact.name == envelope.sender:
             self._prober.contacts.note_extra(contact.name, now)
