Let who waits go on when a transaction has begun and rests

Cause, found by reading: while a database is full, BEGIN takes a place at it until its answer. The transaction then rests until its first statement has come from the other process, a round trip, and nobody who waited was told that the place was free: with a window of one a single statement waited for nothing.

Change: each answer on a connection that is kept has the pool serve those that wait, not only answers that took a slot. The new test is red without it.

--- a/src/dewledge/core/pooling/answer_watch.py
+++ b/src/dewledge/core/pooling/answer_watch.py
@@ -10,7 +10,7 @@
 from dewledge.core.pooling.group import Group
 from dewledge.core.pooling.held_connection import HeldConnection
 from dewledge.core.pooling.scheduling import Scheduler
-from dewledge.core.pooling.statements import TAKES_SLOT, Reply, Statement
+from dewledge.core.pooling.statements import Reply, Statement
 
 SUSPECT_AFTER_SECONDS = 0.25
 """After so long without any answer of a database it is suspect; some round trips between regions
@@ -41,8 +41,8 @@
             return
         if reply.position is not None:
             self._group.observe_position(database_id, reply.position)
-        if statement is not None and statement.kind in TAKES_SLOT:
-            self._group.pool(database_id).note_answer(reply)
+        if statement is not None:
+            self._group.pool(database_id).note_answer(statement.kind, reply)
 
     def look(self, again: Callable[[float], None]) -> None:
         """Suspects a database that has been silent for long enough, else looks `again` later."""
--- a/src/dewledge/core/pooling/connection_pool.py
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -8,7 +8,7 @@
 
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.slot_window import SlotWindow
-from dewledge.core.pooling.statements import Reply
+from dewledge.core.pooling.statements import TAKES_SLOT, Reply, StatementKind
 from dewledge.errors import ErrorCode
 
 OPEN_BACKOFF_SECONDS = 0.25
@@ -149,16 +149,16 @@
         heapq.heappush(self._waiters, waiter)
         self._open_if_useful()
 
-    def note_answer(self, reply: Reply) -> None:
-        """Takes the answer to a statement that takes a slot, on a connection given here.
+    def note_answer(self, kind: StatementKind, reply: Reply) -> None:
+        """Takes the answer to a statement on a connection given here.
 
-        A transaction that rests now leaves its slot to who waits.
+        A transaction that rests now leaves its place to who waits.
         """
         if self._window is None:
             return
-        if reply.failure is None:
+        if kind in TAKES_SLOT and reply.failure is None:
             self._window.note_served(self.limit)
-        elif reply.failure.code is ErrorCode.OVERLOADED:
+        elif reply.failure is not None and reply.failure.code is ErrorCode.OVERLOADED:
             self._window.note_refused(self._clock())
         self._serve_waiters()
 
--- a/src/dewledge/core/sharing/channel_session.py
+++ b/src/dewledge/core/sharing/channel_session.py
@@ -237,8 +237,8 @@
             self._drop(connection)
             self._end_channel()
             return
-        if self._current is not None and self._current.statement.kind in TAKES_SLOT:
-            self._pool.note_answer(reply)
+        if self._current is not None:
+            self._pool.note_answer(self._current.statement.kind, reply)
         if self._finds_no_slot(reply):
             pause = SLOT_PAUSE_SECONDS * random.uniform(0.5, 1.5)
             self._limit(pause, lambda: self._send_again(connection))
--- a/tests/core/pooling/test_slot_window.py
+++ b/tests/core/pooling/test_slot_window.py
@@ -88,7 +88,7 @@
 
     def close_window(self) -> None:
         for _ in range(20):
-            self.pool.note_answer(REFUSED)
+            self.pool.note_answer(StatementKind.READ, REFUSED)
             self.scheduler.advance(CUT_SPACING_SECONDS)
 
     def test_before_any_refusal_all_connections_are_given(self) -> None:
@@ -127,7 +127,10 @@
         self.close_window()
         self.acquire("transaction", demand=Demand.TRANSACTION)
         connection = self.given[0][1]
-        connection.send(Statement("1", StatementKind.READ), self.pool.note_answer)
+        connection.send(
+            Statement("1", StatementKind.READ),
+            lambda reply: self.pool.note_answer(StatementKind.READ, reply or SERVED),
+        )
         self.pool.acquire(self.waiter("single"), {})
         self.assertEqual(self.names(), ["transaction"])
         self.scheduler.advance(0.1)
@@ -171,7 +174,7 @@
         self.close_window()
         self.acquire("next")
         for _ in range(10):
-            self.pool.note_answer(SERVED)
+            self.pool.note_answer(StatementKind.READ, SERVED)
         self.pool.release(self.given[0][1])
         self.acquire("another")
         self.assertEqual(self.names(), ["first", "next", "another"])
--- a/tests/core/sharing/test_channel_session.py
+++ b/tests/core/sharing/test_channel_session.py
@@ -4,8 +4,16 @@
 
 import msgspec
 
+from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.routes import Consistency
-from dewledge.core.pooling.statements import StatementKind, TransactionState
+from dewledge.core.pooling.slot_window import CUT_SPACING_SECONDS
+from dewledge.core.pooling.statements import (
+    Failure,
+    Reply,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
 from dewledge.errors import ErrorCode
 from tests.core.pooling.harness import PoolerHarness
 from tests.core.sharing.model_channels import SharingHarness
@@ -90,6 +98,27 @@
         self.assertFalse([way for way in ways if "overloaded" in way])
         self.assertEqual(len(self.model.commits), 2)
 
+    def test_a_transaction_that_has_begun_and_rests_holds_up_nobody(self) -> None:
+        """Before a full database one statement is let in; BEGIN takes that place for a moment."""
+        warm = [self.pooler.session() for _ in range(2)]
+        for session in warm:
+            session.start(StatementKind.WRITE, argument="t d")
+        self.scheduler.advance(0.1)
+        pool = self.holder.group.lending_pool("p")
+        refused = Reply(TransactionState.IDLE, failure=Failure(ErrorCode.OVERLOADED))
+        for _ in range(20):
+            pool.note_answer(StatementKind.READ, refused)
+            self.scheduler.advance(CUT_SPACING_SECONDS)
+        opened: list[DatabaseConnection] = []
+        for _ in range(2):
+            self.pooler.channels.open("p", opened.append, lambda _: None, lambda _: None)
+        self.scheduler.advance(0.01)
+        replies: list[Reply | None] = []
+        opened[0].send_own(StatementKind.BEGIN, lambda reply: None)
+        opened[1].send(Statement("w", StatementKind.WRITE, argument="t d"), replies.append)
+        self.scheduler.advance(0.05)
+        self.assertEqual([reply is None or reply.failure for reply in replies], [None])
+
     def test_a_transaction_keeps_one_connection(self) -> None:
         session, other = self.pooler.session(), self.pooler.session()
         session.ask(StatementKind.BEGIN)
