--- a/src/dewledge/core/configuration/authorization.py
+++ b/src/dewledge/core/configuration/authorization.py
@@ -1,10 +1,10 @@
 """Who may do what: an index over one configuration revision. What no rule allows is denied."""
 
-import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
+from dewledge.core.caller_tokens import index_tokens, token_digest
 from dewledge.core.calls import Access
 from dewledge.core.configuration.configuration import DRAIN_LABEL, Configuration
 from dewledge.core.configuration.resources import (
@@ -26,11 +26,6 @@
 DRAINED = Selector(match_labels=((DRAIN_LABEL, "true"),))
 
 
-def token_digest(token: str) -> str:
-    """Returns the SHA-256 of a caller's token in hexadecimal, as resources and settings hold it."""
-    return hashlib.sha256(token.encode("utf-8", "surrogatepass")).hexdigest()
-
-
 class _AllowRule(msgspec.Struct, frozen=True):
     callers: frozenset[str]
     groups: frozenset[str]
@@ -68,7 +63,7 @@
         self._groups = LabelIndex(configuration.of_kind(Kind.GROUP))
         self._databases = LabelIndex(configuration.of_kind(Kind.DATABASE))
         self._proxies = LabelIndex(configuration.of_kind(Kind.PROXY))
-        self._caller_by_digest = _callers_by_digest(configuration)
+        self._caller_by_digest = dict(index_tokens(_tokens_of_callers(configuration)))
         if bootstrap_operator_token_sha256:
             self._caller_by_digest[bootstrap_operator_token_sha256] = BOOTSTRAP_OPERATOR
         rules = configuration.rules()
@@ -167,10 +162,7 @@
     return [rule for rule in rules if rule.effect is effect]
 
 
-def _callers_by_digest(configuration: Configuration) -> dict[str, str]:
-    found: dict[str, str] = {}
+def _tokens_of_callers(configuration: Configuration) -> Iterator[tuple[str, tuple[str, ...]]]:
     for item in configuration.of_kind(Kind.CALLER):
         if isinstance(item.spec, CallerSpec):
-            for digest in item.spec.token_sha256:
-                found[digest] = item.name
-    return found
+            yield item.name, item.spec.token_sha256
--- a/src/dewledge/core/pooling/client_session.py
+++ b/src/dewledge/core/pooling/client_session.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from dewledge.core.pooling.events import TransactionEnded
+from dewledge.core.caller_tokens import token_digest
+from dewledge.core.pooling.events import OperationNotAdmitted, SessionDenied, TransactionEnded
+from dewledge.core.pooling.routes import Route
 from dewledge.core.pooling.services import PoolServices
 from dewledge.core.pooling.session_state import (
     MAX_PREPARED,
@@ -25,6 +27,7 @@
     Terminate,
     TransactionState,
 )
+from dewledge.core.quota.gate import Application, Refusal
 from dewledge.errors import ErrorCode
 
 MAX_PIPELINED = 64
@@ -33,6 +36,10 @@
 COME_BACK_STARTING_MS = 500
 COME_BACK_ENDING_MS = 100
 
+ADMISSION_SHARE_OF_TARGET = 0.15
+"""Of the latency target: an operation that is not admitted within this is refused. It leaves the
+search for a database most of its quarter."""
+
 _ENDS = frozenset({StatementKind.COMMIT, StatementKind.ROLLBACK})
 _BEGINS = frozenset({StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY})
 _RUNS = frozenset(
@@ -65,6 +72,8 @@
         self._transport = transport
         self._state: SessionState | None = None
         self._run: StatementRun | None = None
+        self._application: Application | None = None
+        """Of the operation that waits to be admitted."""
         self._queue: deque[Statement | MalformedInput] = deque()
         self._ended = False
         self._leaving = False
@@ -73,9 +82,13 @@
     @property
     def at_rest(self) -> bool:
         """Whether no statement is being answered and no transaction is open."""
-        busy = self._run is not None or bool(self._queue)
+        busy = self._is_answering or bool(self._queue)
         return not busy and (self._state is None or self._state.transaction is None)
 
+    @property
+    def _is_answering(self) -> bool:
+        return self._run is not None or self._application is not None
+
     @property
     def has_started(self) -> bool:
         """Whether the session was accepted."""
@@ -106,7 +119,7 @@
     def end_transaction(self, reason: str) -> None:
         """Rolls back an open transaction that rests; the next statement is told."""
         state = self._state
-        if state is None or self._run is not None or state.transaction is None:
+        if state is None or self._is_answering or state.transaction is None:
             return
         transaction = state.transaction
         if not transaction.failed:
@@ -117,7 +130,7 @@
     def resting_since(self) -> float | None:
         """Returns since when an open transaction with a connection rests, or None."""
         state = self._state
-        if state is None or self._run is not None or state.transaction is None:
+        if state is None or self._is_answering or state.transaction is None:
             return None
         transaction = state.transaction
         return transaction.last_used if transaction.connection is not None else None
@@ -128,6 +141,9 @@
             return
         self._ended = True
         self._queue.clear()
+        if self._application is not None:
+            self._application.withdraw()
+            self._application = None
         if self._run is not None:
             self._run.abandon()
             if self._state is not None and self._state.transaction is not None:
@@ -146,10 +162,20 @@
             self._services.wait_for_configuration(self._start_held)
             scheduler = self._services.scheduler
             scheduler.call_later(STARTUP_HOLD_SECONDS, self._refuse_held)
-        elif self._services.routes.find(startup.database) is None:
+        else:
+            self._accept(startup)
+
+    def _accept(self, startup: Startup) -> None:
+        routes = self._services.routes
+        route = routes.find(startup.database)
+        digest = token_digest(startup.token)
+        if route is None:
             self._refuse(ErrorCode.UNKNOWN_GROUP, "no route of this name")
+        elif routes.authenticate(route, digest) is None:
+            self._services.record(SessionDenied(self._name, route.name, routes.version))
+            self._refuse(ErrorCode.UNAUTHENTICATED, "no caller has this token")
         else:
-            self._state = SessionState(self._name, startup.database, startup.user)
+            self._state = SessionState(self._name, startup.database, digest)
             self._transport.send_ready()
 
     def _start_held(self) -> None:
@@ -168,7 +194,7 @@
         self._transport.send_refusal(Failure(code, message))
 
     def _serve_queue(self) -> None:
-        while self._queue and self._run is None and not self._ended:
+        while self._queue and not self._is_answering and not self._ended:
             self._serve(self._queue.popleft())
 
     def _serve(self, message: Statement | MalformedInput) -> None:
@@ -206,9 +232,8 @@
         if state.transaction is not None:
             self._fail(statement.id, ErrorCode.MALFORMED_REQUEST, "a transaction is open")
             return
-        route = self._services.routes.find(state.database)
+        route = self._authorized_route(state, statement)
         if route is None:
-            self._fail(statement.id, ErrorCode.UNKNOWN_GROUP, "no route of this name")
             return
         read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
         now = self._services.scheduler.now()
@@ -249,21 +274,119 @@
                 transaction.lost = False
             self._fail(statement.id, ErrorCode.UNKNOWN_STATEMENT, "no such name")
             return
-        if transaction is None and self._services.is_ending:
+        if transaction is None:
+            self._begin_single(state, statement)
+        elif self._may_go_on(state, transaction, statement):
+            if transaction.is_admitted:
+                self._start_run(state, transaction.route, statement)
+            else:
+                self._ask_admission(state, transaction.route, statement)
+
+    def _begin_single(self, state: SessionState, statement: Statement) -> None:
+        if self._services.is_ending:
             message = f"not run, come back in {COME_BACK_ENDING_MS} ms"
             self._fail(statement.id, ErrorCode.OVERLOADED, message)
             return
-        route = transaction.route if transaction is not None else None
-        route = route or self._services.routes.find(state.database)
-        group = self._services.groups.get(route.group) if route is not None else None
-        if route is None or group is None:
+        route = self._authorized_route(state, statement)
+        if route is not None:
+            self._ask_admission(state, route, statement)
+
+    def _authorized_route(self, state: SessionState, statement: Statement) -> Route | None:
+        """Returns the route by the configuration in force, or refuses the statement."""
+        routes = self._services.routes
+        route = routes.find(state.database)
+        if route is None:
             self._fail(statement.id, ErrorCode.UNKNOWN_GROUP, "no route of this name")
+            return None
+        caller = routes.authenticate(route, state.token_digest)
+        if caller is None:
+            self._services.record(SessionDenied(self._name, route.name, routes.version))
+            self._fail(statement.id, ErrorCode.UNAUTHENTICATED, "no caller has this token")
+            return None
+        state.caller = caller
+        return route
+
+    def end_if_denied(self) -> None:
+        """Rolls back a transaction that rests if its client's token is not valid any more."""
+        state = self._state
+        if state is not None and state.transaction is not None and not self._is_allowed(state):
+            self.end_transaction("token_taken_away")
+
+    def _is_allowed(self, state: SessionState) -> bool:
+        """Tells whether the transaction's caller still has the client's token."""
+        assert state.transaction is not None
+        caller = self._services.routes.authenticate(state.transaction.route, state.token_digest)
+        return caller == state.caller
+
+    def _may_go_on(
+        self, state: SessionState, transaction: OpenTransaction, statement: Statement
+    ) -> bool:
+        if self._is_allowed(state):
+            return True
+        self.end_transaction("token_taken_away")
+        self._serve_failed_transaction(state, transaction, statement)
+        return False
+
+    # Admission: counted once for an operation, at its first statement for a database.
+
+    def _ask_admission(self, state: SessionState, route: Route, statement: Statement) -> None:
+        arrived = self._services.scheduler.now()
+        outcome: list[Refusal | None] = []
+
+        def decided(refusal: Refusal | None) -> None:
+            outcome.append(refusal)
+            if self._application is not None:
+                self._application = None
+                self._admitted(state, route, statement, refusal, arrived)
+
+        longest = route.target_latency * ADMISSION_SHARE_OF_TARGET
+        application = self._services.admission.apply(state.caller, longest, decided)
+        if outcome:
+            self._admitted(state, route, statement, outcome[0], arrived)
+        else:
+            self._application = application
+
+    def _admitted(
+        self,
+        state: SessionState,
+        route: Route,
+        statement: Statement,
+        refusal: Refusal | None,
+        arrived: float,
+    ) -> None:
+        if refusal is None:
+            if state.transaction is not None:
+                state.transaction.is_admitted = True
+            self._start_run(state, route, statement, arrived)
             return
-        run = StatementRun(
-            self._services, group, route, state, statement, self._answerer(statement.id)
+        event = OperationNotAdmitted(
+            self._name, state.caller, statement.id, refusal.is_over_limit, refusal.come_back_ms
         )
-        self._run = run
-        run.start()
+        self._services.record(event)
+        if state.transaction is not None and statement.kind is StatementKind.COMMIT:
+            state.transaction = None
+        elif state.transaction is not None:
+            state.transaction.failed = True
+        message = f"not run, come back in {refusal.come_back_ms} ms"
+        self._fail(statement.id, ErrorCode.RATE_LIMITED, message)
+        self._serve_queue()
+
+    def _start_run(
+        self,
+        state: SessionState,
+        route: Route,
+        statement: Statement,
+        arrived: float | None = None,
+    ) -> None:
+        group = self._services.groups.get(route.group)
+        if group is None:
+            self._fail(statement.id, ErrorCode.UNKNOWN_GROUP, "no route of this name")
+            return
+        if arrived is None:
+            arrived = self._services.scheduler.now()
+        answerer = self._answerer(statement.id)
+        self._run = StatementRun(self._services, group, route, state, statement, answerer, arrived)
+        self._run.start()
 
     def _answerer(self, statement_id: str) -> Callable[[Reply], None]:
         def answer(reply: Reply) -> None:
--- a/src/dewledge/core/pooling/connection_pool.py
+++ b/src/dewledge/core/pooling/connection_pool.py
@@ -1,12 +1,15 @@
 """The connections of this proxy to one database: a share of its limit, and a queue before them."""
 
-import heapq
+import bisect
 import itertools
+import math
+from collections import Counter
 from collections.abc import Callable
 from enum import IntEnum, StrEnum
 from typing import Protocol
 
 from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.routes import NO_CALLER
 from dewledge.core.pooling.slot_window import SlotWindow
 from dewledge.core.pooling.statements import TAKES_SLOT, Reply, StatementKind
 from dewledge.errors import ErrorCode
@@ -14,6 +17,8 @@
 OPEN_BACKOFF_SECONDS = 0.25
 LIMIT_BACKOFF_SECONDS = 0.3
 IDLE_SECONDS = 1.5
+CALLER_IDLE_SECONDS = 1.5
+"""The same for a connection that only one caller's statements may use."""
 KEPT_IDLE = 1
 """Idle connections kept open for good. Few: a database goes on counting those of a machine that
 lost power for seconds, and its successor needs room under the same limit."""
@@ -46,17 +51,21 @@
     def open(
         self,
         database_id: str,
+        caller: str,
         opened: Callable[[DatabaseConnection], None],
         failed: Callable[[ErrorCode], None],
         closed: Callable[[DatabaseConnection], None],
     ) -> None:
-        """Calls `opened` or `failed` once; after `opened`, `closed` at the connection's end."""
+        """Calls `opened` or `failed` once; after `opened`, `closed` at the connection's end.
+
+        caller: whose statements the connection carries, as the database is told.
+        """
 
 
 class Waiter:
     """A statement that waits for a connection."""
 
-    __slots__ = ("demand", "denied", "given", "order", "priority", "withdrawn")
+    __slots__ = ("caller", "demand", "denied", "given", "order", "priority", "withdrawn")
 
     def __init__(
         self,
@@ -64,7 +73,10 @@
         given: Callable[[DatabaseConnection], None],
         denied: Callable[[Denial], None],
         demand: Demand = Demand.OWN,
+        caller: str = NO_CALLER,
     ) -> None:
+        """`caller`: only a connection of this caller will do."""
+        self.caller = caller
         self.priority = priority
         self.demand = demand
         self.given = given
@@ -72,16 +84,18 @@
         self.withdrawn = False
         self.order = 0
 
-    def __lt__(self, other: "Waiter") -> bool:
-        return self._rank < other._rank
-
     @property
-    def _rank(self) -> tuple[int, Demand, int]:
+    def rank(self) -> tuple[int, Demand, int]:
+        """Who comes first: the lower."""
         return (self.priority, self.demand, self.order)
 
 
 class ConnectionPool:
-    """Idle connections are given out last in, first out, the one of the same values first."""
+    """Idle connections are given out last in, first out, the one of the same values first.
+
+    A connection belongs to one caller. Where the limit is reached, the one that has been idle for
+    longest is closed to open one for another caller.
+    """
 
     def __init__(
         self,
@@ -98,7 +112,9 @@
         self.retired = False
         self._opener = opener
         self._clock = clock
-        self._opening = 0
+        self._opening: Counter[str] = Counter()
+        """By caller."""
+        self._is_opening_more = False
         self._idle: list[DatabaseConnection] = []
         self._waiters: list[Waiter] = []
         self._window = window
@@ -110,7 +126,7 @@
     @property
     def size(self) -> int:
         """All connections, those being opened included."""
-        return self.in_use + self._opening + len(self._idle)
+        return self.in_use + self._opening.total() + len(self._idle)
 
     @property
     def waiting(self) -> int:
@@ -139,8 +155,9 @@
             return
         # Its order is not drawn yet: it passes those that wait if it is at least as urgent, which
         # matters for a moment only, as whoever waits is served as soon as there is room.
-        may_pass = not self._waiters or waiter < self._waiters[0]
-        connection = self._take_idle(values) if may_pass and self._has_room(waiter) else None
+        may_pass = not self._waiters or waiter.rank < self._waiters[0].rank
+        may_take = may_pass and self._has_room(waiter)
+        connection = self._take_idle(waiter.caller, values) if may_take else None
         if connection is not None:
             self._give(connection, waiter)
             return
@@ -148,8 +165,8 @@
             waiter.denied(Denial.UNREACHABLE)
             return
         waiter.order = next(self._orders)
-        heapq.heappush(self._waiters, waiter)
-        self._open_if_useful()
+        bisect.insort(self._waiters, waiter, key=lambda known: known.rank)
+        self._serve_waiters()
 
     def note_answer(self, kind: StatementKind, reply: Reply) -> None:
         """Takes the answer to a statement on a connection given here.
@@ -178,8 +195,12 @@
     def trim(self) -> None:
         """Closes connections that have been idle for a while, the longest idle first."""
         now = self._clock()
-        while len(self._idle) > KEPT_IDLE and self._idle[0].idle_since < now - IDLE_SECONDS:
-            self._idle[0].close()
+        while len(self._idle) > KEPT_IDLE:
+            oldest = self._idle[0]
+            kept = IDLE_SECONDS if oldest.caller == NO_CALLER else CALLER_IDLE_SECONDS
+            if oldest.idle_since >= now - kept:
+                break
+            oldest.close()
 
     def renew(self, window: SlotWindow | None = None) -> None:
         """The way to the database is another one: connections of the old way are closed."""
@@ -215,27 +236,42 @@
         connection.idle_since = self._clock()
         self._idle.append(connection)
 
-    def _take_idle(self, values: dict[str, str]) -> DatabaseConnection | None:
-        while self._idle:
-            position = len(self._idle) - 1
-            for index, connection in enumerate(self._idle):
-                if connection.values == values:
-                    position = index
+    def _take_idle(self, caller: str, values: dict[str, str]) -> DatabaseConnection | None:
+        while (position := self._best_idle(caller, values)) is not None:
             connection = self._idle.pop(position)
             if not connection.closed and not connection.is_retiring:
                 return connection
             connection.close()
         return None
 
+    def _best_idle(self, caller: str, values: dict[str, str]) -> int | None:
+        found = None
+        has_same_values = False
+        for index, connection in enumerate(self._idle):
+            if connection.caller != caller:
+                continue
+            is_same = connection.values == values
+            if is_same or not has_same_values:
+                found = index
+                has_same_values = is_same
+        return found
+
     def _serve_waiters(self) -> None:
-        while self._waiters and self._idle:
-            if self._waiters[0].withdrawn:
-                heapq.heappop(self._waiters)
+        """Gives idle connections to who waits; one whose caller has none holds up no other."""
+        position = 0
+        while position < len(self._waiters) and self._idle:
+            waiter = self._waiters[position]
+            if waiter.withdrawn:
+                del self._waiters[position]
                 continue
-            connection = self._take_idle({}) if self._has_room(self._waiters[0]) else None
-            if connection is None:
+            if not self._has_room(waiter):
                 break
-            self._give(connection, heapq.heappop(self._waiters))
+            connection = self._take_idle(waiter.caller, {})
+            if connection is None:
+                position += 1
+                continue
+            del self._waiters[position]
+            self._give(connection, waiter)
         self._open_if_useful()
 
     def _has_room(self, waiter: Waiter) -> bool:
@@ -256,31 +292,57 @@
         waiter.given(connection)
 
     def _open_if_useful(self) -> None:
-        wanted = self._servable
-        while self._opening < wanted and self.size < self.limit and not self.is_unreachable:
-            self._open()
-
-    @property
-    def _servable(self) -> int:
-        """The statements that wait for nothing but a connection."""
-        if self._window is None:
-            return self.waiting
-        waiting = [waiter.demand for waiter in self._waiters if not waiter.withdrawn]
-        own = waiting.count(Demand.OWN)
-        return own + min(len(waiting) - own, self._window.room(self._running))
-
-    def _open(self) -> None:
-        self._opening += 1
+        if self._is_opening_more:
+            return
+        self._is_opening_more = True
+        for caller, wanted in self._servable().items():
+            while self._opening[caller] < wanted and not self.is_unreachable:
+                if self.size >= self.limit and not self._make_room(caller):
+                    break
+                self._open(caller)
+        self._is_opening_more = False
+
+    def _servable(self) -> Counter[str]:
+        """The statements that wait for nothing but a connection, by caller, most urgent first."""
+        servable: Counter[str] = Counter()
+        room = math.inf if self._window is None else self._window.room(self._running)
+        for waiter in self._waiters:
+            if waiter.withdrawn:
+                continue
+            if waiter.demand is not Demand.OWN:
+                if room < 1:
+                    continue
+                room -= 1
+            servable[waiter.caller] += 1
+        return servable
+
+    def _make_room(self, caller: str) -> bool:
+        """Closes the connection of another caller that has been idle for longest."""
+        waiting = {waiter.caller for waiter in self._waiters if not waiter.withdrawn}
+        for connection in self._idle:
+            if connection.caller != caller and connection.caller not in waiting:
+                self._idle.remove(connection)
+                connection.close()
+                return True
+        return False
+
+    def _open(self, caller: str) -> None:
+        self._opening[caller] += 1
         generation = self._generation
 
         def opened(connection: DatabaseConnection) -> None:
             connection.generation = generation
+            connection.caller = caller
             self._opened(connection)
 
-        self._opener.open(self.database_id, opened, self._failed, self._closed)
+        def failed(code: ErrorCode) -> None:
+            self._opening[caller] -= 1
+            self._failed(code)
+
+        self._opener.open(self.database_id, caller, opened, failed, self._closed)
 
     def _opened(self, connection: DatabaseConnection) -> None:
-        self._opening -= 1
+        self._opening[connection.caller] -= 1
         if self.retired or connection.generation != self._generation:
             connection.close()
             self._open_if_useful()
@@ -290,7 +352,6 @@
         self._serve_waiters()
 
     def _failed(self, code: ErrorCode) -> None:
-        self._opening -= 1
         now = self._clock()
         if code is ErrorCode.CONNECTION_LIMIT:
             self._not_before = now + LIMIT_BACKOFF_SECONDS
--- a/src/dewledge/core/pooling/database_connection.py
+++ b/src/dewledge/core/pooling/database_connection.py
@@ -27,6 +27,8 @@
 
     def __init__(self, database_id: str, transport: DatabaseTransport) -> None:
         self.database_id = database_id
+        self.caller = ""
+        """Whose statements it carries, as the database was told; empty for the proxy's own name."""
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
         self.closed = False
--- a/src/dewledge/core/pooling/database_search.py
+++ b/src/dewledge/core/pooling/database_search.py
@@ -35,8 +35,12 @@
         timers: RunTimers,
         found: Callable[[DatabaseConnection], None],
         gave_up: Callable[[int], None],
+        arrived: float,
     ) -> None:
-        """`gave_up` gets the milliseconds after which the client may come back."""
+        """`arrived`: when the statement came.
+
+        gave_up: gets the milliseconds after which the client may come back.
+        """
         self._services = services
         self._group = group
         self._route = route
@@ -46,7 +50,7 @@
         self._timers = timers
         self._found = found
         self._gave_up = gave_up
-        self._arrived = services.scheduler.now()
+        self._arrived = arrived
         self._targets: list[Target] = []
         self._waiter: Waiter | None = None
         self._waits_for_primary = False
@@ -123,7 +127,9 @@
         self._group.note_tried(self.target.database.id)
         is_single = self._session.transaction is None
         demand = Demand.SINGLE if is_single else Demand.TRANSACTION
-        self._waiter = Waiter(self._route.priority, self._given, self._denied, demand)
+        self._waiter = Waiter(
+            self._route.priority, self._given, self._denied, demand, self._session.caller
+        )
         self._group.pool(self.target.database.id).acquire(self._waiter, self._session.values)
 
     def _wait_and_plan(self) -> None:
--- a/src/dewledge/core/pooling/events.py
+++ b/src/dewledge/core/pooling/events.py
@@ -10,6 +10,7 @@
 class StatementAnswered(PoolingEvent, frozen=True):
     """A statement got its final answer.
 
+    caller: whose it is, empty where nobody has to show a token.
     way: each attempt as database:proof:outcome, in order.
     floor: the position the read had to show. waited_ms: from arrival to the answer.
     target_ms: within which the route wants its operations answered.
@@ -17,6 +18,7 @@
 
     statement: str
     session: str
+    caller: str
     route: str
     group: str
     consistency: str
@@ -29,6 +31,28 @@
     configuration: int
 
 
+class SessionDenied(PoolingEvent, frozen=True):
+    """No caller of the configuration in force has the client's token."""
+
+    session: str
+    route: str
+    configuration: int
+
+
+class OperationNotAdmitted(PoolingEvent, frozen=True):
+    """A caller's operation was refused before any work.
+
+    is_over_limit: whether its limit was used up; if not, no process that grants was reached and the
+    own reserve was used up. come_back_ms: what the client was told.
+    """
+
+    session: str
+    caller: str
+    statement: str
+    is_over_limit: bool
+    come_back_ms: int
+
+
 class TransactionEnded(PoolingEvent, frozen=True):
     """The proxy ended a client's transaction."""
 
--- a/src/dewledge/core/pooling/routes.py
+++ b/src/dewledge/core/pooling/routes.py
@@ -5,6 +5,11 @@
 
 import msgspec
 
+from dewledge.core.quota.limits import RateLimit
+
+NO_CALLER = ""
+"""The name of the caller where nobody has to show a token."""
+
 
 class Consistency(StrEnum):
     """How fresh a route's reads are."""
@@ -25,6 +30,8 @@
     target_latency: float
     priority: int
     max_staleness: float = 0.0
+    is_public: bool = False
+    """Whether clients need no token on it."""
 
 
 class GroupPolicy(msgspec.Struct, frozen=True):
@@ -42,10 +49,23 @@
     routes: Mapping[str, Route]
     groups: Mapping[str, GroupPolicy]
     transaction_idle_timeout: float = 3.0
+    callers: Mapping[str, str] | None = None
+    """The name of the caller of each token's digest; None where clients need no token."""
+    rate_limits: Mapping[str, RateLimit] = {}
+    """By caller's name; one that is missing has none."""
 
     def find(self, database: str) -> Route | None:
         """Returns the route of a database name, or None."""
         return self.routes.get(database)
 
+    def authenticate(self, route: Route, digest: str) -> str | None:
+        """Returns the name of the caller with a token, None if its token is not known.
+
+        Empty where no token is needed: databases are told the proxy's own name there.
+        """
+        if self.callers is None or route.is_public:
+            return NO_CALLER
+        return self.callers.get(digest)
+
 
 EMPTY_ROUTE_TABLE = RouteTable(-1, {}, {})
--- a/src/dewledge/core/pooling/run_record.py
+++ b/src/dewledge/core/pooling/run_record.py
@@ -14,13 +14,18 @@
     """Collects the attempts of a statement."""
 
     def __init__(
-        self, services: PoolServices, session: SessionState, route: Route, statement: Statement
+        self,
+        services: PoolServices,
+        session: SessionState,
+        route: Route,
+        statement: Statement,
+        arrived: float,
     ) -> None:
         self._services = services
         self._session = session
         self._route = route
         self._statement = statement
-        self._arrived = services.scheduler.now()
+        self._arrived = arrived
         self._way: list[str] = []
 
     def note(self, database: str, target: Target | None, result: str) -> None:
@@ -37,6 +42,7 @@
             StatementAnswered(
                 statement=self._statement.id,
                 session=self._session.name,
+                caller=self._session.caller,
                 route=self._route.name,
                 group=self._route.group,
                 consistency=self._route.consistency,
--- a/src/dewledge/core/pooling/services.py
+++ b/src/dewledge/core/pooling/services.py
@@ -6,6 +6,7 @@
 from dewledge.core.pooling.group import Group
 from dewledge.core.pooling.routes import EMPTY_ROUTE_TABLE, RouteTable
 from dewledge.core.pooling.scheduling import Scheduler
+from dewledge.core.quota.gate import Admission, AdmitsAll
 
 
 class PoolServices:
@@ -16,6 +17,8 @@
         self.record = record
         self.routes: RouteTable = EMPTY_ROUTE_TABLE
         self.groups: dict[str, Group] = {}
+        self.admission: Admission = AdmitsAll()
+        """Decides before any work whether an operation of a caller may begin."""
         self.is_ending = False
         """Set near the end of a planned stop: what begins now could not be answered in time."""
         self.suspect: Callable[[str, str], None] = lambda group, database: None
--- a/src/dewledge/core/pooling/session_state.py
+++ b/src/dewledge/core/pooling/session_state.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from dewledge.core.pooling.database_connection import DatabaseConnection
-from dewledge.core.pooling.routes import Route
+from dewledge.core.pooling.routes import NO_CALLER, Route
 from dewledge.core.pooling.statements import Statement, StatementKind
 from dewledge.core.positions import LogPosition
 
@@ -24,6 +24,7 @@
     __slots__ = (
         "connection",
         "failed",
+        "is_admitted",
         "last_used",
         "leads",
         "lost",
@@ -37,6 +38,8 @@
         self.read_only = read_only
         self.connection: DatabaseConnection | None = None
         self.failed = False
+        self.is_admitted = False
+        """Whether it was counted for its caller's limit."""
         self.lost = False
         self.leads = False
         self.wrote = False
@@ -46,12 +49,24 @@
 class SessionState:
     """The state of one client connection."""
 
-    __slots__ = ("database", "floor", "name", "prepared", "transaction", "user", "values")
+    __slots__ = (
+        "caller",
+        "database",
+        "floor",
+        "name",
+        "prepared",
+        "token_digest",
+        "transaction",
+        "values",
+    )
 
-    def __init__(self, name: str, database: str, user: str) -> None:
+    def __init__(self, name: str, database: str, token_digest: str = "") -> None:
+        """`token_digest`: of the client's token, which itself is not kept."""
         self.name = name
         self.database = database
-        self.user = user
+        self.token_digest = token_digest
+        self.caller = NO_CALLER
+        """Whose connections carry what runs now: set with each statement that begins something."""
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedShape] = {}
         self.transaction: OpenTransaction | None = None
--- a/src/dewledge/core/pooling/statement_run.py
+++ b/src/dewledge/core/pooling/statement_run.py
@@ -52,7 +52,9 @@
         session: SessionState,
         statement: Statement,
         answer: Callable[[Reply], None],
+        arrived: float,
     ) -> None:
+        """`arrived`: when the client's statement came."""
         self._scheduler = services.scheduler
         self._group = group
         self._session = session
@@ -61,8 +63,8 @@
         self._transaction = session.transaction
         self._writes = session.writes(statement)
         self._is_commit = statement.kind is StatementKind.COMMIT
-        self._deadline = services.scheduler.now() + route.statement_timeout
-        self._record = RunRecord(services, session, route, statement)
+        self._deadline = arrived + route.statement_timeout
+        self._record = RunRecord(services, session, route, statement, arrived)
         self._timers = RunTimers(services.scheduler)
         self._held = HeldConnection(services, group)
         self._lead = LeadUse(group, self._transaction, self._writes, self._is_commit)
@@ -78,6 +80,7 @@
             self._timers,
             self._given,
             self._refuse,
+            arrived,
         )
         self._sent_at = 0.0
         self._reruns = 0
--- a/src/dewledge/core/pooling/statements.py
+++ b/src/dewledge/core/pooling/statements.py
@@ -84,7 +84,7 @@
     """The first message of a client's connection."""
 
     database: str
-    user: str
+    token: str = ""
 
 
 class Terminate(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/dewledge/core/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of callers, counted over all processes."""
--- /dev/null
+++ b/src/dewledge/core/quota/gate.py
@@ -0,0 +1,262 @@
+"""Whether an operation of a caller may begin: asked before any work, at the process that took it.
+
+A caller without a limit is admitted at once. Else a token is asked for from the process that grants
+for the caller; a process that reaches none admits a small reserve of its own. What is refused is
+told when to come back.
+"""
+
+import itertools
+from collections import deque
+from collections.abc import Callable, Collection, Mapping
+from typing import Protocol
+
+import msgspec
+
+from dewledge.core.pooling.scheduling import Scheduler
+from dewledge.core.quota.grantor import VOTE_SECONDS
+from dewledge.core.quota.limits import TOKEN_SECONDS, QuotaPolicy, RateLimit
+from dewledge.core.quota.messages import QuotaAnswer, QuotaQuestion, TokenWant
+from dewledge.core.quota.slots import Slot, candidates_of, place_of, slot_count, slot_of
+from dewledge.core.quota.voter import Voter
+
+VOTE_SPACING_SECONDS = 0.3
+"""A third of a vote's time, so that two may be lost."""
+ASK_AGAIN_SECONDS = 0.09
+"""A question without an answer is asked once more after this: two round trips between regions."""
+COME_BACK_UNKNOWN_MS = 500
+"""Told where no grantor is known: about the time in which one is found."""
+LEAST_COME_BACK_MS = 20
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """An operation is not admitted; come_back_ms: when it may be."""
+
+    come_back_ms: int
+    is_over_limit: bool
+
+
+class Application:
+    """One operation that waits to be admitted."""
+
+    __slots__ = ("caller", "decided", "is_over", "until")
+
+    def __init__(
+        self, caller: str, until: float, decided: Callable[[Refusal | None], None]
+    ) -> None:
+        self.caller = caller
+        self.until = until
+        self.decided = decided
+        self.is_over = False
+
+    def withdraw(self) -> None:
+        """Who asked is gone."""
+        self.is_over = True
+
+    def decide(self, refusal: Refusal | None) -> None:
+        """Tells the outcome, once."""
+        if not self.is_over:
+            self.is_over = True
+            self.decided(refusal)
+
+
+class Admission(Protocol):
+    """Decides whether operations may begin."""
+
+    def apply(
+        self, caller: str, longest_wait: float, decided: Callable[[Refusal | None], None]
+    ) -> Application:
+        """Calls `decided` with None once the operation may begin, or with the refusal.
+
+        longest_wait: seconds in which it has to be decided. May decide before it returns.
+        """
+
+
+class AdmitsAll:
+    """Where no caller has a limit."""
+
+    def apply(
+        self, caller: str, longest_wait: float, decided: Callable[[Refusal | None], None]
+    ) -> Application:
+        """Admits at once."""
+        application = Application(caller, longest_wait, decided)
+        application.decide(None)
+        return application
+
+
+class _Asked(msgspec.Struct, frozen=True):
+    """A question under way: for whom, and when it was sent."""
+
+    slot: Slot
+    sent_at: float
+    applications: tuple[Application, ...]
+
+
+SendQuestion = Callable[[str, QuotaQuestion], None]
+"""Takes the name of the process to ask, and the question."""
+
+
+class QuotaGate:
+    """The admission of one process."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        own_name: str,
+        policy: QuotaPolicy,
+        send: SendQuestion,
+        started_at: float,
+    ) -> None:
+        self._scheduler = scheduler
+        self._own_name = own_name
+        self._policy = policy
+        self._send = send
+        self._started_at = started_at
+        self._members: Collection[str] = frozenset({own_name})
+        self._limits: Mapping[str, RateLimit] = {}
+        self._voters: dict[Slot, Voter] = {}
+        self._numbers = itertools.count(1)
+        self._asked: dict[int, _Asked] = {}
+        self._own_admissions: dict[str, deque[float]] = {}
+        self._reserves: dict[str, int] = {}
+
+    def set_limits(self, limits: Mapping[str, RateLimit]) -> None:
+        """Sets the limits of callers; without any nothing is asked of other processes."""
+        self._limits = limits
+        self._reserves = {}
+        if not limits:
+            self._voters = {}
+
+    def set_members(self, members: Collection[str]) -> None:
+        """Sets the processes among which callers are divided."""
+        now = self._scheduler.now()
+        self._members = frozenset(members)
+        self._reserves = {}
+        count = slot_count(len(self._members))
+        if any(slot.count != count for slot in self._voters):
+            self._divide_anew()
+        for slot, voter in self._voters.items():
+            voter.change_candidates(candidates_of(slot, self._members), now)
+
+    def _divide_anew(self) -> None:
+        """Votes in the old division bind for their time: the slots are other ones now."""
+        bound_until = max(voter.bound_until for voter in self._voters.values())
+        self._voters = {}
+        self._started_at = max(self._started_at, bound_until - VOTE_SECONDS)
+
+    def chosen(self, slot: Slot) -> str:
+        """Returns who grants for a slot as far as this process knows, empty for nobody."""
+        voter = self._voters.get(slot)
+        known = voter is not None and voter.knows_grantor(self._scheduler.now())
+        return voter.candidate if voter is not None and known else ""
+
+    def apply(
+        self, caller: str, longest_wait: float, decided: Callable[[Refusal | None], None]
+    ) -> Application:
+        """Decides at once, or when the grantor has answered; see Admission.apply."""
+        until = self._scheduler.now() + longest_wait
+        application = Application(caller, until, decided)
+        if caller not in self._limits:
+            application.decide(None)
+        else:
+            self._ask(application)
+        return application
+
+    def tick(self) -> None:
+        """Votes, and leaves grantors that are gone; to be called each VOTE_SPACING_SECONDS."""
+        if not self._limits:
+            return
+        now = self._scheduler.now()
+        count = slot_count(len(self._members))
+        for index in range(count):
+            voter = self._voter(Slot(count, index))
+            voter.look(now)
+            self._put_question(Slot(count, index), ())
+        for number in [n for n, asked in self._asked.items() if asked.sent_at < now - 1.0]:
+            del self._asked[number]
+
+    def take_answer(self, answer: QuotaAnswer) -> None:
+        """Takes an answer."""
+        asked = self._asked.pop(answer.number, None)
+        voter = self._voters.get(answer.slot)
+        if asked is None or voter is None:
+            return
+        now = self._scheduler.now()
+        voter.take_answer(answer, asked.sent_at, now)
+        is_usable = answer.grantor == answer.sender and now <= asked.sent_at + TOKEN_SECONDS
+        grants = {grant.caller: grant for grant in answer.grants} if is_usable else {}
+        for application in asked.applications:
+            grant = grants.get(application.caller)
+            if grant is None:
+                self._ask(application)
+            elif grant.count > 0:
+                application.decide(None)
+            else:
+                self._hold_or_refuse(application, grant.come_back_ms)
+
+    def _hold_or_refuse(self, application: Application, come_back_ms: int) -> None:
+        """Has it wait for the next token if that comes in time, else refuses it at once."""
+        wait = max(come_back_ms, LEAST_COME_BACK_MS) / 1000
+        if self._scheduler.now() + wait < application.until:
+            self._scheduler.call_later(wait, lambda: self._ask(application))
+        else:
+            application.decide(Refusal(max(come_back_ms, LEAST_COME_BACK_MS), True))
+
+    def _ask(self, application: Application) -> None:
+        if application.is_over:
+            return
+        now = self._scheduler.now()
+        slot = slot_of(application.caller, slot_count(len(self._members)))
+        if now >= application.until or not self._voter(slot).knows_grantor(now):
+            self._use_reserve(application)
+            return
+        number = self._put_question(slot, (application,))
+        wait = min(ASK_AGAIN_SECONDS, application.until - now)
+
+        def unanswered() -> None:
+            if number in self._asked:
+                self._ask(application)
+
+        self._scheduler.call_later(wait, unanswered)
+
+    def _put_question(self, slot: Slot, applications: tuple[Application, ...]) -> int:
+        now = self._scheduler.now()
+        voter = self._voter(slot)
+        votes = voter.may_vote(now)
+        if votes:
+            voter.note_vote(now)
+        number = next(self._numbers)
+        self._asked[number] = _Asked(slot, now, applications)
+        wants = tuple(TokenWant(application.caller, 1) for application in applications)
+        question = QuotaQuestion(self._own_name, number, slot, votes, voter.heard_at(), wants)
+        self._send(voter.candidate, question)
+        return number
+
+    def _use_reserve(self, application: Application) -> None:
+        """No grantor is reached: admits what this process may by itself, and no more."""
+        now = self._scheduler.now()
+        caller = application.caller
+        admissions = self._own_admissions.setdefault(caller, deque())
+        while admissions and admissions[0] <= now - self._policy.window:
+            admissions.popleft()
+        if len(admissions) < self._reserve_of(caller):
+            admissions.append(now)
+            application.decide(None)
+        else:
+            application.decide(Refusal(COME_BACK_UNKNOWN_MS, False))
+
+    def _reserve_of(self, caller: str) -> int:
+        known = self._reserves.get(caller)
+        if known is None:
+            place = place_of(self._own_name, caller, self._members)
+            limit = self._limits.get(caller)
+            processes = len(self._members)
+            known = 0 if limit is None else self._policy.reserve(limit, processes, place)
+            self._reserves[caller] = known
+        return known
+
+    def _voter(self, slot: Slot) -> Voter:
+        voter = self._voters.get(slot)
+        if voter is None:
+            voter = Voter(candidates_of(slot, self._members), self._started_at)
+            self._voters[slot] = voter
+        return voter
--- a/src/dewledge/core/sharing/channel_session.py
+++ b/src/dewledge/core/sharing/channel_session.py
@@ -15,6 +15,7 @@
 from dewledge.core.pooling.connection_setup import plan_setup, send_setup
 from dewledge.core.pooling.database_connection import DatabaseConnection
 from dewledge.core.pooling.group import Group
+from dewledge.core.pooling.routes import NO_CALLER
 from dewledge.core.pooling.scheduling import ScheduledCall
 from dewledge.core.pooling.services import PoolServices
 from dewledge.core.pooling.session_state import PreparedShape, SessionState
@@ -69,13 +70,16 @@
         group: Group,
         database_id: str,
         transport: ChannelTransport,
+        caller: str = NO_CALLER,
     ) -> None:
+        """`caller`: whose statements come on this channel."""
         self._services = services
         self._group = group
         self._database_id = database_id
         self._pool: ConnectionPool = group.lending_pool(database_id)
         self._transport = transport
-        self._state = SessionState(name, "", "")
+        self._state = SessionState(name, "")
+        self._state.caller = caller
         self._queue: deque[ChannelStatement] = deque()
         self._current: ChannelStatement | None = None
         self._connection: DatabaseConnection | None = None
@@ -164,7 +168,9 @@
         self._pool = self._group.lending_pool(self._database_id)
         is_single = message.statement.kind in TAKES_SLOT
         demand = Demand.SINGLE if is_single else Demand.TRANSACTION
-        self._waiter = Waiter(message.priority, self._given, self._denied, demand)
+        self._waiter = Waiter(
+            message.priority, self._given, self._denied, demand, self._state.caller
+        )
         self._limit(_longest_wait(message), self._waited_too_long)
         self._pool.acquire(self._waiter, self._state.values)
 
--- a/src/dewledge/core/sharing/holders.py
+++ b/src/dewledge/core/sharing/holders.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from dewledge.core.pooling.routes import NO_CALLER
 from dewledge.core.sharing.members import Member
 
 RESERVED_SHARE = 0.1
@@ -30,16 +31,28 @@
 
     connections: how many it may hold itself, 0 for one that goes through `holders`.
     holders: names in the order in which this process tries them.
+    main: how many of them, from the first, hold connections; the others stand in.
     """
 
     connections: int
     holders: tuple[str, ...] = ()
+    main: int = 0
 
     @property
     def is_direct(self) -> bool:
         """Whether this process holds connections itself."""
         return self.connections > 0
 
+    def holders_for(self, caller: str) -> Sequence[str]:
+        """Returns the holders in the order to try for a caller's statements.
+
+        A connection serves one caller only, so all processes go to the same holder for it.
+        """
+        if caller == NO_CALLER:
+            return self.holders
+        main = sorted(self.holders[: self.main], key=lambda name: _caller_weight(caller, name))
+        return [*main, *self.holders[self.main :]]
+
 
 def share_of_connections(limit: int, processes: int) -> int:
     """Returns the equal share of a database's limit among the processes that connect to it."""
@@ -74,7 +87,11 @@
         return Holding(max(share_of_connections(limit, count), 1))
     start = xxhash.xxh3_64_intdigest(f"{own_name} {database_id}".encode()) % count
     order = [*holders[start:], *holders[:start], *ranked[count : count + RESERVE_HOLDERS]]
-    return Holding(0, tuple(name for name in order if name != own_name))
+    return Holding(0, tuple(name for name in order if name != own_name), count)
+
+
+def _caller_weight(caller: str, name: str) -> tuple[int, str]:
+    return (xxhash.xxh3_64_intdigest(f"caller {caller} {name}".encode()), name)
 
 
 def rank_members(
--- a/src/dewledge/core/sharing/messages.py
+++ b/src/dewledge/core/sharing/messages.py
@@ -48,10 +48,14 @@
 
 
 class ChannelOpened(LinkMessage, frozen=True, tag="open"):
-    """A channel to a database. Its number is chosen by the process that dialled."""
+    """A channel to a database. Its number is chosen by the process that dialled.
+
+    caller: whose statements it carries, empty where nobody has to show a token.
+    """
 
     channel: int
     database: str
+    caller: str = ""
 
 
 class ChannelStatement(LinkMessage, frozen=True, tag="ask"):
--- a/src/dewledge/errors.py
+++ b/src/dewledge/errors.py
@@ -31,6 +31,7 @@
 
     # The system cannot take the request now; Retry-After says when to come back.
     OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate_limited"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     CANCELLED = "cancelled"
     NO_PRIMARY = "no_primary"
--- a/src/dewledge/platform/adapter.py
+++ b/src/dewledge/platform/adapter.py
@@ -1,22 +1,28 @@
 """Everything that the product is given of the platform, in one value."""
 
-from dewledge.platform.operator_records import parse_configuration, parse_database
+from dewledge.platform.operator_records import (
+    parse_configuration,
+    parse_database,
+    without_keys,
+)
 from dewledge.platform.status_row import parse_status
 from dewledge.platform.store_client import PlatformDuties, PlatformStore
 from dewledge.platform.wire_codec import WireClientCodec, WireDatabaseCodec
 from dewledge.pooler_settings import PoolerSettings
 from dewledge.shell.pooling.platform_adapter import PlatformAdapter
 
+CONFIGURATION_TABLE = "op"
+
 
 def build_adapter(settings: PoolerSettings) -> PlatformAdapter:
     """Returns the adapter for the addresses of the settings."""
     return PlatformAdapter(
-        store=PlatformStore(settings.store_address),
+        store=PlatformStore(settings.store_address, {CONFIGURATION_TABLE: without_keys}),
         duties=PlatformDuties(settings.duty_address) if settings.duty_address else None,
         parse_status=parse_status,
         new_client_codec=WireClientCodec,
         new_database_codec=WireDatabaseCodec,
-        configuration_table="op",
+        configuration_table=CONFIGURATION_TABLE,
         configuration_key="config",
         database_table="servers",
         parse_configuration=parse_configuration,
--- a/src/dewledge/platform/operator_records.py
+++ b/src/dewledge/platform/operator_records.py
@@ -7,8 +7,10 @@
 
 import msgspec
 
+from dewledge.core.caller_tokens import index_tokens, token_digest
 from dewledge.core.pooling.group_view import DatabaseRecord, DatabaseRole
 from dewledge.core.pooling.routes import Consistency, GroupPolicy, Route, RouteTable
+from dewledge.core.quota.limits import RateLimit
 from dewledge.errors import ProtocolError
 
 MILLISECONDS = 1000.0
@@ -26,6 +28,7 @@
     target_latency_ms: float = 1000
     priority: int = 1
     max_staleness_ms: float = 0
+    public: bool = False
 
 
 class _ServiceRow(msgspec.Struct, rename="camel"):
@@ -38,11 +41,19 @@
     tx_idle_ms: float = 3000
 
 
+class _TenantRow(msgspec.Struct, rename="camel"):
+    name: str
+    key_digests: list[str] = []
+    rate_per_s: float = 0
+    burst: float = 0
+
+
 class _ConfigurationRow(msgspec.Struct, rename="camel"):
     version: int
     routes: list[_RouteRow] = []
     services: list[_ServiceRow] = []
     limits: _LimitsRow = msgspec.field(default_factory=_LimitsRow)
+    tenants: list[_TenantRow] | None = None
 
 
 class _DatabaseRow(msgspec.Struct, rename="camel"):
@@ -54,9 +65,25 @@
     db_role: str = "replica"
 
 
+def without_keys(value: bytes) -> bytes:
+    """Returns the operator's configuration with digests in place of tenants' keys.
+
+    So no key is kept in this process, passed on to another, or found in anything that is logged.
+    What cannot be read becomes empty, which is refused as a configuration.
+    """
+    try:
+        row = msgspec.json.decode(value)
+        for tenant in row.get("tenants", ()):
+            tenant["keyDigests"] = [token_digest(key) for key in tenant.pop("apiKeys", ())]
+    except (msgspec.DecodeError, AttributeError, KeyError, TypeError):
+        return b""
+    return msgspec.json.encode(row)
+
+
 def parse_configuration(value: bytes) -> RouteTable:
-    """Returns the operator's configuration."""
+    """Returns the operator's configuration, as `without_keys` leaves it."""
     row = _decode(value, _ConfigurationRow)
+    tenants = row.tenants or []
     return RouteTable(
         row.version,
         {route.host: _route(route) for route in row.routes},
@@ -65,6 +92,8 @@
             for service in row.services
         },
         row.limits.tx_idle_ms / MILLISECONDS,
+        None if row.tenants is None else index_tokens((t.name, t.key_digests) for t in tenants),
+        {t.name: RateLimit(t.rate_per_s, t.burst) for t in tenants if t.rate_per_s > 0},
     )
 
 
@@ -98,6 +127,7 @@
         row.target_latency_ms / MILLISECONDS,
         row.priority,
         row.max_staleness_ms / MILLISECONDS,
+        row.public,
     )
 
 
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -7,6 +7,7 @@
 import json
 import socket
 import struct
+from collections.abc import Callable, Mapping
 from urllib.parse import urlencode
 
 import msgspec
@@ -69,8 +70,12 @@
 class PlatformStore:
     """The store at one address."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, stripped: Mapping[str, Callable[[bytes], bytes]] | None = None
+    ) -> None:
+        """`stripped`: by table, what takes secrets out of a row's value as soon as it is read."""
         self._calls = HttpCalls(address, CONNECT_SECONDS, _KEEPALIVE)
+        self._stripped = stripped or {}
 
     def change_address(self, address: str) -> None:
         """Sends later calls to another "ip:port"."""
@@ -83,7 +88,7 @@
         while True:
             query = {"table": table, "part": "", "startRev": start, "limit": str(PAGE_ROWS)}
             answer = self._get("/dewledge/rows-get", query, limit)
-            rows += [_store_row(row) for row in answer.rows]
+            rows += [self._store_row(table, row) for row in answer.rows]
             if not answer.has_more or not answer.rows:
                 return TableRows(tuple(rows), answer.ver, answer.now_ms / 1000)
             start = answer.rows[-1].tls_key + "\0"
@@ -92,7 +97,7 @@
         """Returns the rows of a table that changed after a version, waiting `wait` seconds."""
         query = {"table": table, "after": str(after), "waitMs": str(int(wait * 1000))}
         answer = self._get("/dewledge/rows-feed", query, wait + CALL_LIMIT_SECONDS)
-        return FeedAnswer(tuple(_store_row(row) for row in answer.rows), answer.ver)
+        return FeedAnswer(tuple(self._store_row(table, row) for row in answer.rows), answer.ver)
 
     def write(self, write: StoreWrite) -> int:
         """Puts one row if it still has the expected version; returns the new version."""
@@ -105,6 +110,13 @@
         }
         return self._request("POST", "/dewledge/rows-tx", {}, CALL_LIMIT_SECONDS, body).ver
 
+    def _store_row(self, table: str, row: _Row) -> StoreRow:
+        value = base64.b64decode(row.value or "")
+        strip = self._stripped.get(table)
+        if strip is not None and not row.gone:
+            value = strip(value)
+        return StoreRow(row.tls_key, value, row.ver, row.gone)
+
     def _get(self, path: str, query: dict[str, str], timeout: float) -> _Answer:
         return self._request("GET", path, query, timeout, None)
 
@@ -154,10 +166,6 @@
         return answer.status == ACCEPTED
 
 
-def _store_row(row: _Row) -> StoreRow:
-    return StoreRow(row.tls_key, base64.b64decode(row.value or ""), row.ver, row.gone)
-
-
 def _raise_for_status(status: int) -> None:
     if status == 200:
         return
--- a/src/dewledge/platform/wire_words.py
+++ b/src/dewledge/platform/wire_words.py
@@ -28,6 +28,8 @@
     ErrorCode.MALFORMED_REQUEST: "MALFORMED",
     ErrorCode.UNKNOWN_STATEMENT: "NOSTMT",
     ErrorCode.UNKNOWN_GROUP: "NODB",
+    ErrorCode.UNAUTHENTICATED: "DENIED",
+    ErrorCode.RATE_LIMITED: "BUSY",
     ErrorCode.TOO_LARGE: "FAILED",
 }
 CODES = {
@@ -43,6 +45,7 @@
     "MALFORMED": ErrorCode.MALFORMED_REQUEST,
     "NOSTMT": ErrorCode.UNKNOWN_STATEMENT,
     "NODB": ErrorCode.UNKNOWN_GROUP,
+    "DENIED": ErrorCode.UNAUTHENTICATED,
 }
 OWN_TEXTS = {
     StatementKind.BEGIN: "BEGIN",
--- a/src/dewledge/pooler_settings.py
+++ b/src/dewledge/pooler_settings.py
@@ -8,6 +8,7 @@
 
 from dewledge.checked_values import build_checked, checked_by
 from dewledge.core.addresses import check_remote_address, split_address
+from dewledge.core.quota.limits import QuotaPolicy
 from dewledge.errors import InvalidInput
 from dewledge.settings_text import NAME_PATTERN, read_toml
 
@@ -34,6 +35,23 @@
     )
 
 
+class QuotaSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How exactly callers' rate limits are to be kept, over all processes together."""
+
+    window: Annotated[Seconds, _means("Seconds in which a caller's operations are counted.")] = 5.0
+    overshoot: Annotated[
+        float, msgspec.Meta(ge=0, le=1), _means("Share by which a limit may be passed in a window.")
+    ] = 0.0
+    slack: Annotated[
+        float, msgspec.Meta(ge=0), _means("Operations by which it may be passed besides.")
+    ] = 0.0
+
+    @property
+    def policy(self) -> QuotaPolicy:
+        """The same for the core."""
+        return QuotaPolicy(self.window, self.overshoot, self.slack)
+
+
 class PoolerSettings(msgspec.Struct, frozen=True, kw_only=True):
     """All settings of `dewledge pooler`."""
 
@@ -61,6 +79,7 @@
     ] = "INFO"
     zones: Annotated[dict[str, str], _means("The region of each zone.")] = {}
     timings: PoolerTimings = PoolerTimings()
+    quota: QuotaSettings = QuotaSettings()
 
 
 def check_pooler_settings(values: Mapping[str, Any], place: str) -> PoolerSettings:
--- a/src/dewledge/shell/pooling/channel_client.py
+++ b/src/dewledge/shell/pooling/channel_client.py
@@ -41,6 +41,7 @@
     def open(
         self,
         database_id: str,
+        caller: str,
         addresses: Sequence[str],
         opened: OpenedCallback,
         failed: Callable[[ErrorCode], None],
@@ -54,13 +55,13 @@
         link = self._links.to(usable[0])
 
         def go_on() -> None:
-            self.open(database_id, usable[1:], opened, failed, closed)
+            self.open(database_id, caller, usable[1:], opened, failed, closed)
 
         def reached() -> None:
             number = next(self._numbers)
             channel = _Channel(link, number, database_id, closed, self._forget, self._loop.now)
             self._channels.setdefault(link, {})[channel.number] = channel
-            link.send(ChannelOpened(channel.number, database_id))
+            link.send(ChannelOpened(channel.number, database_id, caller))
             opened(channel.connection)
 
         link.when_open(reached, go_on)
--- a/src/dewledge/shell/pooling/channel_server.py
+++ b/src/dewledge/shell/pooling/channel_server.py
@@ -178,7 +178,9 @@
             return
         transport = _ChannelTransport(self, message.channel)
         name = f"{self._peer}/{message.channel}"
-        session = ChannelSession(name, self._services, group, message.database, transport)
+        session = ChannelSession(
+            name, self._services, group, message.database, transport, message.caller
+        )
         self._channels[message.channel] = session
 
     def forget(self, channel: int) -> None:
--- a/src/dewledge/shell/pooling/database_opener.py
+++ b/src/dewledge/shell/pooling/database_opener.py
@@ -34,7 +34,9 @@
         find: Callable[[str], DatabaseRecord | None],
         reach_limit: ReachLimit | None = None,
     ) -> None:
-        """`reach_limit`: is told how long connections take to be accepted."""
+        """`user`: what databases are told where there is no caller.
+
+        reach_limit: is told how long connections take to be accepted."""
         self._loop = loop
         self._reach_limit = reach_limit or ReachLimit()
         self._user = user
@@ -44,11 +46,12 @@
     def open(
         self,
         database_id: str,
+        caller: str,
         opened: Callable[[DatabaseConnection], None],
         failed: Callable[[ErrorCode], None],
         closed: Callable[[DatabaseConnection], None],
     ) -> None:
-        """Calls `opened` or `failed` once; after `opened`, `closed` at the connection's end."""
+        """Opens one for a caller; see Opener.open."""
         record = self._find(database_id)
         if record is None:
             self._loop.call_later(0.0, lambda: failed(ErrorCode.DATABASE_UNREACHABLE))
@@ -59,7 +62,14 @@
         def connected(sock: socket.socket) -> None:
             self._reach_limit.observe(self._loop.now() - started_at)
             _DatabaseLink(
-                self._loop, sock, known, self._user, self._new_codec(), opened, failed, closed
+                self._loop,
+                sock,
+                known,
+                caller or self._user,
+                self._new_codec(),
+                opened,
+                failed,
+                closed,
             )
 
         def refused() -> None:
@@ -75,9 +85,10 @@
         self,
         direct: DirectOpener,
         channels: ChannelClient,
-        find_way: Callable[[str], Sequence[str] | None],
+        find_way: Callable[[str, str], Sequence[str] | None],
     ) -> None:
-        """`find_way`: the addresses of the processes to go through, None for the direct way."""
+        """`find_way`: the addresses of the processes to go through to a database for a caller, None
+        for the direct way."""
         self._direct = direct
         self._channels = channels
         self._find_way = find_way
@@ -86,24 +97,26 @@
     def open(
         self,
         database_id: str,
+        caller: str,
         opened: Callable[[DatabaseConnection], None],
         failed: Callable[[ErrorCode], None],
         closed: Callable[[DatabaseConnection], None],
     ) -> None:
-        """Calls `opened` or `failed` once; after `opened`, `closed` at the connection's end."""
-        way = self._find_way(database_id)
+        """Opens one for a caller; see Opener.open."""
+        way = self._find_way(database_id, caller)
         if way is None:
-            self._direct.open(database_id, opened, failed, closed)
+            self._direct.open(database_id, caller, opened, failed, closed)
             return
 
         def without_holders(_code: ErrorCode) -> None:
-            self._open_fallback(database_id, opened, failed, closed)
+            self._open_fallback(database_id, caller, opened, failed, closed)
 
-        self._channels.open(database_id, way, opened, without_holders, closed)
+        self._channels.open(database_id, caller, way, opened, without_holders, closed)
 
     def _open_fallback(
         self,
         database_id: str,
+        caller: str,
         opened: Callable[[DatabaseConnection], None],
         failed: Callable[[ErrorCode], None],
         closed: Callable[[DatabaseConnection], None],
@@ -122,7 +135,7 @@
             self._fallbacks[database_id] -= 1
             failed(code)
 
-        self._direct.open(database_id, opened, refused, ended)
+        self._direct.open(database_id, caller, opened, refused, ended)
 
 
 class _DatabaseLink:
--- a/src/dewledge/shell/pooling/directory.py
+++ b/src/dewledge/shell/pooling/directory.py
@@ -49,6 +49,8 @@
         )
         self._opener = SharingOpener(self._direct, channels, self._find_way)
         channels.proof_told = self._take_proof
+        self.configuration_changed: Callable[[], None] = lambda: None
+        """Called when another configuration is in force."""
         self.group_changed: Callable[[str], None] = lambda group: None
         """Called with the name of a group whose view has changed."""
 
@@ -70,6 +72,7 @@
         for name in table.groups:
             self._group(name)
         self.share_connections()
+        self.configuration_changed()
         logger.bind(version=table.version, revision=row.version, routes=len(table.routes)).info(
             "configuration_taken"
         )
@@ -136,7 +139,7 @@
         if group is not None:
             group.record_proof(true_at, position)
 
-    def _find_way(self, database_id: str) -> Sequence[str] | None:
+    def _find_way(self, database_id: str, caller: str) -> Sequence[str] | None:
         """Returns the addresses of the processes to go through, None for the direct way."""
         group = self.group_of(database_id)
         if group is None:
@@ -149,7 +152,7 @@
             return None
         return [
             self._members.members[name].peer_address
-            for name in holding.holders
+            for name in holding.holders_for(caller)
             if name in self._members.members
         ]
 
--- a/src/dewledge/shell/pooling/peer_messages.py
+++ b/src/dewledge/shell/pooling/peer_messages.py
@@ -1,8 +1,9 @@
-"""What poolers say to each other in cbor2 over UDP: on databases that are lost, and on claims."""
+"""What poolers say to each other in cbor2 over UDP: on lost databases, claims and limits."""
 
 import cbor2
 import msgspec
 
+from dewledge.core.quota.messages import QuotaAnswer, QuotaQuestion
 from dewledge.core.succession.messages import Claim
 from dewledge.core.succession.vouching import VouchAnswer, VouchQuestion
 from dewledge.errors import ProtocolError
@@ -56,6 +57,8 @@
     | ClaimAnswer
     | VouchQuestion
     | VouchAnswer
+    | QuotaQuestion
+    | QuotaAnswer
 )
 
 
--- a/src/dewledge/shell/pooling/pooler_process.py
+++ b/src/dewledge/shell/pooling/pooler_process.py
@@ -30,6 +30,7 @@
 from dewledge.shell.pooling.platform_adapter import PlatformAdapter
 from dewledge.shell.pooling.pooler_metrics import CONTENT_TYPE as METRICS_TYPE
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
+from dewledge.shell.pooling.quota_driver import QuotaDriver
 from dewledge.shell.pooling.settings_file import SettingsFile
 from dewledge.shell.pooling.stall_watch import StallWatch
 from dewledge.shell.pooling.succession_driver import SuccessionDriver
@@ -113,6 +114,16 @@
             self._rights,
         )
         self._peers = PeerSocket(self._loop, settings.peer_address)
+        self._quota = QuotaDriver(
+            self._loop,
+            settings.name,
+            settings.quota.policy,
+            self._services,
+            self._members,
+            self._peers,
+            self._log,
+        )
+        self._directory.configuration_changed = self._quota.configuration_changed
         self._claims = ClaimKeeper(
             self._loop,
             settings.name,
@@ -176,6 +187,7 @@
         self._tables.start()
         self._peers.start()
         self._claims.start()
+        self._quota.start()
         self._lending.start()
         self._succession.start(self._witnesses)
         self._clients.start()
@@ -282,6 +294,7 @@
     def _coordination_rows(self, rows: tuple[StoreRow, ...], version: int) -> None:
         if self._members.take_rows(rows):
             self._succession.members_changed()
+            self._quota.members_changed()
             self._directory.share_connections()
             self._tables.members_changed()
         self._members.register_if_missing(self._executor, lambda: self._leaving_since is not None)
@@ -312,6 +325,8 @@
             since = connection.session.resting_since()
             if since is not None and now - since > limit:
                 connection.session.end_transaction("rested_too_long")
+            elif since is not None:
+                connection.session.end_if_denied()
 
     def _continue_leaving(self, elapsed: float) -> None:
         bound = self._settings.timings.stop_bound
--- /dev/null
+++ b/src/dewledge/shell/pooling/quota_driver.py
@@ -0,0 +1,74 @@
+"""Has the process's admission and its part in granting run on the loop and the datagrams."""
+
+from dewledge.core.pooling.services import PoolServices
+from dewledge.core.quota.gate import VOTE_SPACING_SECONDS, QuotaGate
+from dewledge.core.quota.grantor import Grantor
+from dewledge.core.quota.limits import QuotaPolicy
+from dewledge.core.quota.messages import QuotaAnswer, QuotaQuestion
+from dewledge.shell.event_loop import EventLoop
+from dewledge.shell.pooling.event_log import EventLog
+from dewledge.shell.pooling.member_table import MemberTable
+from dewledge.shell.pooling.peer_socket import PeerSocket
+
+
+class QuotaDriver:
+    """All methods belong to the loop's thread."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        own_name: str,
+        policy: QuotaPolicy,
+        services: PoolServices,
+        members: MemberTable,
+        peers: PeerSocket,
+        log: EventLog,
+    ) -> None:
+        self._loop = loop
+        self._own_name = own_name
+        self._members = members
+        self._peers = peers
+        self._gate = QuotaGate(
+            services.scheduler, own_name, policy, self._send, services.scheduler.now()
+        )
+        self._grantor = Grantor(own_name, policy, self._gate.chosen, log.record)
+        services.admission = self._gate
+        self._services = services
+        peers.on(QuotaQuestion, self._take_question)
+        peers.on(QuotaAnswer, self._take_answer)
+
+    def start(self) -> None:
+        """Starts to vote, once the members are known."""
+        self._tick()
+
+    def members_changed(self) -> None:
+        """The members are known, or are others now."""
+        names = frozenset(self._members.members)
+        self._gate.set_members(names)
+        self._grantor.set_members(names)
+
+    def configuration_changed(self) -> None:
+        """Takes the limits of the configuration in force."""
+        limits = self._services.routes.rate_limits
+        self._gate.set_limits(limits)
+        self._grantor.set_limits(limits, self._loop.now())
+
+    def _tick(self) -> None:
+        if self._members.is_known:
+            self._gate.tick()
+        self._loop.call_later(VOTE_SPACING_SECONDS, self._tick)
+
+    def _send(self, name: str, question: QuotaQuestion) -> None:
+        if name == self._own_name:
+            answer = self._grantor.take_question(question, self._loop.now())
+            self._loop.call_later(0.0, lambda: self._gate.take_answer(answer))
+            return
+        member = self._members.members.get(name)
+        if member is not None:
+            self._peers.send(question, [member.peer_address])
+
+    def _take_question(self, question: QuotaQuestion, sender: str) -> None:
+        self._peers.send(self._grantor.take_question(question, self._loop.now()), [sender])
+
+    def _take_answer(self, answer: QuotaAnswer, _sender: str) -> None:
+        self._gate.take_answer(answer)
--- a/tests/core/configuration/test_authorization.py
+++ b/tests/core/configuration/test_authorization.py
@@ -2,8 +2,9 @@
 
 import unittest
 
+from dewledge.core.caller_tokens import token_digest
 from dewledge.core.calls import Access
-from dewledge.core.configuration.authorization import BOOTSTRAP_OPERATOR, AccessPolicy, token_digest
+from dewledge.core.configuration.authorization import BOOTSTRAP_OPERATOR, AccessPolicy
 from dewledge.core.configuration.configuration import DRAIN_LABEL, Configuration
 from dewledge.core.configuration.resources import (
     CallerSpec,
--- a/tests/core/pooling/harness.py
+++ b/tests/core/pooling/harness.py
@@ -86,6 +86,7 @@
     in_transaction: bool
     applied: LogPosition
     at: float
+    caller: str = ""
 
 
 @dataclass
@@ -153,6 +154,7 @@
     def open(
         self,
         database_id: str,
+        caller: str,
         opened: Callable[[DatabaseConnection], None],
         failed: Callable[[ErrorCode], None],
         closed: Callable[[DatabaseConnection], None],
@@ -166,7 +168,7 @@
                 failed(ErrorCode.CONNECTION_LIMIT)
             else:
                 database.open_connections += 1
-                transport = ModelTransport(self, database, closed)
+                transport = ModelTransport(self, database, closed, caller)
                 self.transports.append(transport)
                 opened(transport.connection)
 
@@ -187,7 +189,9 @@
         group: ModelGroup,
         database: ModelDatabase,
         closed: Callable[[DatabaseConnection], None],
+        caller: str = "",
     ) -> None:
+        self.caller = caller
         self.group = group
         self.database = database
         self.connection = DatabaseConnection(database.id, self)
@@ -292,6 +296,7 @@
                 in_transaction,
                 self.database.applied,
                 self.group.scheduler.time,
+                self.caller,
             )
         )
         if writes and in_transaction:
@@ -398,19 +403,24 @@
         self.group.change_view(self.group.view.with_record(record, self.scheduler.time))
 
     def session(
-        self, consistency: Consistency = Consistency.READ_OWN_WRITES, wait: float = 0.0
+        self,
+        consistency: Consistency = Consistency.READ_OWN_WRITES,
+        wait: float = 0.0,
+        token: str = "test",
     ) -> "SessionProbe":
-        return SessionProbe(self, str(consistency), wait)
+        return SessionProbe(self, str(consistency), wait, token)
 
 
 class SessionProbe:
     """A session and its client; statements get ids of their own."""
 
-    def __init__(self, harness: PoolerHarness, database: str, wait: float = 0.0) -> None:
+    def __init__(
+        self, harness: PoolerHarness, database: str, wait: float = 0.0, token: str = "test"
+    ) -> None:
         self.harness = harness
         self.client = ModelClient()
         self.session = ClientSession("s1", harness.services, self.client)
-        self.session.handle(Startup(database, "test"))
+        self.session.handle(Startup(database, token))
         harness.scheduler.advance(wait)
         self._ids = itertools.count(1)
 
--- /dev/null
+++ b/tests/core/pooling/test_callers.py
@@ -0,0 +1,260 @@
+"""Whose statement it is: tokens, connections of one caller, and transactions whose token goes."""
+
+import unittest
+
+import msgspec
+
+from dewledge.core.caller_tokens import token_digest
+from dewledge.core.pooling.connection_pool import ConnectionPool, Waiter
+from dewledge.core.pooling.database_connection import DatabaseConnection
+from dewledge.core.pooling.events import OperationNotAdmitted, SessionDenied
+from dewledge.core.pooling.statements import StatementKind, TransactionState
+from dewledge.core.quota.gate import Application, Refusal
+from dewledge.core.sharing.holders import Holding
+from dewledge.errors import ErrorCode
+from tests.core.pooling.harness import ModelGroup, ModelScheduler, PoolerHarness
+
+NORTH, SOUTH = "north", "south"
+TOKENS = {
+    token_digest("first"): NORTH,
+    token_digest("second"): NORTH,
+    token_digest("third"): SOUTH,
+}
+WITHOUT_FIRST = {token_digest("second"): NORTH, token_digest("third"): SOUTH}
+
+
+class CallerCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.pooler = PoolerHarness()
+        self.set_tokens(TOKENS)
+
+    def set_tokens(self, tokens: dict[str, str] | None, is_public: bool = False) -> None:
+        table = self.pooler.services.routes
+        routes = {
+            name: msgspec.structs.replace(route, is_public=is_public)
+            for name, route in table.routes.items()
+        }
+        self.pooler.services.routes = msgspec.structs.replace(
+            table, version=table.version + 1, routes=routes, callers=tokens
+        )
+
+    def callers_told(self) -> list[str]:
+        return [ran.caller for ran in self.pooler.model.ran]
+
+
+class TokenTest(CallerCase):
+    def test_a_database_is_told_the_caller_and_never_the_token(self) -> None:
+        for token in ("first", "third"):
+            self.assertIsNone(self.pooler.session(token=token).write().failure)
+        self.assertEqual(self.callers_told(), [NORTH, SOUTH])
+
+    def test_an_unknown_token_is_refused_at_once(self) -> None:
+        for token in ("", "fourth", NORTH, token_digest("first"), "first "):
+            with self.subTest(token):
+                refused = self.pooler.session(token=token).client.refused
+                assert refused is not None
+                self.assertEqual(refused.code, ErrorCode.UNAUTHENTICATED)
+                self.assertNotIn(token or "none", refused.message)
+        denied = [event for event in self.pooler.events if isinstance(event, SessionDenied)]
+        self.assertEqual(len(denied), 5)
+
+    def test_a_public_route_asks_for_no_token(self) -> None:
+        self.set_tokens(TOKENS, is_public=True)
+        for token in ("first", "unknown"):
+            self.assertIsNone(self.pooler.session(token=token).write().failure)
+        self.assertEqual(self.callers_told(), ["", ""])
+
+    def test_without_callers_in_the_configuration_every_token_will_do(self) -> None:
+        self.set_tokens(None)
+        self.assertIsNone(self.pooler.session(token="anything").write().failure)
+
+    def test_each_statement_is_judged_by_the_configuration_in_force(self) -> None:
+        session = self.pooler.session(token="first")
+        self.assertIsNone(session.write().failure)
+        self.set_tokens(WITHOUT_FIRST)
+        for reply in (session.write(), session.read(), session.ask(StatementKind.BEGIN)):
+            assert reply.failure is not None
+            self.assertEqual(reply.failure.code, ErrorCode.UNAUTHENTICATED)
+            self.assertIs(reply.state, TransactionState.IDLE)
+        self.set_tokens(TOKENS)
+        self.assertIsNone(session.write().failure)
+        self.assertEqual(len(self.pooler.model.commits), 2)
+
+    def test_a_token_that_moves_to_another_caller_takes_its_connections(self) -> None:
+        session = self.pooler.session(token="first")
+        session.write()
+        self.set_tokens({token_digest("first"): SOUTH})
+        session.write()
+        self.assertEqual(self.callers_told(), [NORTH, SOUTH])
+
+    def test_another_token_of_the_caller_goes_on(self) -> None:
+        session = self.pooler.session(token="second")
+        self.set_tokens(WITHOUT_FIRST)
+        self.assertIsNone(session.write().failure)
+
+
+class TransactionTest(CallerCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.session = self.pooler.session(token="first")
+        self.session.ask(StatementKind.BEGIN)
+        self.assertIsNone(self.session.write().failure)
+        self.set_tokens(WITHOUT_FIRST)
+
+    def test_the_next_statement_is_told_that_nothing_is_kept(self) -> None:
+        reply = self.session.write()
+        assert reply.failure is not None
+        self.assertEqual(reply.failure.code, ErrorCode.TRANSACTION_LOST)
+        self.assertIs(reply.state, TransactionState.FAILED)
+        self.assertIsNone(self.session.ask(StatementKind.ROLLBACK).failure)
+        self.assertEqual(self.pooler.model.commits, [])
+
+    def test_a_commit_is_told_that_nothing_is_kept(self) -> None:
+        reply = self.session.ask(StatementKind.COMMIT)
+        assert reply.failure is not None
+        self.assertEqual(reply.failure.code, ErrorCode.TRANSACTION_LOST)
+        self.assertIs(reply.state, TransactionState.IDLE)
+        self.assertEqual(self.pooler.model.commits, [])
+
+    def test_one_that_rests_is_rolled_back(self) -> None:
+        self.session.session.end_if_denied()
+        self.pooler.scheduler.advance(0.1)
+        self.assertEqual(self.pooler.model.own[-1], StatementKind.ROLLBACK)
+        self.assertIsNone(self.session.session.resting_since())
+
+
+class ModelAdmission:
+    """Decides what a test says, at once or later."""
+
+    def __init__(self) -> None:
+        self.refusal: Refusal | None = None
+        self.is_late = False
+        self.applications: list[Application] = []
+
+    def apply(self, caller: str, longest_wait: float, decided: object) -> Application:
+        application = Application(caller, longest_wait, decided)  # type: ignore[arg-type]
+        self.applications.append(application)
+        if not self.is_late:
+            application.decide(self.refusal)
+        return application
+
+
+class AdmissionTest(CallerCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.admission = ModelAdmission()
+        self.pooler.services.admission = self.admission
+        self.session = self.pooler.session(token="first")
+
+    def test_an_operation_counts_once(self) -> None:
+        self.session.write()
+        self.session.ask(StatementKind.BEGIN)
+        for _ in range(3):
+            self.session.write()
+        self.session.ask(StatementKind.COMMIT)
+        self.assertEqual([each.caller for each in self.admission.applications], [NORTH] * 2)
+
+    def test_what_is_refused_does_not_run_and_is_told_when_to_come_back(self) -> None:
+        self.admission.refusal = Refusal(70, True)
+        for is_late in (False, True):
+            self.admission.is_late = is_late
+            statement = self.session.start(StatementKind.WRITE, argument="thing data")
+            self.admission.applications[-1].decide(self.admission.refusal)
+            reply = self.session.reply(statement)
+            assert reply.failure is not None
+            self.assertEqual(reply.failure.code, ErrorCode.RATE_LIMITED)
+            self.assertIn("70 ms", reply.failure.message)
+        self.assertEqual(self.pooler.model.ran, [])
+        told = [event for event in self.pooler.events if isinstance(event, OperationNotAdmitted)]
+        self.assertEqual(len(told), 2)
+
+    def test_a_refused_transaction_has_failed(self) -> None:
+        self.admission.refusal = Refusal(70, True)
+        self.session.ask(StatementKind.BEGIN)
+        self.assertIs(self.session.write().state, TransactionState.FAILED)
+        self.assertIs(self.session.ask(StatementKind.COMMIT).state, TransactionState.IDLE)
+
+    def test_statements_behind_one_that_waits_keep_their_order(self) -> None:
+        self.admission.is_late = True
+        for _ in range(2):
+            self.session.start(StatementKind.WRITE, argument="thing data")
+        self.assertEqual(len(self.admission.applications), 1)
+        self.admission.applications[0].decide(None)
+        self.pooler.scheduler.advance(0.3)
+        self.assertEqual(len(self.admission.applications), 2)
+
+    def test_a_client_that_leaves_withdraws(self) -> None:
+        self.admission.is_late = True
+        self.session.start(StatementKind.WRITE, argument="thing data")
+        self.session.session.end()
+        self.admission.applications[0].decide(None)
+        self.pooler.scheduler.advance(0.3)
+        self.assertEqual(self.pooler.model.ran, [])
+
+
+class PoolTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.scheduler = ModelScheduler()
+        self.model = ModelGroup(self.scheduler)
+        self.pool = ConnectionPool("p", 2, self.model, self.scheduler.now)
+        self.given: list[DatabaseConnection] = []
+
+    def acquire(self, caller: str) -> None:
+        waiter = Waiter(1, self.given.append, lambda denial: None, caller=caller)
+        self.pool.acquire(waiter, {})
+        self.scheduler.advance(0.1)
+
+    def use(self, caller: str) -> DatabaseConnection:
+        self.acquire(caller)
+        self.pool.release(self.given[-1])
+        return self.given[-1]
+
+    def test_a_connection_serves_its_own_caller_only(self) -> None:
+        first = self.use(NORTH)
+        other = self.use(SOUTH)
+        self.assertIsNot(first, other)
+        self.assertIs(self.use(NORTH), first)
+        self.assertEqual([each.caller for each in (first, other)], [NORTH, SOUTH])
+
+    def test_at_the_limit_the_one_idle_for_longest_makes_room(self) -> None:
+        first, second = self.use("a"), self.use("b")
+        self.use("c")
+        self.assertTrue(first.closed)
+        self.assertFalse(second.closed)
+        self.assertEqual(self.model.databases["p"].open_connections, 2)
+
+    def test_one_in_use_is_never_closed_for_another(self) -> None:
+        for caller in "ab":
+            self.acquire(caller)
+        self.acquire("c")
+        self.assertEqual(len(self.given), 2)
+        self.pool.release(self.given[0])
+        self.scheduler.advance(0.1)
+        self.assertEqual([each.caller for each in self.given], ["a", "b", "c"])
+        self.assertEqual(self.model.databases["p"].open_connections, 2)
+
+    def test_who_finds_a_connection_does_not_wait_for_who_needs_a_new_one(self) -> None:
+        self.use("a")
+        self.model.databases["p"].refuse_connections = True
+        blocked = Waiter(0, self.given.append, lambda denial: None, caller="b")
+        self.pool.acquire(blocked, {})
+        self.acquire("a")
+        self.assertEqual(len(self.given), 2)
+
+
+class HolderOfCallerTest(unittest.TestCase):
+    def test_all_processes_go_to_the_same_holder_for_a_caller(self) -> None:
+        one = Holding(0, ("h1", "h2", "h3", "spare"), 3)
+        other = Holding(0, ("h3", "h1", "h2", "spare"), 3)
+        firsts = set()
+        for number in range(20):
+            order = one.holders_for(f"caller{number}")
+            self.assertEqual(order, other.holders_for(f"caller{number}"))
+            self.assertEqual(order[-1], "spare")
+            firsts.add(order[0])
+        self.assertEqual(firsts, {"h1", "h2", "h3"})
+        self.assertEqual(other.holders_for(""), other.holders)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of rate limits over all processes."""
--- /dev/null
+++ b/tests/core/quota/test_admission.py
@@ -0,0 +1,127 @@
+"""Admission over some processes: the bound under cuts, freezes and restarts; who is refused."""
+
+import random
+import unittest
+
+from dewledge.core.quota.limits import RateLimit
+from tests.core.quota.model_processes import ModelNetwork
+
+LARGE, SMALL = "large", "small"
+LIMITS = {LARGE: RateLimit(200, 200), SMALL: RateLimit(2.8, 2.8)}
+USUAL = {LARGE: 125.0, SMALL: 1.75}
+HOT = {LARGE: 940.0, SMALL: 15.0}
+
+
+class CalmTest(unittest.TestCase):
+    def test_below_the_limit_all_are_admitted(self) -> None:
+        network = ModelNetwork(59, LIMITS)
+        network.run(4.0, {})
+        network.run(10.0, USUAL)
+        self.assertEqual(dict(network.refused), {})
+
+    def test_beyond_the_limit_the_rest_is_refused_and_told_when_to_come_back(self) -> None:
+        network = ModelNetwork(20, LIMITS)
+        network.run(4.0, {})
+        network.run(10.0, HOT)
+        for caller in (LARGE, SMALL):
+            self.assertLessEqual(network.worst_share(caller), 1.0)
+            self.assertGreater(network.worst_share(caller), 0.6)
+            self.assertTrue(all(each.is_over_limit for each in network.refused[caller]))
+
+    def test_a_caller_without_a_limit_is_admitted(self) -> None:
+        network = ModelNetwork(3, LIMITS)
+        network.run(0.5, {"free": 50.0})
+        self.assertEqual(network.refused, {})
+
+    def test_a_lower_limit_is_kept_one_window_later(self) -> None:
+        network = ModelNetwork(10, dict(LIMITS))
+        network.run(4.0, USUAL)
+        network.limits[LARGE] = RateLimit(20, 20)
+        for process in network.processes.values():
+            process.set_limits()
+        network.run(5.0, USUAL)
+        network.admitted.clear()
+        network.run(10.0, USUAL)
+        self.assertLessEqual(network.worst_share(LARGE), 1.0)
+        self.assertGreater(network.worst_share(LARGE), 0.6)
+
+
+class FaultTest(unittest.TestCase):
+    def test_another_takes_over_from_a_grantor_that_is_gone(self) -> None:
+        network = ModelNetwork(9, LIMITS)
+        network.run(4.0, USUAL)
+        slot = next(iter(network.processes["process0"].gate._voters))
+        gone = network.processes["process0"].gate.chosen(slot)
+        self.assertTrue(gone)
+        network.side[gone] = 1
+        network.run(4.0, {})
+        others = [name for name in network.names if name != gone]
+        found = {network.processes[name].gate.chosen(slot) for name in others}
+        self.assertEqual(len(found), 1)
+        self.assertNotIn(gone, found)
+        network.refused.clear()
+        network.names = others
+        network.run(5.0, USUAL)
+        self.assertEqual(dict(network.refused), {})
+
+    def test_all_that_start_anew_find_a_grantor(self) -> None:
+        network = ModelNetwork(30, LIMITS)
+        network.run(4.0, USUAL)
+        for name in list(network.names):
+            network.restart(name)
+        network.run(2.5, {})
+        network.refused.clear()
+        network.run(5.0, USUAL)
+        self.assertEqual(dict(network.refused), {})
+
+    def test_cut_from_all_others_a_process_admits_its_reserve_alone(self) -> None:
+        network = ModelNetwork(12, LIMITS)
+        network.run(4.0, USUAL)
+        for number, name in enumerate(network.names):
+            network.side[name] = number
+        network.run(2.0, {})
+        network.admitted.clear()
+        network.run(5.0, HOT)
+        for caller, limit in LIMITS.items():
+            most = int(network.policy.spare(limit) * 0.3)
+            self.assertLessEqual(len(network.admitted[caller]), most + 1)
+
+
+class RandomDaysTest(unittest.TestCase):
+    """Faults at any moment, by seed, while callers ask for far more than their limits."""
+
+    def test_the_bound_holds(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                network = self.play(seed)
+                for caller in LIMITS:
+                    self.assertLessEqual(network.worst_share(caller), 1.0)
+
+    def play(self, seed: int) -> ModelNetwork:
+        chance = random.Random(seed)
+        network = ModelNetwork(chance.randint(3, 24), LIMITS, seed)
+        network.run(2.0, USUAL)
+        for _ in range(8):
+            self.disturb(network, chance)
+            network.run(chance.uniform(0.2, 2.0), HOT)
+        return network
+
+    def disturb(self, network: ModelNetwork, chance: random.Random) -> None:
+        some = [name for name in network.names if chance.random() < 0.4]
+        fault = chance.choice(("cut", "heal", "freeze", "restart", "loss", "delay"))
+        now = network.scheduler.now()
+        for name in some:
+            if fault == "cut":
+                network.side[name] = chance.randint(0, 2)
+            elif fault == "freeze":
+                network.processes[name].scheduler.asleep_until = now + chance.uniform(0.3, 3.0)
+            elif fault == "restart":
+                network.restart(name)
+        if fault == "heal":
+            network.side = dict.fromkeys(network.names, 0)
+        network.loss = 0.3 if fault == "loss" else 0.0
+        network.longest_delay = 0.6 if fault == "delay" else 0.02
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/core/sharing/model_channels.py
+++ b/tests/core/sharing/model_channels.py
@@ -32,6 +32,7 @@
     def open(
         self,
         database_id: str,
+        caller: str,
         opened: Callable[[DatabaseConnection], None],
         failed: Callable[[ErrorCode], None],
         closed: Callable[[DatabaseConnection], None],
@@ -40,7 +41,7 @@
             if not self.is_reachable:
                 failed(ErrorCode.DATABASE_UNREACHABLE)
                 return
-            channel = ModelChannel(self, database_id, closed)
+            channel = ModelChannel(self, database_id, caller, closed)
             self.channels.append(channel)
             opened(channel.connection)
 
@@ -60,6 +61,7 @@
         self,
         channels: ModelChannels,
         database_id: str,
+        caller: str,
         closed: Callable[[DatabaseConnection], None],
     ) -> None:
         self.channels = channels
@@ -69,7 +71,9 @@
         self.sent_at: deque[float] = deque()
         self._closed = closed
         holder = channels.holder
-        self.session = ChannelSession("peer/1", holder.services, holder.group, database_id, self)
+        self.session = ChannelSession(
+            "peer/1", holder.services, holder.group, database_id, self, caller
+        )
 
     # As the transport of the peer's connection.
 
--- a/tests/platform/test_log_and_settings.py
+++ b/tests/platform/test_log_and_settings.py
@@ -14,6 +14,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from dewledge.core.pooling.events import StatementAnswered
+from dewledge.core.quota.limits import QuotaPolicy
 from dewledge.errors import InvalidInput
 from dewledge.pooler_settings import check_pooler_settings, load_pooler_settings
 from dewledge.shell.pooling.log_writer import MAX_WAITING_LINES, LogWriter
@@ -39,8 +40,13 @@
     """Fills a template as the users' pages say, as far as ours goes."""
 
     def section(match: re.Match[str]) -> str:
-        entries = fields[match.group(1)].items()
+        value: Any = fields
+        for part in match.group(1).split("."):
+            value = value.get(part)
         body = match.group(2)
+        if not isinstance(value, dict):
+            return body if value else ""
+        entries = value.items()
         return "".join(body.replace("{{@}}", key).replace("{{.}}", value) for key, value in entries)
 
     def gap(match: re.Match[str]) -> str:
@@ -49,7 +55,7 @@
             value = value[int(part)] if part.isdigit() else value[part]
         return json.dumps(value) if match.group(2) else str(value)
 
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL)
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL)
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", gap, text)
 
 
@@ -60,6 +66,13 @@
         self.assertEqual(settings.zones, {"a": "north", "b": "south"})
         self.assertEqual(settings.timings.drain_bound, 7.0)
 
+    def test_how_exactly_limits_are_kept_is_taken_where_the_platform_tells_it(self) -> None:
+        told = {"quotaWindowS": 5, "quotaOvershoot": 0.1, "quotaSlack": 20}
+        fields = {**FIELDS, "bounds": {**FIELDS["bounds"], **told}}
+        values = tomllib.loads(fill(TEMPLATE.read_text(), fields))
+        settings = check_pooler_settings(values, "template")
+        self.assertEqual(settings.quota.policy, QuotaPolicy(5.0, 0.1, 20.0))
+
     def test_the_pinned_requirements_are_those_of_the_project(self) -> None:
         project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]["dependencies"]
         lines = (ROOT / "deploy" / "requirements.txt").read_text().splitlines()
@@ -155,6 +168,7 @@
         event = StatementAnswered(
             "7",
             "s1",
+            "north",
             "r",
             "g",
             "primary",
--- a/tests/platform/test_pooler_page.py
+++ b/tests/platform/test_pooler_page.py
@@ -10,8 +10,9 @@
 
 from dewledge.checked_values import descriptions
 from dewledge.core.pooling import events as pooling_events
+from dewledge.core.quota.grantor import GrantorChanged
 from dewledge.core.succession.messages import PhaseChanged
-from dewledge.pooler_settings import PoolerSettings, PoolerTimings
+from dewledge.pooler_settings import PoolerSettings, PoolerTimings, QuotaSettings
 from dewledge.shell.pooling.event_log import event_name
 from dewledge.shell.pooling.pooler_metrics import PoolerMetrics
 from tests.test_operations import POOLER_PACKAGES, SOURCES, constants, is_logging_call
@@ -43,7 +44,7 @@
         and issubclass(kind, pooling_events.PoolingEvent)
         and kind is not pooling_events.PoolingEvent
     ]
-    return {event_name(kind) for kind in [*kinds, PhaseChanged]}
+    return {event_name(kind) for kind in [*kinds, PhaseChanged, GrantorChanged]}
 
 
 def logged_events() -> set[str]:
@@ -73,10 +74,14 @@
         )
         listed = {name: (default, meaning) for name, default, meaning in rows}
         expected: dict[str, tuple[str, str]] = {}
-        for prefix, model in (("", PoolerSettings), ("timings.", PoolerTimings)):
+        for prefix, model in (
+            ("", PoolerSettings),
+            ("timings.", PoolerTimings),
+            ("quota.", QuotaSettings),
+        ):
             meanings = descriptions(model)
             for field in msgspec.structs.fields(model):
-                if field.name == "timings":
+                if field.name in ("timings", "quota"):
                     continue
                 text = "required" if field.required else f"`{default_text(field)}`"
                 expected[prefix + field.name] = (text, meanings[field.name])
--- a/tests/shell/edge_services.py
+++ b/tests/shell/edge_services.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 
+from dewledge.core.caller_tokens import token_digest
 from dewledge.core.calls import CallerAnswer, CallerRequest, Outcome
-from dewledge.core.configuration.authorization import AccessPolicy, token_digest
+from dewledge.core.configuration.authorization import AccessPolicy
 from dewledge.core.configuration.configuration import EMPTY_CONFIGURATION, Configuration
 from dewledge.core.configuration.resources import (
     CallerSpec,
--- a/tests/unfenced/model_databases.py
+++ b/tests/unfenced/model_databases.py
@@ -129,6 +129,7 @@
     def open(
         self,
         database_id: str,
+        caller: str,
         opened: Callable[[DatabaseConnection], None],
         failed: Callable[[ErrorCode], None],
         closed: Callable[[DatabaseConnection], None],
