--- a/src/dewledge/adapters/http_exchange.py
+++ b/src/dewledge/adapters/http_exchange.py
@@ -53,6 +53,8 @@
         self._readable.register(self._socket, select.POLLIN)
         self._host = address
         self.closed = False
+        self._received_bytes = 0
+        """Of the answer that is coming."""
 
     def request(
         self,
@@ -78,7 +80,9 @@
             return self._receive(deadline)
         except OSError as error:
             self.close()
-            raise AnswerMissing(f"no answer: {error}") from error
+            raise AnswerMissing(
+                f"no answer: {error}; {self._received_bytes} bytes had come"
+            ) from error
         except (AnswerMissing, ProtocolError):
             self.close()
             raise
@@ -116,11 +120,13 @@
 
     def _receive(self, deadline: float) -> HttpAnswer:
         reader = _AnswerReader()
+        self._received_bytes = 0
         while not reader.complete:
             self._set_time_left(deadline)
             data = self._socket.recv(RECEIVE_BYTES)
             if not data:
                 raise AnswerMissing("the connection was closed before the answer was whole")
+            self._received_bytes += len(data)
             reader.feed(data)
         if reader.last:
             self.close()
