--- a/src/dewledge/core/succession/vouching.py
+++ b/src/dewledge/core/succession/vouching.py
@@ -22,7 +22,7 @@
 """In one question, so that it fits into a datagram."""
 
 
-class VouchQuestion(msgspec.Struct, frozen=True, tag="vouch"):
+class VouchQuestion(msgspec.Struct, frozen=True, array_like=True, tag="vouch"):
     """Asks for the newest claims known. tokens: those that the asker knows, by group."""
 
     asker: str
@@ -30,7 +30,7 @@
     tokens: dict[str, int]
 
 
-class VouchAnswer(msgspec.Struct, frozen=True, tag="vouched"):
+class VouchAnswer(msgspec.Struct, frozen=True, array_like=True, tag="vouched"):
     """The tokens of the newest claims that the voter knows, of the groups asked for."""
 
     voter: str
--- a/src/dewledge/shell/pooling/peer_messages.py
+++ b/src/dewledge/shell/pooling/peer_messages.py
@@ -11,14 +11,14 @@
 MAX_BYTES = 8192
 
 
-class WitnessQuestion(msgspec.Struct, frozen=True, tag="ask"):
+class WitnessQuestion(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
     """Asks whether the receiver can open a connection to a database."""
 
     asker: str
     database: str
 
 
-class WitnessAnswer(msgspec.Struct, frozen=True, tag="say"):
+class WitnessAnswer(msgspec.Struct, frozen=True, array_like=True, tag="say"):
     """The answer. A process that does not know the database gives none."""
 
     witness: str
@@ -26,14 +26,14 @@
     reachable: bool
 
 
-class LeaderNotice(msgspec.Struct, frozen=True, tag="lead"):
+class LeaderNotice(msgspec.Struct, frozen=True, array_like=True, tag="lead"):
     """Tells that a database has taken the lead of its group."""
 
     sender: str
     database: str
 
 
-class ClaimNotice(msgspec.Struct, frozen=True, tag="claim"):
+class ClaimNotice(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
     """Tells the newest claim on a group; the receiver answers that it knows it."""
 
     sender: str
@@ -41,7 +41,7 @@
     claim: Claim
 
 
-class ClaimAnswer(msgspec.Struct, frozen=True, tag="known"):
+class ClaimAnswer(msgspec.Struct, frozen=True, array_like=True, tag="known"):
     """The token of the newest claim on a group that the sender knows."""
 
     sender: str
