Let a process that has just started vote at once where every candidate drops its earlier votes

Cause: after all were killed nobody granted for a vote's time, one second, and reserves served alone. Change: who starts asks the candidates to drop what it sent before; a late vote of that time is told by the grantor's own clock in it and not counted. While no grantor is known, questions go out three times as often, and an operation waits for its share of time in place of being refused at once.

--- a/src/dewledge/core/quota/gate.py
+++ b/src/dewledge/core/quota/gate.py
@@ -21,8 +21,12 @@
 
 VOTE_SPACING_SECONDS = 0.3
 """A third of a vote's time, so that two may be lost."""
+SEARCH_SPACING_SECONDS = 0.1
+"""Between two questions while no grantor is known: some round trips between regions."""
 ASK_AGAIN_SECONDS = 0.09
 """A question without an answer is asked once more after this: two round trips between regions."""
+LOOK_AGAIN_SECONDS = 0.03
+"""While no grantor is known: a third of what lies between two questions for one."""
 COME_BACK_UNKNOWN_MS = 500
 """Told where no grantor is known: about the time in which one is found."""
 LEAST_COME_BACK_MS = 20
@@ -89,6 +93,7 @@
     slot: Slot
     sent_at: float
     applications: tuple[Application, ...]
+    withdraws: bool = False
 
 
 SendQuestion = Callable[[str, QuotaQuestion], None]
@@ -161,18 +166,23 @@
             self._ask(application)
         return application
 
-    def tick(self) -> None:
-        """Votes, and leaves grantors that are gone; to be called each VOTE_SPACING_SECONDS."""
+    def tick(self) -> float:
+        """Votes, and leaves grantors that are gone; returns the seconds until the next time."""
         if not self._limits:
-            return
+            return VOTE_SPACING_SECONDS
         now = self._scheduler.now()
         count = slot_count(len(self._members))
         for index in range(count):
-            voter = self._voter(Slot(count, index))
+            slot = Slot(count, index)
+            voter = self._voter(slot)
             voter.look(now)
-            self._put_question(Slot(count, index), ())
+            for name in voter.withdrawing_from(now):
+                self._withdraw(slot, name)
+            self._put_question(slot, ())
         for number in [n for n, asked in self._asked.items() if asked.sent_at < now - 1.0]:
             del self._asked[number]
+        knows_all = all(voter.knows_grantor(now) for voter in self._voters.values())
+        return VOTE_SPACING_SECONDS if knows_all else SEARCH_SPACING_SECONDS
 
     def take_answer(self, answer: QuotaAnswer) -> None:
         """Takes an answer."""
@@ -182,6 +192,8 @@
             return
         now = self._scheduler.now()
         voter.take_answer(answer, asked.sent_at, now)
+        if asked.withdraws and voter.take_withdrawal(answer.sender):
+            self._put_question(answer.slot, ())
         is_usable = answer.grantor == answer.sender and now <= asked.sent_at + TOKEN_SECONDS
         grants = {grant.caller: grant for grant in answer.grants} if is_usable else {}
         for application in asked.applications:
@@ -206,9 +218,12 @@
             return
         now = self._scheduler.now()
         slot = slot_of(application.caller, slot_count(len(self._members)))
-        if now >= application.until or not self._voter(slot).knows_grantor(now):
+        if now >= application.until:
             self._use_reserve(application)
             return
+        if not self._voter(slot).knows_grantor(now):
+            self._wait_for_grantor(application)
+            return
         number = self._put_question(slot, (application,))
         wait = min(ASK_AGAIN_SECONDS, application.until - now)
 
@@ -231,18 +246,36 @@
         self._send(voter.candidate, question)
         return number
 
+    def _withdraw(self, slot: Slot, name: str) -> None:
+        number = next(self._numbers)
+        self._asked[number] = _Asked(slot, self._scheduler.now(), (), withdraws=True)
+        question = QuotaQuestion(self._own_name, number, slot, False, None, withdraws=True)
+        self._send(name, question)
+
+    def _wait_for_grantor(self, application: Application) -> None:
+        """Admits it by the own reserve, else looks again for a grantor while there is time."""
+        if self._take_reserve(application.caller):
+            application.decide(None)
+            return
+        left = application.until - self._scheduler.now()
+        self._scheduler.call_later(min(left, LOOK_AGAIN_SECONDS), lambda: self._ask(application))
+
     def _use_reserve(self, application: Application) -> None:
-        """No grantor is reached: admits what this process may by itself, and no more."""
+        """No grantor has answered in time: admits what this process may by itself, and no more."""
+        if self._take_reserve(application.caller):
+            application.decide(None)
+        else:
+            application.decide(Refusal(COME_BACK_UNKNOWN_MS, False))
+
+    def _take_reserve(self, caller: str) -> bool:
         now = self._scheduler.now()
-        caller = application.caller
         admissions = self._own_admissions.setdefault(caller, deque())
         while admissions and admissions[0] <= now - self._policy.window:
             admissions.popleft()
-        if len(admissions) < self._reserve_of(caller):
-            admissions.append(now)
-            application.decide(None)
-        else:
-            application.decide(Refusal(COME_BACK_UNKNOWN_MS, False))
+        if len(admissions) >= self._reserve_of(caller):
+            return False
+        admissions.append(now)
+        return True
 
     def _reserve_of(self, caller: str) -> int:
         known = self._reserves.get(caller)
--- a/src/dewledge/core/quota/grantor.py
+++ b/src/dewledge/core/quota/grantor.py
@@ -68,6 +68,7 @@
         self._members: Collection[str] = frozenset({own_name})
         self._limits: Mapping[str, RateLimit] = {}
         self._votes: dict[Slot, dict[str, float]] = {}
+        self._withdrawn_at: dict[tuple[Slot, str], float] = {}
         self._terms: dict[Slot, _Term] = {}
         self._ended_at: dict[Slot, float] = {}
 
@@ -89,10 +90,11 @@
 
     def take_question(self, question: QuotaQuestion, now: float) -> QuotaAnswer:
         """Counts a vote and returns the answer."""
-        if question.votes and question.heard_at is not None and question.heard_at <= now:
-            votes = self._votes.setdefault(question.slot, {})
-            until = question.heard_at + VOTE_SECONDS
-            votes[question.asker] = max(votes.get(question.asker, -math.inf), until)
+        if question.withdraws:
+            self._votes.setdefault(question.slot, {}).pop(question.asker, None)
+            self._withdrawn_at[question.slot, question.asker] = now
+        elif question.votes and question.heard_at is not None and question.heard_at <= now:
+            self._count(question.slot, question.asker, question.heard_at)
         grants: tuple[TokenGrant, ...] = ()
         known = self._own_name if self.grants_for(question.slot, now) else ""
         if known:
@@ -101,6 +103,13 @@
             known = self._chosen(question.slot)
         return QuotaAnswer(self._own_name, question.number, question.slot, now, known, grants)
 
+    def _count(self, slot: Slot, asker: str, heard_at: float) -> None:
+        """Counts a vote, unless it was sent before the asker withdrew what it had sent."""
+        if heard_at < self._withdrawn_at.get((slot, asker), -math.inf):
+            return
+        votes = self._votes.setdefault(slot, {})
+        votes[asker] = max(votes.get(asker, -math.inf), heard_at + VOTE_SECONDS)
+
     def grants_for(self, slot: Slot, now: float) -> bool:
         """Tells whether this process has the votes of more than half of all now."""
         votes = self._votes.get(slot, {})
--- a/src/dewledge/core/quota/messages.py
+++ b/src/dewledge/core/quota/messages.py
@@ -27,7 +27,8 @@
     """Asks a candidate for tokens, and may be a vote for it.
 
     heard_at: from the last answer of this candidate to the asker, None without one. Where `votes`,
-    the asker votes for no other until VOTE_SECONDS after this question was sent.
+    the asker votes for no other until VOTE_SECONDS after this question was sent. withdraws: votes
+    that it sent before count no more; it has just started and does not know them.
     """
 
     asker: str
@@ -36,6 +37,7 @@
     votes: bool
     heard_at: float | None
     wants: tuple[TokenWant, ...] = ()
+    withdraws: bool = False
 
 
 class QuotaAnswer(msgspec.Struct, frozen=True, array_like=True, tag="quota_say"):
--- a/src/dewledge/core/quota/voter.py
+++ b/src/dewledge/core/quota/voter.py
@@ -19,7 +19,7 @@
 
     def __init__(self, candidates: Sequence[str], started_at: float) -> None:
         """`started_at`: of the process. What it did before is forgotten, so for as long as a vote
-        lasts it votes for nobody."""
+        lasts it votes for nobody, or until every candidate has dropped its earlier votes."""
         self._candidates = tuple(candidates)
         self._place = 0
         self._asked_since = started_at
@@ -32,6 +32,8 @@
         """Since when the present candidate has this process's vote; before, it cannot grant."""
         self._bound_until = started_at + VOTE_SECONDS
         self._heard_at: dict[str, float] = {}
+        self._withdrawing = set(candidates)
+        """The candidates that have not dropped the votes of an earlier start of this process."""
 
     @property
     def candidate(self) -> str:
@@ -51,6 +53,20 @@
         """Tells whether a vote for the present candidate breaks no earlier promise."""
         return self._voted_for == self.candidate or now >= self._bound_until
 
+    def withdrawing_from(self, now: float) -> Sequence[str]:
+        """Returns the candidates that are to drop the earlier votes of this process."""
+        return sorted(self._withdrawing) if now < self._bound_until else ()
+
+    def take_withdrawal(self, sender: str) -> bool:
+        """A candidate has dropped the earlier votes; returns whether all have, just now."""
+        if sender not in self._withdrawing:
+            return False
+        self._withdrawing.discard(sender)
+        if self._withdrawing or self._voted_for:
+            return False
+        self._bound_until = -math.inf
+        return True
+
     def note_vote(self, now: float) -> None:
         """A vote for the present candidate is sent now."""
         if self._voted_since == math.inf:
--- a/src/dewledge/shell/pooling/quota_driver.py
+++ b/src/dewledge/shell/pooling/quota_driver.py
@@ -1,7 +1,7 @@
 """Has the process's admission and its part in granting run on the loop and the datagrams."""
 
 from dewledge.core.pooling.services import PoolServices
-from dewledge.core.quota.gate import VOTE_SPACING_SECONDS, QuotaGate
+from dewledge.core.quota.gate import SEARCH_SPACING_SECONDS, QuotaGate
 from dewledge.core.quota.grantor import Grantor
 from dewledge.core.quota.limits import QuotaPolicy
 from dewledge.core.quota.messages import QuotaAnswer, QuotaQuestion
@@ -54,9 +54,8 @@
         self._grantor.set_limits(limits, self._loop.now())
 
     def _tick(self) -> None:
-        if self._members.is_known:
-            self._gate.tick()
-        self._loop.call_later(VOTE_SPACING_SECONDS, self._tick)
+        again = self._gate.tick() if self._members.is_known else SEARCH_SPACING_SECONDS
+        self._loop.call_later(again, self._tick)
 
     def _send(self, name: str, question: QuotaQuestion) -> None:
         if name == self._own_name:
--- a/tests/core/quota/model_processes.py
+++ b/tests/core/quota/model_processes.py
@@ -3,7 +3,7 @@
 import random
 from collections import defaultdict
 
-from dewledge.core.quota.gate import VOTE_SPACING_SECONDS, QuotaGate, Refusal
+from dewledge.core.quota.gate import QuotaGate, Refusal
 from dewledge.core.quota.grantor import Grantor
 from dewledge.core.quota.limits import QuotaPolicy, RateLimit
 from dewledge.core.quota.messages import QuotaAnswer, QuotaQuestion
@@ -67,8 +67,7 @@
         self.gate.apply(caller, 0.1, decided)
 
     def _tick(self) -> None:
-        self.gate.tick()
-        self.scheduler.call_later(VOTE_SPACING_SECONDS, self._tick)
+        self.scheduler.call_later(self.gate.tick(), self._tick)
 
     def _send(self, name: str, question: QuotaQuestion) -> None:
         self.network.carry(self.name, name, question)
--- a/tests/core/quota/test_admission.py
+++ b/tests/core/quota/test_admission.py
@@ -69,7 +69,7 @@
         network.run(4.0, USUAL)
         for name in list(network.names):
             network.restart(name)
-        network.run(2.5, {})
+        network.run(0.6, {})
         network.refused.clear()
         network.run(5.0, USUAL)
         self.assertEqual(dict(network.refused), {})
--- a/tests/core/sharing/test_channel_session.py
+++ b/tests/core/sharing/test_channel_session.py
@@ -111,7 +111,7 @@
             self.scheduler.advance(CUT_SPACING_SECONDS)
         opened: list[DatabaseConnection] = []
         for _ in range(2):
-            self.pooler.channels.open("p", opened.append, lambda _: None, lambda _: None)
+            self.pooler.channels.open("p", "", opened.append, lambda _: None, lambda _: None)
         self.scheduler.advance(0.01)
         replies: list[Reply | None] = []
         opened[0].send_own(StatementKind.BEGIN, lambda reply: None)
