Give a process that is cut off its share of each caller's rate, and the grantor the others' shares

Change: the grantor gives out the shares of those whose votes count; who has heard no candidate for a vote's time, so that its vote cannot count, uses its own share. The sum is the limit at each moment. Ruled out: a share beside counted votes (twice the limit on lossy links).

--- a/src/dewledge/core/quota/gate.py
+++ b/src/dewledge/core/quota/gate.py
@@ -1,12 +1,11 @@
 """Whether an operation of a caller may begin: asked before any work, at the process that took it.
 
 A caller without a limit is admitted at once. Else a token is asked for from the process that grants
-for the caller; a process that reaches none admits a small reserve of its own. What is refused is
-told when to come back.
+for the caller; a process that reaches none admits a share of its own (own_share.py). What is
+refused is told when to come back.
 """
 
 import itertools
-from collections import deque
 from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
@@ -16,6 +15,7 @@
 from dewledge.core.quota.grantor import VOTE_SECONDS
 from dewledge.core.quota.limits import TOKEN_SECONDS, QuotaPolicy, RateLimit
 from dewledge.core.quota.messages import QuotaAnswer, QuotaQuestion, TokenWant
+from dewledge.core.quota.own_share import OwnShare
 from dewledge.core.quota.slots import Slot, candidates_of, place_of, slot_count, slot_of
 from dewledge.core.quota.voter import Voter
 
@@ -121,21 +121,23 @@
         self._voters: dict[Slot, Voter] = {}
         self._numbers = itertools.count(1)
         self._asked: dict[int, _Asked] = {}
-        self._own_admissions: dict[str, deque[float]] = {}
-        self._reserves: dict[str, int] = {}
+        self._own_shares: dict[str, OwnShare] = {}
 
     def set_limits(self, limits: Mapping[str, RateLimit]) -> None:
         """Sets the limits of callers; without any nothing is asked of other processes."""
+        changed = [name for name in self._own_shares if limits.get(name) != self._limits.get(name)]
+        for name in changed:
+            del self._own_shares[name]
         self._limits = limits
-        self._reserves = {}
         if not limits:
             self._voters = {}
 
     def set_members(self, members: Collection[str]) -> None:
         """Sets the processes among which callers are divided."""
         now = self._scheduler.now()
+        if frozenset(members) != self._members:
+            self._own_shares = {}
         self._members = frozenset(members)
-        self._reserves = {}
         count = slot_count(len(self._members))
         if any(slot.count != count for slot in self._voters):
             self._divide_anew()
@@ -219,7 +221,7 @@
         now = self._scheduler.now()
         slot = slot_of(application.caller, slot_count(len(self._members)))
         if now >= application.until:
-            self._use_reserve(application)
+            self._use_own_share(application)
             return
         if not self._voter(slot).knows_grantor(now):
             self._wait_for_grantor(application)
@@ -253,39 +255,33 @@
         self._send(name, question)
 
     def _wait_for_grantor(self, application: Application) -> None:
-        """Admits it by the own reserve, else looks again for a grantor while there is time."""
-        if self._take_reserve(application.caller):
+        """Admits it by the own share, else looks again for a grantor while there is time."""
+        if self._take_own(application.caller):
             application.decide(None)
             return
         left = application.until - self._scheduler.now()
         self._scheduler.call_later(min(left, LOOK_AGAIN_SECONDS), lambda: self._ask(application))
 
-    def _use_reserve(self, application: Application) -> None:
+    def _use_own_share(self, application: Application) -> None:
         """No grantor has answered in time: admits what this process may by itself, and no more."""
-        if self._take_reserve(application.caller):
+        if self._take_own(application.caller):
             application.decide(None)
         else:
             application.decide(Refusal(COME_BACK_UNKNOWN_MS, False))
 
-    def _take_reserve(self, caller: str) -> bool:
+    def _take_own(self, caller: str) -> bool:
+        limit = self._limits.get(caller)
+        if limit is None:
+            return True
         now = self._scheduler.now()
-        admissions = self._own_admissions.setdefault(caller, deque())
-        while admissions and admissions[0] <= now - self._policy.window:
-            admissions.popleft()
-        if len(admissions) >= self._reserve_of(caller):
-            return False
-        admissions.append(now)
-        return True
-
-    def _reserve_of(self, caller: str) -> int:
-        known = self._reserves.get(caller)
-        if known is None:
-            place = place_of(self._own_name, caller, self._members)
-            limit = self._limits.get(caller)
+        share = self._own_shares.get(caller)
+        if share is None:
             processes = len(self._members)
-            known = 0 if limit is None else self._policy.reserve(limit, processes, place)
-            self._reserves[caller] = known
-        return known
+            place = place_of(self._own_name, caller, self._members)
+            share = OwnShare(limit, self._policy, processes, place, now)
+            self._own_shares[caller] = share
+        slot = slot_of(caller, slot_count(len(self._members)))
+        return share.take(now, self._voter(slot).counted_until)
 
     def _voter(self, slot: Slot) -> Voter:
         voter = self._voters.get(slot)
--- a/src/dewledge/core/quota/grantor.py
+++ b/src/dewledge/core/quota/grantor.py
@@ -79,14 +79,14 @@
     def set_limits(self, limits: Mapping[str, RateLimit], now: float) -> None:
         """Sets the limits; they hold from now on."""
         self._limits = limits
-        for term in self._terms.values():
+        for slot, term in self._terms.items():
             for caller in list(term.buckets):
                 limit = limits.get(caller)
                 if limit is None:
                     del term.buckets[caller]
                 else:
                     size = self._policy.bucket_size(limit)
-                    term.buckets[caller].change(limit.rate, size, now)
+                    term.buckets[caller].change(self._rate(slot, limit, now), size, now)
 
     def take_question(self, question: QuotaQuestion, now: float) -> QuotaAnswer:
         """Counts a vote and returns the answer."""
@@ -112,8 +112,7 @@
 
     def grants_for(self, slot: Slot, now: float) -> bool:
         """Tells whether this process has the votes of more than half of all now."""
-        votes = self._votes.get(slot, {})
-        valid = sum(until > now for name, until in votes.items() if name in self._members)
+        valid = self._valid_votes(slot, now)
         grants = valid * 2 > len(self._members)
         if grants != (slot in self._terms):
             event = GrantorChanged(slot.count, slot.index, grants, valid, len(self._members))
@@ -126,6 +125,14 @@
                 self._ended_at[slot] = now
         return grants
 
+    def _valid_votes(self, slot: Slot, now: float) -> int:
+        votes = self._votes.get(slot, {})
+        return sum(until > now for name, until in votes.items() if name in self._members)
+
+    def _rate(self, slot: Slot, limit: RateLimit, now: float) -> float:
+        """Returns the shares of those whose votes count; the others may use theirs themselves."""
+        return limit.rate * self._valid_votes(slot, now) / len(self._members)
+
     def _grant(self, slot: Slot, want: TokenWant, now: float) -> TokenGrant:
         limit = self._limits.get(want.caller)
         if limit is None:
@@ -136,8 +143,9 @@
         if bucket is None:
             size = self._policy.bucket_size(limit)
             first = 0.0 if term.is_renewed else self._policy.first_tokens(limit)
-            bucket = TokenBucket(limit.rate, size, first, term.began_at)
+            bucket = TokenBucket(limit.rate / 2, size, first, term.began_at)
             term.buckets[want.caller] = bucket
+        bucket.change(self._rate(slot, limit, now), self._policy.bucket_size(limit), now)
         given = bucket.take(want.count, now)
         if given:
             return TokenGrant(want.caller, given, 0)
--- /dev/null
+++ b/src/dewledge/core/quota/own_share.py
@@ -0,0 +1,53 @@
+"""What one process may admit of one caller by itself, while it reaches nobody that grants.
+
+A process whose vote cannot count any more has a share of the caller's rate: the grantor, if there
+is one elsewhere, gives out only the shares of those whose votes count. Besides there is a small
+reserve for each window, for the time until then.
+"""
+
+from collections import deque
+
+from dewledge.core.quota.limits import QuotaPolicy, RateLimit
+
+CREDIT = 1.0
+"""What of the share may be saved up: one operation, which the reserve is less for."""
+
+
+class OwnShare:
+    """Of one caller at one process. Times in seconds of the process's steady clock."""
+
+    def __init__(
+        self, limit: RateLimit, policy: QuotaPolicy, processes: int, place: int, now: float
+    ) -> None:
+        """`place`: of this process among the `processes`, from 0."""
+        self._window = policy.window
+        self._rate = limit.rate / max(processes, 1)
+        reserve = policy.reserve(limit, processes, place)
+        self._has_share = reserve >= 1 and self._rate * policy.window >= CREDIT
+        self._reserve = reserve - 1 if self._has_share else reserve
+        self._credit = 0.0
+        self._credited_until = now
+        self._admitted: deque[float] = deque()
+
+    def take(self, now: float, counted_until: float) -> bool:
+        """Tells whether one operation may begin, and counts it.
+
+        counted_until: until then the vote of this process may count for a grantor, which then gives
+        out its share.
+        """
+        self._gain_credit(now, counted_until)
+        if self._credit >= CREDIT:
+            self._credit -= CREDIT
+            return True
+        while self._admitted and self._admitted[0] <= now - self._window:
+            self._admitted.popleft()
+        if len(self._admitted) >= self._reserve:
+            return False
+        self._admitted.append(now)
+        return True
+
+    def _gain_credit(self, now: float, counted_until: float) -> None:
+        since = max(self._credited_until, counted_until)
+        if self._has_share and now > since:
+            self._credit = min(self._credit + (now - since) * self._rate, CREDIT)
+        self._credited_until = max(now, self._credited_until)
--- a/src/dewledge/core/quota/voter.py
+++ b/src/dewledge/core/quota/voter.py
@@ -25,6 +25,8 @@
         self._asked_since = started_at
         """Since when the present candidate is asked."""
         self._answered_at = -math.inf
+        self._any_answer_at = started_at
+        """When any candidate last answered; what an earlier start of the process heard is older."""
         self._granting_at = -math.inf
         """When a question was sent whose answer said that the candidate grants."""
         self._voted_for = ""
@@ -87,9 +89,15 @@
         """Tells whether the candidate granted a moment ago."""
         return now < self._granting_at + VOTE_SECONDS
 
+    @property
+    def counted_until(self) -> float:
+        """Until then a vote of this process may count: each echoes an answer and lasts from it."""
+        return self._any_answer_at + VOTE_SECONDS
+
     def take_answer(self, answer: QuotaAnswer, sent_at: float, now: float) -> None:
         """Takes an answer to a question sent at `sent_at`."""
         self._heard_at[answer.sender] = answer.told_at
+        self._any_answer_at = now
         if answer.sender != self.candidate:
             return
         self._answered_at = now
