--- a/tests/platform/test_pooler_process.py
+++ b/tests/platform/test_pooler_process.py
@@ -38,6 +38,7 @@
 
 class PoolerCase(unittest.TestCase):
     fences = True
+    tenants: list[dict[str, object]] | None = None
 
     def setUp(self) -> None:
         self.store = TableStore()
@@ -68,16 +69,15 @@
             for name, kind in zip(databases, types, strict=False)
         ]
         services = [{"name": "menus", "maxConnections": 36, "syncReplicas": 0}]
-        self.store.put(
-            "op",
-            "config",
-            {
-                "version": self.version,
-                "routes": routes,
-                "services": services,
-                "limits": {"txIdleMs": 3000},
-            },
-        )
+        configuration: dict[str, object] = {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": {"txIdleMs": 3000},
+        }
+        if self.tenants is not None:
+            configuration["tenants"] = self.tenants
+        self.store.put("op", "config", configuration)
 
     def start(self, name: str) -> PoolerProcess:
         settings = PoolerSettings(
@@ -100,8 +100,8 @@
         self.addCleanup(process.leave)
         return process
 
-    def client(self, database: str, number: int = 0) -> WireClient:
-        client = WireClient(self.processes[number].client_address, database)
+    def client(self, database: str, number: int = 0, key: str = "test") -> WireClient:
+        client = WireClient(self.processes[number].client_address, database, key=key)
         self.addCleanup(client.close)
         return client
 
--- a/tests/platform/wire_databases.py
+++ b/tests/platform/wire_databases.py
@@ -31,6 +31,8 @@
         self.lag_seconds = 0.0
         self.alive = True
         self.ran: list[str] = []
+        self.callers: list[str] = []
+        """What each STARTUP said of whose statements come."""
         self._sequence = 0
         self._connections: set[socket.socket] = set()
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -95,6 +97,7 @@
         word, _, rest = line.partition(" ")
         if word == "STARTUP":
             fields = rest.split(" ")
+            self.database.callers.append(fields[1] if len(fields) > 1 else "")
             wrong = fields[0] != self.database.group.name
             wrong = wrong or (len(fields) > 2 and fields[2] != self.database.name)
             self._send("ERROR WRONGNODE -" if wrong else self._ready())
@@ -310,12 +313,14 @@
 class WireClient:
     """A client of the wire, for tests."""
 
-    def __init__(self, address: str, database: str, timeout: float = 5.0) -> None:
+    def __init__(
+        self, address: str, database: str, timeout: float = 5.0, key: str = "test"
+    ) -> None:
         host, port = address.rsplit(":", 1)
         self.connection = socket.create_connection((host, int(port)), timeout=timeout)
         self._lines = self.connection.makefile("r", encoding="latin-1", newline="\r\n")
         self._next = 0
-        self.send(f"STARTUP {database} test")
+        self.send(f"STARTUP {database} {key}")
         self.greeting = self.line()
 
     def send(self, line: str) -> None:
