Let each vote carry its share of the rates to whom it is for, in place of one grantor with more than half

Change: a process with v of n votes gives out v/n of each rate, so both sides of a split go on; a vote counts at one process at most, as before, now until one second after the last answer of whom it was for. Buckets fill with the share held over time. Voters go back to an earlier candidate that answers again. Five candidates in place of four. What new buckets begin with is 0.1 of the spare, four times. Ruled out: shares by what each process used of late (a new grantor does not know them).

--- a/src/dewledge/core/quota/gate.py
+++ b/src/dewledge/core/quota/gate.py
@@ -150,15 +150,16 @@
 
     def _divide_anew(self) -> None:
         """Votes in the old division bind for their time: the slots are other ones now."""
-        bound_until = max(voter.bound_until for voter in self._voters.values())
+        bound_until = max(voter.counted_until for voter in self._voters.values())
         self._voters = {}
         self._started_at = max(self._started_at, bound_until - VOTE_SECONDS)
 
-    def chosen(self, slot: Slot) -> str:
-        """Returns who grants for a slot as far as this process knows, empty for nobody."""
-        voter = self._voters.get(slot)
-        known = voter is not None and voter.knows_grantor(self._scheduler.now())
-        return voter.candidate if voter is not None and known else ""
+    def grantor_of(self, caller: str) -> str:
+        """Returns who grants a caller's tokens to this process, empty where none is known."""
+        voter = self._voters.get(slot_of(caller, slot_count(len(self._members))))
+        if voter is None or not voter.knows_grantor(self._scheduler.now()):
+            return ""
+        return voter.candidate
 
     def apply(
         self, caller: str, longest_wait: float, decided: Callable[[Refusal | None], None]
@@ -188,7 +189,8 @@
         for index in range(count):
             slot = Slot(count, index)
             voter = self._voter(slot)
-            voter.look(now)
+            for name in voter.look(now):
+                self._put_probe(slot, name)
             for name in voter.withdrawing_from(now):
                 self._withdraw(slot, name)
             self._put_question(slot, ())
@@ -207,7 +209,7 @@
         voter.take_answer(answer, asked.sent_at, now)
         if asked.withdraws and voter.take_withdrawal(answer.sender):
             self._put_question(answer.slot, ())
-        is_usable = answer.grantor == answer.sender and now <= asked.sent_at + TOKEN_SECONDS
+        is_usable = answer.grants_here and now <= asked.sent_at + TOKEN_SECONDS
         grants = {grant.caller: grant for grant in answer.grants} if is_usable else {}
         for application in asked.applications:
             grant = grants.get(application.caller)
@@ -251,14 +253,20 @@
         voter = self._voter(slot)
         votes = voter.may_vote(now)
         if votes:
-            voter.note_vote(now)
+            voter.note_vote()
         number = next(self._numbers)
         self._asked[number] = _Asked(slot, now, applications)
         wants = tuple(TokenWant(application.caller, 1) for application in applications)
-        question = QuotaQuestion(self._own_name, number, slot, votes, voter.heard_at(), wants)
+        question = QuotaQuestion(self._own_name, number, slot, votes, voter.heard_at, wants)
         self._send(voter.candidate, question)
         return number
 
+    def _put_probe(self, slot: Slot, name: str) -> None:
+        """Asks a candidate for an answer only: it may be reached again."""
+        number = next(self._numbers)
+        self._asked[number] = _Asked(slot, self._scheduler.now(), ())
+        self._send(name, QuotaQuestion(self._own_name, number, slot, False, None))
+
     def _withdraw(self, slot: Slot, name: str) -> None:
         number = next(self._numbers)
         self._asked[number] = _Asked(slot, self._scheduler.now(), (), withdraws=True)
--- a/src/dewledge/core/quota/grantor.py
+++ b/src/dewledge/core/quota/grantor.py
@@ -1,9 +1,10 @@
-"""The process that grants tokens for a slot: at most one at a time has the votes for it.
+"""The part of a process in granting tokens: each vote for it carries its share of the rates.
 
 A vote counts for VOTE_SECONDS from the moment at which the voter was last answered, which lies
-before it sent the vote; a voter votes for no other for as long after sending. More than half of all
-processes share one with any other such half, so two processes never grant at the same time,
-whoever is cut off, frozen or restarted, and no two clocks are compared.
+before it sent the vote; a voter votes for another only when its last vote cannot count any more. So
+each vote counts at one process at most, whoever is cut off, frozen or restarted, and no two clocks
+are compared. A process with v of n votes gives out v/n of each rate; two sides of a split each go
+on with theirs.
 """
 
 import math
@@ -22,13 +23,13 @@
 from dewledge.core.quota.token_bucket import TokenBucket
 
 VOTE_SECONDS = 1.0
-"""Two votes may be lost on the way without the grantor losing its place; and so long nobody grants
-after a grantor is gone."""
+"""Two votes may be lost on the way without being missed; and so long a vote counts for a process
+that is gone."""
 MILLISECONDS = 1000
 
 
 class GrantorChanged(msgspec.Struct, frozen=True):
-    """This process grants a slot's tokens from now on, or does so no more.
+    """This process grants tokens of a slot from now on, or does so no more.
 
     votes: that count now. members: whose votes could count.
     """
@@ -40,14 +41,30 @@
     members: int
 
 
-class _Term:
-    """One span of time in which this process grants for a slot."""
+class _SlotState:
+    """What this process knows and gives out in one slot."""
 
-    def __init__(self, began_at: float, is_renewed: bool) -> None:
-        self.began_at = began_at
-        self.is_renewed = is_renewed
-        """Whether it granted here a moment ago: then the first tokens were given already."""
+    def __init__(self) -> None:
+        self.votes: dict[str, float] = {}
+        """Until when the vote of each process counts."""
+        self.withdrawn_at: dict[str, float] = {}
+        """Votes of a process that echo an older answer were sent before it started anew."""
         self.buckets: dict[str, TokenBucket] = {}
+        """By caller. Their time is `share_seconds`, so each fills with the share that is held."""
+        self.share_seconds = 0.0
+        """The share held so far, over time: a second with half of all votes counts for half."""
+        self.grants = False
+        self._share = 0.0
+        self._share_at = 0.0
+
+    def hold(self, share: float, now: float) -> None:
+        """Notes the share held now; since the last note it was the smaller of the two at least.
+
+        A vote is renewed by a question only, and each question is noted.
+        """
+        self.share_seconds += min(share, self._share) * (now - self._share_at)
+        self._share = share
+        self._share_at = now
 
 
 class Grantor:
@@ -57,96 +74,71 @@
         self,
         own_name: str,
         policy: QuotaPolicy,
-        chosen: Callable[[Slot], str],
         record: Callable[[GrantorChanged], None] = lambda event: None,
     ) -> None:
-        """`chosen`: whom this process takes for the grantor of a slot, empty for nobody."""
         self._own_name = own_name
         self._policy = policy
-        self._chosen = chosen
         self._record = record
         self._members: Collection[str] = frozenset({own_name})
         self._limits: Mapping[str, RateLimit] = {}
-        self._votes: dict[Slot, dict[str, float]] = {}
-        self._withdrawn_at: dict[tuple[Slot, str], float] = {}
-        self._terms: dict[Slot, _Term] = {}
-        self._ended_at: dict[Slot, float] = {}
+        self._slots: dict[Slot, _SlotState] = {}
 
     def set_members(self, members: Collection[str]) -> None:
         """Sets whose votes count."""
         self._members = frozenset(members)
 
-    def set_limits(self, limits: Mapping[str, RateLimit], now: float) -> None:
+    def set_limits(self, limits: Mapping[str, RateLimit]) -> None:
         """Sets the limits; they hold from now on."""
         self._limits = limits
-        for slot, term in self._terms.items():
-            for caller in list(term.buckets):
-                limit = limits.get(caller)
-                if limit is None:
-                    del term.buckets[caller]
-                else:
-                    size = self._policy.bucket_size(limit)
-                    term.buckets[caller].change(self._rate(slot, limit, now), size, now)
+        for state in self._slots.values():
+            for caller in [name for name in state.buckets if name not in limits]:
+                del state.buckets[caller]
 
     def take_question(self, question: QuotaQuestion, now: float) -> QuotaAnswer:
         """Counts a vote and returns the answer."""
+        state = self._slots.setdefault(question.slot, _SlotState())
         if question.withdraws:
-            self._votes.setdefault(question.slot, {}).pop(question.asker, None)
-            self._withdrawn_at[question.slot, question.asker] = now
+            state.votes.pop(question.asker, None)
+            state.withdrawn_at[question.asker] = now
         elif question.votes and question.heard_at is not None and question.heard_at <= now:
-            self._count(question.slot, question.asker, question.heard_at)
+            _count(state, question.asker, question.heard_at)
+        votes = self._valid_votes(question.slot, state, now)
+        share = votes / len(self._members)
+        state.hold(share, now)
         grants: tuple[TokenGrant, ...] = ()
-        known = self._own_name if self.grants_for(question.slot, now) else ""
-        if known:
-            grants = tuple(self._grant(question.slot, want, now) for want in question.wants)
-        else:
-            known = self._chosen(question.slot)
-        return QuotaAnswer(self._own_name, question.number, question.slot, now, known, grants)
-
-    def _count(self, slot: Slot, asker: str, heard_at: float) -> None:
-        """Counts a vote, unless it was sent before the asker withdrew what it had sent."""
-        if heard_at < self._withdrawn_at.get((slot, asker), -math.inf):
-            return
-        votes = self._votes.setdefault(slot, {})
-        votes[asker] = max(votes.get(asker, -math.inf), heard_at + VOTE_SECONDS)
-
-    def grants_for(self, slot: Slot, now: float) -> bool:
-        """Tells whether this process has the votes of more than half of all now."""
-        valid = self._valid_votes(slot, now)
-        grants = valid * 2 > len(self._members)
-        if grants != (slot in self._terms):
-            event = GrantorChanged(slot.count, slot.index, grants, valid, len(self._members))
+        if votes:
+            grants = tuple(self._grant(state, want, share) for want in question.wants)
+        return QuotaAnswer(self._own_name, question.number, question.slot, now, votes > 0, grants)
+
+    def _valid_votes(self, slot: Slot, state: _SlotState, now: float) -> int:
+        votes = sum(until > now for name, until in state.votes.items() if name in self._members)
+        if state.grants != (votes > 0):
+            state.grants = votes > 0
+            event = GrantorChanged(slot.count, slot.index, state.grants, votes, len(self._members))
             self._record(event)
-            if grants:
-                ended_at = self._ended_at.get(slot, -math.inf)
-                self._terms[slot] = _Term(now, ended_at > now - self._policy.window)
-            else:
-                del self._terms[slot]
-                self._ended_at[slot] = now
-        return grants
-
-    def _valid_votes(self, slot: Slot, now: float) -> int:
-        votes = self._votes.get(slot, {})
-        return sum(until > now for name, until in votes.items() if name in self._members)
-
-    def _rate(self, slot: Slot, limit: RateLimit, now: float) -> float:
-        """Returns the shares of those whose votes count; the others may use theirs themselves."""
-        return limit.rate * self._valid_votes(slot, now) / len(self._members)
-
-    def _grant(self, slot: Slot, want: TokenWant, now: float) -> TokenGrant:
+        return votes
+
+    def _grant(self, state: _SlotState, want: TokenWant, share: float) -> TokenGrant:
         limit = self._limits.get(want.caller)
         if limit is None:
             # This process has another configuration than who asks; the limit may be new.
             return TokenGrant(want.caller, 0, int(VOTE_SECONDS * MILLISECONDS))
-        term = self._terms[slot]
-        bucket = term.buckets.get(want.caller)
+        size = self._policy.bucket_size(limit, share)
+        bucket = state.buckets.get(want.caller)
         if bucket is None:
-            size = self._policy.bucket_size(limit)
-            first = 0.0 if term.is_renewed else self._policy.first_tokens(limit)
-            bucket = TokenBucket(limit.rate / 2, size, first, term.began_at)
-            term.buckets[want.caller] = bucket
-        bucket.change(self._rate(slot, limit, now), self._policy.bucket_size(limit), now)
-        given = bucket.take(want.count, now)
+            first = self._policy.first_tokens(limit) * share
+            bucket = TokenBucket(limit.rate, size, first, 0.0)
+            state.buckets[want.caller] = bucket
+        bucket.change(limit.rate, size, state.share_seconds)
+        given = bucket.take(want.count, state.share_seconds)
         if given:
             return TokenGrant(want.caller, given, 0)
-        return TokenGrant(want.caller, 0, math.ceil(bucket.next_free(now) * MILLISECONDS))
+        seconds = bucket.next_free(state.share_seconds) / share
+        return TokenGrant(want.caller, 0, math.ceil(seconds * MILLISECONDS))
+
+
+def _count(state: _SlotState, asker: str, heard_at: float) -> None:
+    """Counts a vote, unless it was sent before the asker withdrew what it had sent."""
+    if heard_at < state.withdrawn_at.get(asker, -math.inf):
+        return
+    state.votes[asker] = max(state.votes.get(asker, -math.inf), heard_at + VOTE_SECONDS)
--- a/src/dewledge/core/quota/limits.py
+++ b/src/dewledge/core/quota/limits.py
@@ -1,7 +1,7 @@
 """What a caller may ask for, and how the bound on it is divided between the processes.
 
-Operators bound what databases run of a caller in every span of `window` seconds. One process at a
-time grants tokens out of a bucket; a process that it cannot reach has a small reserve of its own.
+Operators bound what databases run of a caller in every span of `window` seconds. Few processes
+grant tokens out of buckets; one that reaches none of them has a small reserve of its own.
 The division is arithmetic, so that the sum stays under the bound whoever is cut off from whom.
 """
 
@@ -12,9 +12,9 @@
 later. Some round trips between regions; each further second costs the bucket a second's rate."""
 BUCKET_SHARE = 0.4
 """Of what the bound leaves beside the steady rate: how much may be granted at once."""
-FIRST_SHARE = 0.15
-"""Of the same: with what a new grantor's bucket begins. Two of them in a window are allowed for."""
-RESERVE_SHARE = 0.3
+FIRST_SHARE = 0.1
+"""Of the same: with what new buckets begin, together. Four changes in a window are allowed for."""
+RESERVE_SHARE = 0.2
 """Of the same: what all processes together may admit in a window without a grantor."""
 
 
@@ -46,12 +46,15 @@
         steady = limit.rate * (self.window + TOKEN_SECONDS)
         return max(self.bound(limit) - steady, 0.0)
 
-    def bucket_size(self, limit: RateLimit) -> float:
-        """Returns how many tokens a grantor may give at once; one at least."""
-        return max(self.spare(limit) * BUCKET_SHARE, 1.0)
+    def bucket_size(self, limit: RateLimit, share: float = 1.0) -> float:
+        """Returns how many tokens a grantor may give at once; one at least.
+
+        share: of the rate that it gives out.
+        """
+        return max(self.spare(limit) * BUCKET_SHARE * share, 1.0)
 
     def first_tokens(self, limit: RateLimit) -> float:
-        """Returns with how many tokens a new grantor begins."""
+        """Returns with how many tokens the buckets of a caller begin, together."""
         return self.spare(limit) * FIRST_SHARE
 
     def reserve(self, limit: RateLimit, processes: int, place: int) -> int:
--- a/src/dewledge/core/quota/messages.py
+++ b/src/dewledge/core/quota/messages.py
@@ -27,8 +27,8 @@
     """Asks a candidate for tokens, and may be a vote for it.
 
     heard_at: from the last answer of this candidate to the asker, None without one. Where `votes`,
-    the asker votes for no other until VOTE_SECONDS after this question was sent. withdraws: votes
-    that it sent before count no more; it has just started and does not know them.
+    the asker votes for no other while this vote may count, VOTE_SECONDS from that answer on.
+    withdraws: votes that it sent before count no more; it has just started and does not know them.
     """
 
     asker: str
@@ -41,14 +41,14 @@
 
 
 class QuotaAnswer(msgspec.Struct, frozen=True, array_like=True, tag="quota_say"):
-    """The answer: whether the sender grants for this slot, and what it grants.
+    """The answer: whether the sender has votes in this slot, and what it grants.
 
-    told_at: when it was sent. grantor: who grants as far as the sender knows, empty for nobody.
+    told_at: when it was sent.
     """
 
     sender: str
     number: int
     slot: Slot
     told_at: float
-    grantor: str
+    grants_here: bool
     grants: tuple[TokenGrant, ...] = ()
--- a/src/dewledge/core/quota/slots.py
+++ b/src/dewledge/core/quota/slots.py
@@ -1,8 +1,8 @@
 """Which processes may grant a caller's tokens. Pure functions.
 
 Callers are divided into slots, more with more processes, so that no process answers all. For
-each slot every process works out the same few candidates by rendezvous hashing; which of them
-grants is decided by votes (grantor.py).
+each slot every process works out the same few candidates by rendezvous hashing; how much each may
+grant follows from the votes for it (grantor.py).
 """
 
 from collections.abc import Collection, Sequence
@@ -13,8 +13,9 @@
 PROCESSES_PER_SLOT = 32
 """At this many, a grantor hears some hundred questions a second from its voters, a few hundredths
 of a small machine's core."""
-CANDIDATES = 4
-"""So many processes stand in for each other."""
+CANDIDATES = 5
+"""So many processes stand in for each other: of a side with a third of all, one is among them with
+seven chances of eight."""
 
 
 class Slot(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dewledge/shell/pooling/quota_driver.py
+++ b/src/dewledge/shell/pooling/quota_driver.py
@@ -31,7 +31,7 @@
         self._gate = QuotaGate(
             services.scheduler, own_name, policy, self._send, services.scheduler.now()
         )
-        self._grantor = Grantor(own_name, policy, self._gate.chosen, log.record)
+        self._grantor = Grantor(own_name, policy, log.record)
         services.admission = self._gate
         self._services = services
         peers.on(QuotaQuestion, self._take_question)
@@ -51,7 +51,7 @@
         """Takes the limits of the configuration in force."""
         limits = self._services.routes.rate_limits
         self._gate.set_limits(limits)
-        self._grantor.set_limits(limits, self._loop.now())
+        self._grantor.set_limits(limits)
 
     def _tick(self) -> None:
         again = self._gate.tick() if self._members.is_known else SEARCH_SPACING_SECONDS
