--- /dev/null
+++ b/tests/core/quota/test_grantor.py
@@ -0,0 +1,170 @@
+"""Votes and what they carry: when one counts, when a voter may give another, what it grants."""
+
+import unittest
+
+from dewledge.core.quota.grantor import VOTE_SECONDS, Grantor, GrantorChanged
+from dewledge.core.quota.limits import QuotaPolicy, RateLimit
+from dewledge.core.quota.messages import QuotaAnswer, QuotaQuestion, TokenWant
+from dewledge.core.quota.own_share import OwnShare
+from dewledge.core.quota.slots import Slot, candidates_of, place_of, slot_count, slot_of
+from dewledge.core.quota.voter import PROBE_SPACING_SECONDS, SILENT_SECONDS, Voter
+
+SLOT = Slot(1, 0)
+MEMBERS = ("a", "b", "c", "d")
+POLICY = QuotaPolicy(5.0, 0.1, 20.0)
+LIMIT = RateLimit(100, 100)
+
+
+class GrantorTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.events: list[GrantorChanged] = []
+        self.grantor = Grantor("a", POLICY, self.events.append)
+        self.grantor.set_members(MEMBERS)
+        self.grantor.set_limits({"north": LIMIT})
+
+    def ask(
+        self, asker: str, now: float, heard_at: float | None, wanted: int = 0, votes: bool = True
+    ) -> QuotaAnswer:
+        wants = (TokenWant("north", wanted),) if wanted else ()
+        question = QuotaQuestion(asker, 1, SLOT, votes, heard_at, wants)
+        return self.grantor.take_question(question, now)
+
+    def test_when_a_vote_counts(self) -> None:
+        cases = (
+            ("no answer was heard before", None, 10.0, False),
+            ("just heard", 10.0, 10.0, True),
+            ("heard not quite a vote's time ago", 10.0, 10.9, True),
+            ("heard a vote's time ago", 10.0, 10.0 + VOTE_SECONDS, False),
+            ("heard in the time to come, by another machine of this name", 99.0, 10.0, False),
+        )
+        for name, heard_at, now, counts in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.assertIs(self.ask("b", now, heard_at).grants_here, counts)
+
+    def test_who_is_no_member_does_not_count(self) -> None:
+        self.assertFalse(self.ask("stranger", 10.0, 10.0).grants_here)
+
+    def test_a_question_alone_is_no_vote(self) -> None:
+        self.assertFalse(self.ask("b", 10.0, 10.0, votes=False).grants_here)
+
+    def test_votes_lapse_and_this_is_told(self) -> None:
+        self.ask("b", 10.0, 10.0)
+        self.ask("c", 11.5, None)
+        self.assertEqual([event.grants for event in self.events], [True, False])
+
+    def test_withdrawn_votes_do_not_come_back_late(self) -> None:
+        self.ask("b", 10.0, 9.9)
+        withdrawal = QuotaQuestion("b", 2, SLOT, False, None, withdraws=True)
+        self.assertFalse(self.grantor.take_question(withdrawal, 10.1).grants_here)
+        self.assertFalse(self.ask("b", 10.2, 9.95).grants_here)
+        self.assertTrue(self.ask("b", 10.3, 10.1).grants_here)
+
+    def test_the_rate_is_the_share_of_the_votes(self) -> None:
+        for voters, expected in ((("b",), 25), (("b", "c"), 50), (MEMBERS, 100)):
+            with self.subTest(voters):
+                self.setUp()
+                for name in voters:
+                    self.ask(name, 10.0, 10.0)
+                self.ask("b", 10.0, 10.0, wanted=1000)
+                granted, now = 0, 10.0
+                for _ in range(20):
+                    now += 0.1
+                    for name in voters:
+                        self.ask(name, now, now)
+                    granted += self.ask(voters[0], now, now, wanted=1000).grants[0].count
+                self.assertAlmostEqual(granted / 2.0, expected, delta=1.0)
+
+    def test_none_are_granted_without_votes(self) -> None:
+        self.assertEqual(self.ask("b", 10.0, None, wanted=3).grants, ())
+
+    def test_a_caller_whose_limit_is_not_known_here_is_told_to_come_back(self) -> None:
+        self.grantor.set_limits({})
+        grant = self.ask("b", 10.0, 10.0, wanted=1).grants[0]
+        self.assertEqual((grant.count, grant.come_back_ms), (0, 1000))
+
+
+class VoterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.voter = Voter(("a", "b", "c"), 0.0, 0.5)
+
+    def answer(self, sender: str, now: float, grants: bool = True) -> None:
+        answer = QuotaAnswer(sender, 1, SLOT, 1000.0 + now, grants)
+        self.voter.take_answer(answer, now - 0.04, now)
+
+    def test_who_has_just_started_does_not_vote_for_a_votes_time(self) -> None:
+        self.assertFalse(self.voter.may_vote(0.9))
+        self.assertTrue(self.voter.may_vote(1.0))
+
+    def test_or_until_all_candidates_have_dropped_its_earlier_votes(self) -> None:
+        self.assertEqual(self.voter.withdrawing_from(0.5), ["a", "b", "c"])
+        told = [self.voter.take_withdrawal(name) for name in ("a", "a", "b", "c")]
+        self.assertEqual(told, [False, False, False, True])
+        self.assertTrue(self.voter.may_vote(0.6))
+
+    def test_it_votes_for_another_when_its_last_vote_cannot_count_any_more(self) -> None:
+        self.voter.note_vote()
+        self.answer("a", 5.0)
+        self.voter.look(5.0 + SILENT_SECONDS + 0.01)
+        self.assertEqual(self.voter.candidate, "b")
+        self.assertFalse(self.voter.may_vote(5.0 + VOTE_SECONDS - 0.01))
+        self.assertTrue(self.voter.may_vote(5.0 + VOTE_SECONDS))
+
+    def test_it_goes_back_to_an_earlier_candidate_that_answers(self) -> None:
+        self.voter.look(0.5 + SILENT_SECONDS + 0.01)
+        self.assertEqual(self.voter.candidate, "b")
+        self.answer("b", 1.3)
+        self.answer("b", 1.9)
+        self.assertEqual(self.voter.look(1.3 + PROBE_SPACING_SECONDS), ("a",))
+        self.answer("c", 2.4)
+        self.assertEqual(self.voter.candidate, "b")
+        self.answer("a", 2.5)
+        self.assertEqual(self.voter.candidate, "a")
+
+    def test_a_candidate_without_votes_is_no_grantor(self) -> None:
+        self.answer("a", 2.0, grants=False)
+        self.assertFalse(self.voter.knows_grantor(2.1))
+        self.answer("a", 2.2)
+        self.assertTrue(self.voter.knows_grantor(2.3))
+        self.assertFalse(self.voter.knows_grantor(2.2 + VOTE_SECONDS))
+
+
+class OwnShareTest(unittest.TestCase):
+    def admitted(self, share: OwnShare, seconds: float, counted_until: float) -> int:
+        return sum(share.take(step / 100, counted_until) for step in range(int(seconds * 100)))
+
+    def test_while_its_vote_may_count_a_process_has_its_reserve_alone(self) -> None:
+        reserve = POLICY.reserve(LIMIT, 10, 0)
+        share = OwnShare(LIMIT, POLICY, 10, 0, 0.0)
+        self.assertEqual(self.admitted(share, 5.0, counted_until=99.0), reserve - 1)
+
+    def test_after_that_it_has_its_share_of_the_rate_too(self) -> None:
+        reserve = POLICY.reserve(LIMIT, 10, 0)
+        share = OwnShare(LIMIT, POLICY, 10, 0, 0.0)
+        admitted = self.admitted(share, 5.0, counted_until=0.0)
+        self.assertLessEqual(admitted, reserve + 50)
+        self.assertGreater(admitted, 45)
+
+    def test_a_share_that_is_no_operation_in_a_window_is_none(self) -> None:
+        share = OwnShare(RateLimit(1, 1), POLICY, 60, 59, 0.0)
+        self.assertEqual(self.admitted(share, 10.0, counted_until=0.0), 0)
+
+
+class SlotsTest(unittest.TestCase):
+    def test_all_processes_find_the_same_candidates(self) -> None:
+        self.assertEqual(candidates_of(SLOT, MEMBERS), candidates_of(SLOT, MEMBERS[::-1]))
+
+    def test_there_are_more_slots_with_more_processes(self) -> None:
+        self.assertEqual([slot_count(n) for n in (1, 32, 33, 59, 850)], [1, 1, 2, 2, 27])
+
+    def test_callers_are_spread_over_slots(self) -> None:
+        found = {slot_of(f"caller{number}", 4).index for number in range(60)}
+        self.assertEqual(found, {0, 1, 2, 3})
+
+    def test_places_are_all_different(self) -> None:
+        places = sorted(place_of(name, "north", MEMBERS) for name in MEMBERS)
+        self.assertEqual(places, [0, 1, 2, 3])
+
+
+if __name__ == "__main__":
+    unittest.main()
