--- a/tests/adapters/test_http_exchange.py
+++ b/tests/adapters/test_http_exchange.py
@@ -25,7 +25,9 @@
         return []
 
 
-class HttpExchangeTest(unittest.TestCase):
+class ExchangeCase(unittest.TestCase):
+    """An exchange and the server's end of its connection."""
+
     def setUp(self) -> None:
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
@@ -35,6 +37,11 @@
         self.server, _ = listener.accept()
         self.server.settimeout(TIMEOUT)
         self.addCleanup(self.server.close)
+
+
+class HttpExchangeTest(ExchangeCase):
+    def setUp(self) -> None:
+        super().setUp()
         self.clock = FreezingClock()
         patched = patch("dewledge.adapters.http_exchange.time.monotonic", self.clock)
         patched.start()
@@ -84,18 +91,9 @@
         self.assertEqual((answer.body, received == [body]), (b"ok", True))
 
 
-class SlowAnswerTest(unittest.TestCase):
+class SlowAnswerTest(ExchangeCase):
     """An answer in pieces over a slow link: given up when it stops coming, not when it is long."""
 
-    def setUp(self) -> None:
-        listener = socket.create_server(("127.0.0.1", 0))
-        self.addCleanup(listener.close)
-        host, port = listener.getsockname()
-        self.exchange = HttpExchange(f"{host}:{port}", TIMEOUT)
-        self.addCleanup(self.exchange.close)
-        self.server, _ = listener.accept()
-        self.addCleanup(self.server.close)
-
     def ask(self, pieces: int, longest: float | None) -> bytes:
         body = b"x" * 100
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body) * 10}\r\n\r\n".encode()
