--- a/src/dewledge/core/quota/grantor.py
+++ b/src/dewledge/core/quota/grantor.py
@@ -51,6 +51,8 @@
         """Votes of a process that echo an older answer were sent before it started anew."""
         self.buckets: dict[str, TokenBucket] = {}
         """By caller. Their time is `share_seconds`, so each fills with the share that is held."""
+        self.begun_with: dict[str, float] = {}
+        """The share for which each bucket has been given what it begins with."""
         self.share_seconds = 0.0
         """The share held so far, over time: a second with half of all votes counts for half."""
         self.grants = False
@@ -126,10 +128,14 @@
         size = self._policy.bucket_size(limit, share)
         bucket = state.buckets.get(want.caller)
         if bucket is None:
-            first = self._policy.first_tokens(limit) * share
-            bucket = TokenBucket(limit.rate, size, first, 0.0)
+            bucket = TokenBucket(limit.rate, size, 0.0, 0.0)
             state.buckets[want.caller] = bucket
+            state.begun_with[want.caller] = 0.0
         bucket.change(limit.rate, size, state.share_seconds)
+        if share > state.begun_with[want.caller]:
+            # What a bucket begins with grows with the share, as votes come one after the other.
+            bucket.add(self._policy.first_tokens(limit) * (share - state.begun_with[want.caller]))
+            state.begun_with[want.caller] = share
         given = bucket.take(want.count, state.share_seconds)
         if given:
             return TokenGrant(want.caller, given, 0)
--- a/src/dewledge/core/quota/token_bucket.py
+++ b/src/dewledge/core/quota/token_bucket.py
@@ -18,6 +18,10 @@
         self._size = size
         self._tokens = min(self._tokens, size)
 
+    def add(self, tokens: float) -> None:
+        """Puts in some tokens besides; it holds no more than its size."""
+        self._tokens = min(self._tokens + tokens, self._size)
+
     def take(self, wanted: int, now: float) -> int:
         """Returns how many tokens are given, `wanted` at most."""
         self._fill(now)
--- a/tests/core/quota/test_grantor.py
+++ b/tests/core/quota/test_grantor.py
@@ -75,6 +75,14 @@
                     granted += self.ask(voters[0], now, now, wanted=1000).grants[0].count
                 self.assertAlmostEqual(granted / 2.0, expected, delta=1.0)
 
+    def test_what_a_bucket_begins_with_grows_with_the_share_and_is_given_once(self) -> None:
+        whole = POLICY.first_tokens(LIMIT)
+        granted = 0
+        for _ in range(3):
+            for name in MEMBERS:
+                granted += self.ask(name, 10.0, 10.0, wanted=1000).grants[0].count
+        self.assertAlmostEqual(granted, whole, delta=1.0)
+
     def test_none_are_granted_without_votes(self) -> None:
         self.assertEqual(self.ask("b", 10.0, None, wanted=3).grants, ())
 
