Review: a script that is ended by a signal ends its processes first

A SIGTERM or SIGHUP skipped the clean-up; now the script leaves with 2 after it. SIGKILL can't be handled.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,6 +18,7 @@
     Service,
     Session,
     Store,
+    end_on_signals,
     ignore_loop_errors,
     new_id,
     settings_of,
@@ -232,6 +233,7 @@
 
 
 def main() -> int:
+    end_on_signals()
     record = Record(Path(__file__).with_name("record.txt"))
     with temporary_folder() as folder:
         try:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -749,6 +749,18 @@
     return False
 
 
+def end_on_signals() -> None:
+    """Lets a script that is ended by a signal end its processes first, and exit with 2."""
+
+    def leave(_number: int, _frame: object) -> None:
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
+        raise SystemExit(2)
+
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, leave)
+
+
 def ignore_loop_errors() -> None:
     """At the end, connections are cut while they are served."""
     asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
