--- a/src/dewledge/core/pooler/databases/group.py
+++ b/src/dewledge/core/pooler/databases/group.py
@@ -131,6 +131,11 @@
         usable = self.view.accepts_work(primary.id, self._clock(), self._drain_bound)
         return primary if usable else None
 
+    def proven_since(self, at: float) -> LogPosition | None:
+        """Returns a position that covers every commit acknowledged until `at`, None if unknown."""
+        proof = self.history.floor(at, 0.0)
+        return None if proof is None else proof.position
+
     def may_lead(self, database_id: str) -> bool:
         """Tells whether this process may use a database as primary now.
 
--- a/src/dewledge/core/pooler/databases/group_view.py
+++ b/src/dewledge/core/pooler/databases/group_view.py
@@ -44,7 +44,8 @@
     claims: for each database that is reported as primary, the revision at which this began.
     refuted: for each database that refused work as not primary, the revision of its record then.
     draining_since: when this process learned that a database drains (steady clock, seconds).
-    departed: databases whose entries were removed from the store.
+    departed_since: for each database whose entry was removed from the store, when this process
+    learned it (steady clock, seconds).
     """
 
     name: str
@@ -52,7 +53,7 @@
     claims: dict[str, int] = {}
     refuted: dict[str, int] = {}
     draining_since: dict[str, float] = {}
-    departed: frozenset[str] = frozenset()
+    departed_since: dict[str, float] = {}
 
     @property
     def primary(self) -> DatabaseRecord | None:
@@ -84,12 +85,13 @@
         else:
             since.pop(record.id, None)
         databases = {**self.databases, record.id: record}
+        departed = {name: at for name, at in self.departed_since.items() if name != record.id}
         return msgspec.structs.replace(
             self,
             databases=databases,
             claims=claims,
             draining_since=since,
-            departed=self.departed - {record.id},
+            departed_since=departed,
         )
 
     def with_departure(self, database_id: str, revision: int, now: float) -> "GroupView":
@@ -99,7 +101,8 @@
             return self
         leaving = msgspec.structs.replace(record, draining=True, revision=revision)
         view = self.with_record(leaving, now)
-        return msgspec.structs.replace(view, departed=view.departed | {database_id})
+        departed = {**view.departed_since, database_id: now}
+        return msgspec.structs.replace(view, departed_since=departed)
 
     def with_leader(self, database_id: str) -> "GroupView":
         """Returns the view after a process reported that a database is primary.
--- a/src/dewledge/core/pooler/failover/candidates.py
+++ b/src/dewledge/core/pooler/failover/candidates.py
@@ -13,6 +13,9 @@
 
 MAX_JUDGES = 15
 """Processes: bounds the indirect probes of a check in deployments of hundreds of processes."""
+LOST_COPY_TIMEOUT_SECONDS = 30.0
+"""Seconds from the removal of a database's entry until its log is given up: a crashed database may
+come back with commits that no other one has."""
 
 
 def rank_judges(group: str, processes: Iterable[str]) -> Sequence[str]:
@@ -40,6 +43,19 @@
     )
 
 
+def possible_copies(view: GroupView, replaced: str, now: float) -> Sequence[str]:
+    """Returns the databases, besides the replaced primary, that may hold commits no other has.
+
+    Includes draining ones, which receive until they end.
+    """
+    given_up = {
+        name
+        for name, since in view.departed_since.items()
+        if now >= since + LOST_COPY_TIMEOUT_SECONDS
+    }
+    return sorted(view.databases.keys() - given_up - {replaced})
+
+
 def choose_candidate(names: Sequence[str], statuses: Mapping[str, DatabaseStatus]) -> str | None:
     """Returns the database with the highest received log position; on a tie, the last by name.
 
--- a/src/dewledge/core/pooler/failover/claim_turn.py
+++ b/src/dewledge/core/pooler/failover/claim_turn.py
@@ -50,17 +50,24 @@
         """Records that the platform refused a fencing token."""
         self._refused_fencing_token = fencing_token
 
-    def active_holder(self, replaced: str, now: float) -> str | None:
+    def active_holder(
+        self, replaced: str, now: float, has_synchronous_replicas: bool = False
+    ) -> str | None:
         """Returns the other process that may be replacing the same primary now, None for none.
 
-        Always None if the platform fences old primaries: no process waits for a claim holder then.
+        A platform that fences old primaries makes a second replacement safe, so no process waits
+        for a claim holder then. The exception are groups with synchronous replicas: the proof that
+        a candidate holds all commits ends with the promotion of another one.
         """
         claim = self._lease.claim
-        if not self._is_unfenced or claim is None or claim.holder == self._local_name:
+        if claim is None or claim.holder == self._local_name:
+            return None
+        if not self._is_unfenced and not has_synchronous_replicas:
             return None
         if now >= self._claim_learned_at + CLAIM_HOLDER_TIMEOUT_SECONDS:
             return None
-        return claim.holder if claim.replaced and claim.replaced == replaced else None
+        is_same = claim.replaced == replaced or (has_synchronous_replicas and not replaced)
+        return claim.holder if claim.replaced and is_same else None
 
     def schedule_first_write(self, judges: Sequence[str], now: float) -> None:
         """Schedules the first write: the last claim holder first, the other judges by rank."""
--- a/src/dewledge/core/pooler/failover/group_failover.py
+++ b/src/dewledge/core/pooler/failover/group_failover.py
@@ -13,8 +13,10 @@
 from dewledge.core.pooler.databases.group_view import GroupView
 from dewledge.core.pooler.failover.claim_maintenance import ClaimMaintenance
 from dewledge.core.pooler.failover.claim_turn import CLAIM_HOLDER_TIMEOUT_SECONDS, ClaimTurn
+from dewledge.core.pooler.failover.commit_proof import ProofCheck
 from dewledge.core.pooler.failover.loss_watch import Loss, LossWatch
 from dewledge.core.pooler.failover.messages import (
+    CandidatesChecked,
     Claim,
     ClaimAcknowledged,
     ClaimReceived,
@@ -29,6 +31,8 @@
     PromotionAnswered,
     ReachTested,
     RegisteredProcesses,
+    ReplicationStopped,
+    StartReplication,
     StatusRead,
     SteppedDown,
     TryLeader,
@@ -40,13 +44,17 @@
     TRANSITIONS,
     PhaseEnd,
 )
-from dewledge.core.pooler.failover.primary_lease import Fencing, PrimaryLease
+from dewledge.core.pooler.failover.primary_lease import LONG_AGO, Fencing, PrimaryLease
 from dewledge.core.pooler.failover.reach_check import ReachCheck
 from dewledge.core.pooler.failover.replacement import PrimaryReplacement
-from dewledge.core.pooler.failover.situation import Situation, Step
+from dewledge.core.pooler.failover.situation import Durability, Situation, Step
+from dewledge.core.shared.positions import LogPosition
 
 _NO_LOSS = Loss(LossCause.UNREACHABLE, "")
 NO_REGISTERED_PROCESSES = RegisteredProcesses()
+NO_SYNCHRONOUS_REPLICAS = Durability()
+RESTART_REPLICATION_INTERVAL_SECONDS = 2.0
+"""Seconds between requests of one judge that the replicas of a reachable primary receive again."""
 
 
 class GroupFailover:
@@ -56,12 +64,12 @@
         self,
         group: str,
         local_name: str,
-        record: Callable[[PhaseChanged], None],
+        record: Callable[[PhaseChanged | CandidatesChecked], None],
         lease: PrimaryLease | None = None,
     ) -> None:
         """lease: shared with the code that uses the primary; the default assumes Fencing.PLATFORM.
 
-        record: called with each change of phase.
+        record: called with each change of phase, and with each new result of a commit proof.
         """
         self._group = group
         self._local_name = local_name
@@ -74,6 +82,8 @@
         self.phase = Phase.STEADY
         self._loss = _NO_LOSS
         self._replacement = PrimaryReplacement(local_name, self._lease, _NO_LOSS)
+        self._last_check: ProofCheck | None = None
+        self._replication_restarted_at = LONG_AGO
         self._started_at = 0.0
         self._phase_started_at = 0.0
 
@@ -98,15 +108,16 @@
         members: Sequence[str],
         now: float,
         registered: RegisteredProcesses = NO_REGISTERED_PROCESSES,
+        durability: Durability = NO_SYNCHRONOUS_REPLICAS,
     ) -> Sequence[FailoverEffect]:
         """Applies an event and returns the effects; the other parameters are those of Situation."""
-        situation = Situation(view, members, registered, now)
+        situation = Situation(view, members, registered, now, durability)
         self._apply_event(event, now)
         effects: list[FailoverEffect] = []
         if isinstance(event, StatusRead) and self.phase is Phase.PROMOTING:
             effects += self._replacement.announce_if_leading(event)
         if isinstance(event, PrimarySuspected):
-            effects += self._on_suspicion(event.database, view, now)
+            effects += self._on_suspicion(event.database, situation)
         effects += self._advance(situation)
         return effects
 
@@ -115,7 +126,7 @@
     def _apply_event(self, event: FailoverEvent, now: float) -> None:
         if isinstance(event, ReachTested | IndirectProbeReported):
             self._reach_check.add_evidence(event)
-        elif isinstance(event, StatusRead | SteppedDown):
+        elif isinstance(event, StatusRead | SteppedDown | ReplicationStopped):
             self._replacement.on_answer(event, now)
         elif isinstance(event, ClaimReceived):
             self._on_claim(event.claim, now)
@@ -180,6 +191,8 @@
 
     def _watch_primary(self, situation: Situation) -> Sequence[FailoverEffect]:
         view, now = situation.view, situation.now
+        if situation.durability.synchronous_replicas is None:
+            return []
         loss = self._loss_watch.find_loss(view, now)
         if loss is not None:
             self._prepare_replacement(loss, now)
@@ -202,10 +215,12 @@
 
     # Checking.
 
-    def _on_suspicion(self, database: str, view: GroupView, now: float) -> Sequence[FailoverEffect]:
-        primary = view.primary
+    def _on_suspicion(self, database: str, situation: Situation) -> Sequence[FailoverEffect]:
+        primary, now = situation.view.primary, situation.now
         if self.phase is not Phase.STEADY or primary is None or primary.id != database:
             return []
+        if situation.durability.synchronous_replicas is None:
+            return []
         if not self._reach_check.may_start(now):
             return []
         return self._start_check(database, now)
@@ -223,13 +238,34 @@
             self._start_claim(situation)
             return self._advance(situation)
         self._apply_step(step, situation.now)
+        if step.end is PhaseEnd.REACHABLE:
+            return [*step.effects, *self._restart_replication(situation)]
         return step.effects
 
+    def _restart_replication(self, situation: Situation) -> Sequence[FailoverEffect]:
+        """Returns requests to the replicas of a reachable primary to receive again.
+
+        A process that ended during a replacement may have left them stopped, and a primary whose
+        synchronous replicas receive nothing acknowledges no commit.
+        """
+        view, primary, now = situation.view, self._loss.replaced, situation.now
+        is_judge = self._local_name in situation.members
+        if not situation.durability.synchronous_replicas or not is_judge:
+            return []
+        if now < self._replication_restarted_at + RESTART_REPLICATION_INTERVAL_SECONDS:
+            return []
+        if self._claim_turn.active_holder(primary, now, True) is not None:
+            return []
+        self._replication_restarted_at = now
+        names = [name for name in sorted(view.databases) if name not in view.departed_since]
+        return [StartReplication(name) for name in names if name != primary]
+
     # Claiming.
 
     def _start_claim(self, situation: Situation) -> None:
         now = situation.now
-        holder = self._claim_turn.active_holder(self._loss.replaced, now)
+        is_synchronous = bool(situation.durability.synchronous_replicas)
+        holder = self._claim_turn.active_holder(self._loss.replaced, now, is_synchronous)
         if holder is not None:
             self._end_phase(PhaseEnd.CLAIMED_BY_OTHER, now, holder)
             return
@@ -262,11 +298,30 @@
             before = self.phase
             step = self._replacement.step(before, situation)
             effects += step.effects
+            self._record_check(situation)
             self._apply_step(step, situation.now)
             if self.phase is before or self.phase is Phase.PROMOTING:
                 break
         return effects
 
+    def _record_check(self, situation: Situation) -> None:
+        check = self._replacement.last_check
+        if check is None or check == self._last_check:
+            return
+        self._last_check = check
+        positions = [f"{name}:{_format(position)}" for name, position in check.stopped.items()]
+        self._record(
+            CandidatesChecked(
+                group=self._group,
+                synchronous_replicas=situation.durability.synchronous_replicas or 0,
+                proven=",".join(check.proven),
+                final="" if check.final is None else _format(check.final),
+                stopped=",".join(positions),
+                unknown=",".join(check.unknown),
+                after_ms=int((situation.now - self._started_at) * 1000),
+            )
+        )
+
     def _apply_step(self, step: Step, now: float) -> None:
         if step.end is not None:
             self._end_phase(step.end, now, step.detail)
@@ -291,3 +346,7 @@
                 after_ms=int((now - self._started_at) * 1000),
             )
         )
+
+
+def _format(position: LogPosition) -> str:
+    return f"{position.term}.{position.offset}"
--- a/src/dewledge/core/pooler/failover/lease_release.py
+++ b/src/dewledge/core/pooler/failover/lease_release.py
@@ -31,11 +31,17 @@
 class LeaseRelease:
     """Ends the leases on a primary during its replacement."""
 
-    def __init__(self, local_name: str, replaced: str, may_step_down: bool) -> None:
-        """may_step_down: whether the old primary is expected to answer a request to step down."""
+    def __init__(
+        self, local_name: str, replaced: str, may_step_down: bool, has_leases: bool
+    ) -> None:
+        """may_step_down: whether the old primary is expected to answer a request to step down.
+
+        has_leases: whether processes use the primary under leases.
+        """
         self._local_name = local_name
         self._replaced = replaced
         self._may_step_down = may_step_down
+        self._has_leases = has_leases
         self._claim_acknowledgements: ClaimAcknowledgements | None = None
         """Acknowledgements of this process's first claim, None before the store holds it.
 
@@ -87,6 +93,11 @@
         missing = acknowledgements.missing(registered.names)
         return [SendClaim(tuple(missing))] if missing else []
 
+    @property
+    def is_stepping_down(self) -> bool:
+        """Whether the old primary may still answer a request to step down."""
+        return self._may_step_down and self.final_status is None
+
     def step_down_requests(
         self, term: int, registered: RegisteredProcesses, now: float
     ) -> Sequence[StepDown]:
@@ -95,11 +106,7 @@
         The first request waits until no process can hold a lease without knowing this process's
         first claim.
         """
-        if not self._may_step_down or self.final_status is not None:
-            return []
-        if self._claim_acknowledgements is None or not self._claim_acknowledgements.is_effective(
-            registered, now
-        ):
+        if not self.is_stepping_down or not self._is_claim_known(registered, now):
             return []
         if self._first_step_down_sent_at is None:
             self._first_step_down_sent_at = now
@@ -111,6 +118,13 @@
         self._step_down_sent_at = now
         return [StepDown(self._replaced, term)]
 
+    def _is_claim_known(self, registered: RegisteredProcesses, now: float) -> bool:
+        """Returns whether every process that may hold a lease knows this process's first claim."""
+        if not self._has_leases:
+            return True
+        acknowledgements = self._claim_acknowledgements
+        return acknowledgements is not None and acknowledgements.is_effective(registered, now)
+
     def is_complete(self, registered: RegisteredProcesses, now: float) -> bool:
         """Returns whether no process can still use the old primary."""
         if self.final_status is not None:
--- a/src/dewledge/core/pooler/failover/loss_watch.py
+++ b/src/dewledge/core/pooler/failover/loss_watch.py
@@ -54,7 +54,7 @@
         self._banned_since = None
         if not primary.draining:
             return None
-        is_entry_removed = primary.id in view.departed
+        is_entry_removed = primary.id in view.departed_since
         since = view.draining_since.get(primary.id, now)
         if is_entry_removed and now < since + REMOVED_ENTRY_TIMEOUT_SECONDS:
             return None
--- a/src/dewledge/core/pooler/failover/messages.py
+++ b/src/dewledge/core/pooler/failover/messages.py
@@ -14,11 +14,15 @@
 
 
 class DatabaseStatus(msgspec.Struct, frozen=True):
-    """State that a database reports: its role, its term and the last log position it received."""
+    """State that a database reports: its role, its term and the last log position it received.
+
+    stopped_term: the term under which it stopped replication, 0 while it receives.
+    """
 
     is_primary: bool
     term: int
     received: LogPosition
+    stopped_term: int = 0
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -98,6 +102,17 @@
     status: DatabaseStatus | None
 
 
+class ReplicationStopped(msgspec.Struct, frozen=True):
+    """A database answered a request to stop replication under `term`.
+
+    status: None if it did not answer.
+    """
+
+    database: str
+    term: int
+    status: DatabaseStatus | None
+
+
 class ClaimAcknowledged(msgspec.Struct, frozen=True):
     """A process acknowledged a claim: it uses only databases that the claim allows as primary."""
 
@@ -128,6 +143,7 @@
     | ClaimRefused
     | StatusRead
     | SteppedDown
+    | ReplicationStopped
     | ClaimAcknowledged
     | PromotionAnswered
     | Ticked
@@ -179,6 +195,19 @@
     term: int
 
 
+class StopReplication(msgspec.Struct, frozen=True):
+    """Ask a replica to receive nothing more; `term` is above all terms known."""
+
+    database: str
+    term: int
+
+
+class StartReplication(msgspec.Struct, frozen=True):
+    """Ask a replica that may have stopped replication to receive again."""
+
+    database: str
+
+
 class ReadStatus(msgspec.Struct, frozen=True):
     """Ask a database for its status."""
 
@@ -213,6 +242,8 @@
     | TryLeader
     | ReadStatus
     | StepDown
+    | StopReplication
+    | StartReplication
     | Promote
     | AnnounceLeader
 )
@@ -240,6 +271,24 @@
     UNFINISHED = "unfinished"
 
 
+class CandidatesChecked(msgspec.Struct, frozen=True):
+    """Log record: which databases are proven to hold all acknowledged commits (commit_proof.py).
+
+    proven: the databases, empty if none is. final: last log position of the old primary after it
+    stepped down, empty before. stopped: the databases that stopped replication, with the positions
+    they had received. unknown: the other databases that may hold acknowledged commits. after_ms:
+    since the start of the failover.
+    """
+
+    group: str
+    synchronous_replicas: int
+    proven: str
+    final: str
+    stopped: str
+    unknown: str
+    after_ms: int = 0
+
+
 class PhaseChanged(msgspec.Struct, frozen=True):
     """Log record: the failover of a group entered another phase."""
 
--- a/src/dewledge/core/pooler/failover/phases.py
+++ b/src/dewledge/core/pooler/failover/phases.py
@@ -17,7 +17,9 @@
     Promote,
     ReadStatus,
     SendClaim,
+    StartReplication,
     StepDown,
+    StopReplication,
     TestReach,
     TryLeader,
     WriteClaim,
@@ -124,9 +126,16 @@
 
 EFFECTS: Mapping[Phase, tuple[type[FailoverEffect], ...]] = {
     Phase.STEADY: (TryLeader, WriteClaim, SendClaim),
-    Phase.CHECKING: (TestReach, AskIndirectProbes),
+    Phase.CHECKING: (TestReach, AskIndirectProbes, StartReplication),
     Phase.CLAIMING: (WriteClaim,),
-    Phase.CHOOSING: (ReadStatus, StepDown, SendClaim, WriteClaim),
+    Phase.CHOOSING: (
+        ReadStatus,
+        StepDown,
+        StopReplication,
+        StartReplication,
+        SendClaim,
+        WriteClaim,
+    ),
     Phase.RELEASING: (StepDown, WriteClaim, SendClaim, ReadStatus),
     Phase.PROMOTING: (Promote, ReadStatus, AnnounceLeader),
     Phase.FOLLOWING: (),
--- a/src/dewledge/core/pooler/failover/replacement.py
+++ b/src/dewledge/core/pooler/failover/replacement.py
@@ -4,17 +4,25 @@
 If the platform checks no fencing tokens, three conditions must hold before a promotion is ordered:
 no process can still use the old primary; the store holds the order, so that the next claim holder
 orders the same database; and no other process can hold a newer claim.
+
+If the group has synchronous replicas, a candidate must be proven to hold all acknowledged commits
+(commit_proof.py). Without a proof, the group waits for its other databases, without a primary.
 """
 
 from collections.abc import Sequence
 
-from dewledge.core.pooler.failover.candidates import choose_candidate, eligible_databases
+from dewledge.core.pooler.failover.candidates import (
+    choose_candidate,
+    eligible_databases,
+    possible_copies,
+)
 from dewledge.core.pooler.failover.claim_writing import (
     last_order,
     order_claim,
     replacement_claim,
     withdrawal_claim,
 )
+from dewledge.core.pooler.failover.commit_proof import CommitProof, Copies, ProofCheck
 from dewledge.core.pooler.failover.lease_release import STEP_DOWN_INTERVAL_SECONDS, LeaseRelease
 from dewledge.core.pooler.failover.loss_watch import Loss
 from dewledge.core.pooler.failover.messages import (
@@ -27,6 +35,7 @@
     Promote,
     PromotionAnswered,
     ReadStatus,
+    ReplicationStopped,
     StatusRead,
     StepDown,
     SteppedDown,
@@ -69,7 +78,10 @@
         self._lease = lease
         self._loss = loss
         self._survey = StatusSurvey()
-        self._release = LeaseRelease(local_name, loss.replaced, self.is_planned)
+        self._proof = CommitProof()
+        self.last_check: ProofCheck | None = None
+        """Last check of the candidates, None if the group has no synchronous replicas."""
+        self._release = LeaseRelease(local_name, loss.replaced, self.is_planned, self._is_unfenced)
         self._phase_started_at = 0.0
         self._next_order_write_at = LONG_AGO
         self._promoted_at = LONG_AGO
@@ -96,13 +108,18 @@
         self._next_order_write_at = now
         self._release.on_claim_stored(claim, now)
 
-    def on_answer(self, event: StatusRead | ClaimAcknowledged | SteppedDown, now: float) -> None:
+    def on_answer(
+        self, event: StatusRead | ReplicationStopped | ClaimAcknowledged | SteppedDown, now: float
+    ) -> None:
         """Applies the answer of a database or the acknowledgement of a process."""
         if isinstance(event, StatusRead):
             self._survey.add(event)
             return
-        if isinstance(event, SteppedDown):
+        if not isinstance(event, ClaimAcknowledged):
             self._survey.add(StatusRead(event.database, event.status))
+        if isinstance(event, ReplicationStopped):
+            self._proof.add(event)
+            return
         self._release.on_answer(event, now)
 
     def start_phase(self, now: float) -> None:
@@ -168,11 +185,17 @@
             if now > self._phase_started_at + PHASE_TIMEOUT_SECONDS:
                 return self._give_up(effects, situation, PhaseEnd.NO_CANDIDATE)
             return Step(effects)
-        is_behind = self.is_planned and survey.is_behind(chosen, self._loss.replaced)
+        still_serves = self.is_planned and self._release.final_status is None
+        is_behind = still_serves and survey.is_behind(chosen, self._loss.replaced)
         if is_behind and now < self._phase_started_at + CATCH_UP_TIMEOUT_SECONDS:
             if survey.try_start_retry(now):
                 survey.reset_asked()
             return Step(effects)
+        if situation.durability.synchronous_replicas and chosen != self._previously_ordered:
+            effects += self._end_acknowledgements(situation)
+            chosen = self._find_proven(names, situation)
+            if chosen is None:
+                return self._wait_for_proof(effects, situation)
         self.candidate = chosen
         if self._is_unfenced:
             self._min_leader_term = survey.min_leader_term(chosen)
@@ -209,6 +232,58 @@
         self._step_down_sent_at = now
         return [StepDown(name, self._survey.next_term) for name in unordered]
 
+    # Proving that the candidate holds all acknowledged commits.
+
+    def _end_acknowledgements(self, situation: Situation) -> Sequence[FailoverEffect]:
+        """Returns requests after which the old primary can acknowledge no more commits."""
+        survey, release, now = self._survey, self._release, situation.now
+        requests = release.step_down_requests(survey.next_term, situation.registered, now)
+        if release.is_stepping_down:
+            return requests
+        if release.final_status is not None and not self._has_final_catch_up_ended(now):
+            if survey.try_start_retry(now):
+                survey.reset_asked()
+            return []
+        copies = possible_copies(situation.view, self._loss.replaced, now)
+        return self._proof.stop_requests(copies, survey.stop_term, now)
+
+    def _find_proven(self, names: Sequence[str], situation: Situation) -> str | None:
+        """Returns the proven candidate with the highest position, None for none.
+
+        A draining replica is selected only if none of `names` is proven.
+        """
+        survey, view = self._survey, situation.view
+        copies = possible_copies(view, self._loss.replaced, situation.now)
+        draining = [name for name in copies if view.databases[name].draining]
+        others = [name for name in draining if survey.follows(name) and name not in survey.refused]
+        final = self._release.final_status
+        position = None if final is None else final.received
+        departed = {
+            name: situation.durability.proven_since(since)
+            for name, since in view.departed_since.items()
+        }
+        check = self._proof.check(
+            [*names, *others],
+            Copies(copies, departed, situation.durability.synchronous_replicas or 0),
+            survey.statuses,
+            position,
+        )
+        self.last_check = check
+        eligible = [name for name in check.proven if name in names]
+        return choose_candidate(eligible or check.proven, survey.statuses)
+
+    def _wait_for_proof(self, effects: list[FailoverEffect], situation: Situation) -> Step:
+        if situation.now > self._phase_started_at + PHASE_TIMEOUT_SECONDS:
+            effects += self._proof.start_requests()
+            return self._give_up(effects, situation, PhaseEnd.NO_CANDIDATE)
+        return Step(effects)
+
+    def _has_final_catch_up_ended(self, now: float) -> bool:
+        """Returns whether the last commits of a primary that stepped down have had their time."""
+        if self._stepped_down_at is None:
+            self._stepped_down_at = now
+        return now >= self._stepped_down_at + FINAL_CATCH_UP_TIMEOUT_SECONDS
+
     def _has_status_wait_ended(self, now: float) -> bool:
         return now > self._phase_started_at + 2 * STATUS_WAIT_SECONDS
 
@@ -255,14 +330,13 @@
         final_status = self._release.final_status
         if final_status is None:
             return True
-        if self._stepped_down_at is None:
-            self._stepped_down_at = now
+        has_ended = self._has_final_catch_up_ended(now)
         status = self._survey.statuses.get(self.candidate)
         if status is None or status.received >= final_status.received:
             return True
         if self._survey.try_start_retry(now):
             effects.append(ReadStatus(self.candidate))
-        return now >= self._stepped_down_at + FINAL_CATCH_UP_TIMEOUT_SECONDS
+        return has_ended
 
     # Promoting.
 
--- a/src/dewledge/core/pooler/failover/situation.py
+++ b/src/dewledge/core/pooler/failover/situation.py
@@ -1,12 +1,25 @@
 """Input and result of a step of the failover state machine."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from dewledge.core.pooler.databases.group_view import GroupView
 from dewledge.core.pooler.failover.messages import FailoverEffect, RegisteredProcesses
 from dewledge.core.pooler.failover.phases import PhaseEnd
+from dewledge.core.shared.positions import LogPosition
+
+
+class Durability(msgspec.Struct, frozen=True):
+    """Which commits of a group a new primary must hold.
+
+    synchronous_replicas: replicas that must receive a commit before it is acknowledged, None while
+    the configuration is unknown. proven_since: returns a position that covers every commit
+    acknowledged until a time (steady clock, seconds), None if none is known.
+    """
+
+    synchronous_replicas: int | None = 0
+    proven_since: Callable[[float], LogPosition | None] = lambda _at: None
 
 
 class Situation(msgspec.Struct, frozen=True):
@@ -20,6 +33,7 @@
     members: Sequence[str]
     registered: RegisteredProcesses
     now: float
+    durability: Durability
 
 
 class Step(msgspec.Struct, frozen=True):
--- a/src/dewledge/core/pooler/failover/survey.py
+++ b/src/dewledge/core/pooler/failover/survey.py
@@ -51,6 +51,12 @@
         """Lowest term above all reported terms."""
         return max((status.term for status in self.statuses.values()), default=0) + 1
 
+    @property
+    def stop_term(self) -> int:
+        """Lowest term above all reported terms, also those under which replication stopped."""
+        stopped = max((status.stopped_term for status in self.statuses.values()), default=0)
+        return max(self.next_term, stopped + 1)
+
     def leads(self, name: str) -> bool:
         """Returns whether a database reports that it leads."""
         status = self.statuses.get(name)
--- a/src/dewledge/core/pooler/sessions/routes.py
+++ b/src/dewledge/core/pooler/sessions/routes.py
@@ -12,6 +12,8 @@
 
 NO_CALLER = ""
 """Name of the caller if no credential is required."""
+NO_VERSION = -1
+"""Version of the route table before the first configuration."""
 
 
 class Consistency(StrEnum):
@@ -61,6 +63,16 @@
         """Returns the route of a database name, or None."""
         return self.routes.get(database)
 
+    def synchronous_replicas(self, group: str) -> int | None:
+        """Returns the number of a group's synchronous replicas, None before a configuration.
+
+        A group that the configuration does not name has none.
+        """
+        if self.version == NO_VERSION:
+            return None
+        policy = self.groups.get(group)
+        return 0 if policy is None else policy.synchronous_replicas
+
     def authenticate(self, route: Route, digest: str) -> str | None:
         """Returns the name of the caller with this credential, None for an unknown credential.
 
@@ -72,5 +84,5 @@
         return self.callers.get(digest)
 
 
-EMPTY_ROUTE_TABLE = RouteTable(-1, {}, {})
+EMPTY_ROUTE_TABLE = RouteTable(NO_VERSION, {}, {})
 """Route table used before the first configuration, whose version is at least 0."""
--- a/src/dewledge/core/pooler/statements/statements.py
+++ b/src/dewledge/core/pooler/statements/statements.py
@@ -16,9 +16,11 @@
 
 
 class StatementKind(StrEnum):
-    """Kind of statement. DISCARD, STATUS and STEP_DOWN are sent by the proxy only.
+    """Kind of statement. DISCARD and those of ROLE_STATEMENTS are sent by the proxy only.
 
-    STEP_DOWN demotes a primary whose term is lower than the argument.
+    STEP_DOWN demotes a primary whose term is lower than the argument. STOP_REPLICATION makes a
+    replica receive nothing more until START_REPLICATION, the next promotion in its group, or its
+    restart; its argument is a term above the newest one.
     """
 
     READ = "read"
@@ -34,15 +36,24 @@
     DISCARD = "discard"
     STATUS = "status"
     STEP_DOWN = "step_down"
+    STOP_REPLICATION = "stop_replication"
+    START_REPLICATION = "start_replication"
 
 
 SLOT_STATEMENTS = frozenset(
     {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT}
 )
 """Statements that occupy a slot of the database, or are refused as overloaded if none is free."""
-ROLE_STATEMENTS = frozenset({StatementKind.STATUS, StatementKind.STEP_DOWN})
-"""Statements by which the proxy queries or changes a database's role. Client statements never delay
-them, because the choice of the primary depends on the replies."""
+ROLE_STATEMENTS = frozenset(
+    {
+        StatementKind.STATUS,
+        StatementKind.STEP_DOWN,
+        StatementKind.STOP_REPLICATION,
+        StatementKind.START_REPLICATION,
+    }
+)
+"""Statements by which the proxy queries or changes a database's role or replication. Client
+statements never delay them, because the choice of the primary depends on the replies."""
 
 
 class Statement(msgspec.Struct, frozen=True):
--- a/src/dewledge/platform/statement_texts.py
+++ b/src/dewledge/platform/statement_texts.py
@@ -1,7 +1,13 @@
 """Converts between statement texts on the wire and `Statement`."""
 
 from dewledge.core.pooler.statements.statements import MalformedInput, Statement, StatementKind
-from dewledge.platform.wire_words import FIXED_TEXTS, READ_KEYWORD, STEP_DOWN_KEYWORD, WRITE_KEYWORD
+from dewledge.platform.wire_words import (
+    FIXED_TEXTS,
+    READ_KEYWORD,
+    STEP_DOWN_KEYWORD,
+    STOP_REPLICATION_KEYWORD,
+    WRITE_KEYWORD,
+)
 
 _IS_WRITE_BY_KEYWORD = {READ_KEYWORD: False, WRITE_KEYWORD: True}
 
@@ -30,6 +36,8 @@
         return f"CLOSE {statement.name}"
     if statement.kind is StatementKind.STEP_DOWN:
         return f"{STEP_DOWN_KEYWORD} {statement.argument}"
+    if statement.kind is StatementKind.STOP_REPLICATION:
+        return f"{STOP_REPLICATION_KEYWORD} {statement.argument}"
     return statement.text or FIXED_TEXTS[statement.kind]
 
 
--- a/src/dewledge/platform/status_row.py
+++ b/src/dewledge/platform/status_row.py
@@ -1,4 +1,4 @@
-"""Parses the row with which a database answers a STATUS statement."""
+"""Parses the row with which a database answers the statements on its role and replication."""
 
 from dewledge.core.pooler.failover.messages import DatabaseStatus
 from dewledge.core.pooler.statements.statements import Reply
@@ -6,10 +6,11 @@
 from dewledge.platform.wire_codec import parse_position
 
 MIN_FIELDS = 3
+STOPPED_TERM_FIELD = 3
 
 
 def parse_status(reply: Reply) -> DatabaseStatus | None:
-    """Returns the status in a reply to a STATUS statement, None if the reply has no valid one."""
+    """Returns the status in a reply to one of these statements, None if it has no valid one."""
     if reply.failure is not None or not reply.rows:
         return None
     fields = reply.rows[0].split(" ")
@@ -21,4 +22,6 @@
         return None
     if received is None:
         return None
-    return DatabaseStatus(fields[0] == "primary", int(fields[1]), received)
+    stopped = fields[STOPPED_TERM_FIELD] if len(fields) > STOPPED_TERM_FIELD else ""
+    stopped_term = int(stopped) if stopped.isdigit() else 0
+    return DatabaseStatus(fields[0] == "primary", int(fields[1]), received, stopped_term)
--- a/src/dewledge/shell/pooler/composition.py
+++ b/src/dewledge/shell/pooler/composition.py
@@ -144,6 +144,7 @@
             platform.store,
             base.executor,
             self.claim_events,
+            lambda group: base.services.routes.synchronous_replicas(group),
         )
         self.driver = FailoverDriver(
             context,
--- a/src/dewledge/shell/pooler/failover/database_requests.py
+++ b/src/dewledge/shell/pooler/failover/database_requests.py
@@ -1,4 +1,4 @@
-"""Sends status and step-down requests to databases, over pooled connections, during a failover.
+"""Sends requests on role and replication to databases, over pooled connections, for a failover.
 
 All methods run on the loop's thread.
 """
@@ -11,9 +11,12 @@
 from dewledge.core.pooler.failover.messages import (
     DatabaseStatus,
     FailoverEvent,
+    ReplicationStopped,
+    StartReplication,
     StatusRead,
     StepDown,
     SteppedDown,
+    StopReplication,
 )
 from dewledge.core.pooler.pool.connection_pool import ConnectionPool
 from dewledge.core.pooler.pool.database_connection import DatabaseConnection
@@ -69,6 +72,38 @@
         kind = StatementKind.STEP_DOWN
         self._request(group.pool(effect.database), kind, str(effect.term), on_status)
 
+    def stop_replication(self, group: Group, effect: StopReplication) -> None:
+        """Requests that a replica receives nothing more.
+
+        Sent over a direct connection: a holder of an earlier release does not know this statement.
+        """
+
+        def on_status(status: DatabaseStatus | None) -> None:
+            logger.bind(
+                group=group.view.name,
+                database=effect.database,
+                term=effect.term,
+                received=_position_text(status),
+            ).info("replication_stop_answered")
+            event = ReplicationStopped(effect.database, effect.term, status)
+            self._handle(group.view.name, event)
+
+        kind = StatementKind.STOP_REPLICATION
+        self._request(group.peer_pool(effect.database), kind, str(effect.term), on_status)
+
+    def start_replication(self, group: Group, effect: StartReplication) -> None:
+        """Requests that a replica receives again; see `stop_replication` for the connection."""
+
+        def on_status(status: DatabaseStatus | None) -> None:
+            logger.bind(
+                group=group.view.name,
+                database=effect.database,
+                received=_position_text(status),
+            ).info("replication_start_answered")
+
+        kind = StatementKind.START_REPLICATION
+        self._request(group.peer_pool(effect.database), kind, "", on_status)
+
     def _request(
         self, pool: ConnectionPool, kind: StatementKind, argument: str, on_status: StatusCallback
     ) -> None:
@@ -93,3 +128,9 @@
             self._loop.call_later(DENIED_REPORT_DELAY_SECONDS, lambda: on_status(None))
 
         pool.acquire(Waiter(REQUEST_PRIORITY, on_connection, on_denied), {})
+
+
+def _position_text(status: DatabaseStatus | None) -> str | None:
+    if status is None:
+        return None
+    return f"{status.received.term}.{status.received.offset}"
--- a/src/dewledge/shell/pooler/failover/failover_context.py
+++ b/src/dewledge/shell/pooler/failover/failover_context.py
@@ -1,5 +1,6 @@
 """Objects that the failover classes of one process share."""
 
+from collections.abc import Callable
 from concurrent.futures import Executor
 
 import msgspec
@@ -15,7 +16,8 @@
     """Shared objects of the failover classes, passed to their constructors.
 
     groups: all groups of the configuration, by name; only the directory changes this mapping.
-    executor: runs blocking calls to the store and the platform.
+    executor: runs blocking calls to the store and the platform. synchronous_replicas: returns the
+    number of a group's synchronous replicas, None while the configuration is unknown.
     """
 
     loop: EventLoop
@@ -25,3 +27,4 @@
     store: CoordinationStore
     executor: Executor
     claim_events: ClaimEvents
+    synchronous_replicas: Callable[[str], int | None]
--- a/src/dewledge/shell/pooler/failover/failover_driver.py
+++ b/src/dewledge/shell/pooler/failover/failover_driver.py
@@ -34,12 +34,15 @@
     ReadStatus,
     RegisteredProcesses,
     SendClaim,
+    StartReplication,
     StepDown,
+    StopReplication,
     TestReach,
     Ticked,
     TryLeader,
     WriteClaim,
 )
+from dewledge.core.pooler.failover.situation import Durability
 from dewledge.core.pooler.statements.statements import Reply
 from dewledge.shell.pooler.failover.database_requests import DatabaseRequests
 from dewledge.shell.pooler.failover.failover_calls import FailoverCalls
@@ -175,7 +178,12 @@
             self._failovers[group_name] = failover
         judges = self._judges_of(group_name)
         effects = failover.handle(
-            event, group.view, judges, self._context.loop.now(), self._registered
+            event,
+            group.view,
+            judges,
+            self._context.loop.now(),
+            self._registered,
+            Durability(self._context.synchronous_replicas(group_name), group.proven_since),
         )
         relay = None if failover.reached_by is None else self._addresses().get(failover.reached_by)
         group.set_suspected(failover.suspected, relay)
@@ -197,6 +205,10 @@
             self.on_leader_notice(LeaderNotice(self._own_name, effect.database))
         elif isinstance(effect, StepDown):
             self._requests.step_down(group, effect)
+        elif isinstance(effect, StopReplication):
+            self._requests.stop_replication(group, effect)
+        elif isinstance(effect, StartReplication):
+            self._requests.start_replication(group, effect)
         elif isinstance(effect, WriteClaim):
             self._calls.write_claim(group.view.name, effect)
         elif isinstance(effect, Promote):
--- a/tests/outside_forms/roots.py
+++ b/tests/outside_forms/roots.py
@@ -11,7 +11,7 @@
 from dewledge.adapters import database_protocol, platform_protocol
 from dewledge.cli import main as command_line
 from dewledge.core.pooler.events import PoolingEvent, StatementAnswered
-from dewledge.core.pooler.failover.messages import PhaseChanged
+from dewledge.core.pooler.failover.messages import CandidatesChecked, PhaseChanged
 from dewledge.core.pooler.load.verdict import RefusalCause
 from dewledge.core.pooler.load.wait_summaries import WaitsCounted
 from dewledge.core.pooler.rate_limits.grantor import GrantorChanged
@@ -74,7 +74,7 @@
 LOG_CALLS = (LogEvent.__name__, "log", "_log")
 """What the core calls for a log line, with the event's name first."""
 EVENT_ROOT = PoolingEvent
-OTHER_EVENTS = (WaitsCounted, GrantorChanged, PhaseChanged)
+OTHER_EVENTS = (WaitsCounted, GrantorChanged, PhaseChanged, CandidatesChecked)
 
 FORMER_FIELDS: dict[str, str] = {}
 """The held name of a renamed field that goes by position, by "place new_name" as positions.txt has
--- a/tests/platform/test_pooler_page.py
+++ b/tests/platform/test_pooler_page.py
@@ -10,7 +10,7 @@
 
 from dewledge.checked_values import descriptions
 from dewledge.core.pooler import events as pooling_events
-from dewledge.core.pooler.failover.messages import PhaseChanged
+from dewledge.core.pooler.failover.messages import CandidatesChecked, PhaseChanged
 from dewledge.core.pooler.load.wait_summaries import WaitsCounted
 from dewledge.core.pooler.rate_limits.grantor import GrantorChanged
 from dewledge.pooler_settings import LoadSettings, PoolerSettings, PoolerTimings, QuotaSettings
@@ -54,7 +54,8 @@
         and issubclass(kind, pooling_events.PoolingEvent)
         and kind is not pooling_events.PoolingEvent
     ]
-    return {event_name(kind) for kind in [*kinds, PhaseChanged, GrantorChanged, WaitsCounted]}
+    others = (PhaseChanged, CandidatesChecked, GrantorChanged, WaitsCounted)
+    return {event_name(kind) for kind in [*kinds, *others]}
 
 
 def logged_events() -> set[str]:
--- a/tests/platform/test_pooler_process.py
+++ b/tests/platform/test_pooler_process.py
@@ -41,11 +41,15 @@
     fences = True
     load = LoadSettings()
     tenants: list[dict[str, object]] | None = None
+    synchronous_replicas = 0
+    promote_seconds = 0.1
 
     def setUp(self) -> None:
         self.store = TableStore()
         self.addCleanup(self.store.close)
-        self.group = WireGroup("menus", self.store, fences=self.fences)
+        self.group = WireGroup(
+            "menus", self.store, self.promote_seconds, self.fences, self.synchronous_replicas
+        )
         self.addCleanup(self.group.close)
         self.threads: dict[PoolerProcess, threading.Thread] = {}
         self.version = 0
@@ -71,7 +75,8 @@
             }
             for name, kind in zip(databases, types, strict=False)
         ]
-        services = [{"name": "menus", "maxConnections": 36, "syncReplicas": 0}]
+        service = {"name": "menus", "maxConnections": 36, "syncReplicas": self.synchronous_replicas}
+        services = [service]
         configuration: dict[str, object] = {
             "version": self.version,
             "routes": routes,
--- a/tests/platform/test_wire_codec.py
+++ b/tests/platform/test_wire_codec.py
@@ -194,6 +194,27 @@
                 actual = status and (status.is_primary, status.term, status.received)
                 self.assertEqual(actual, expected)
 
+    def test_status_row_tells_under_which_term_replication_stopped(self) -> None:
+        for row, expected in (
+            ("replica 3 3.1209 4 12 2 17", 4),
+            ("replica 3 3.1209 0 12 2 17", 0),
+            ("replica 3 3.1209 x", 0),
+            ("replica 3 3.1209", 0),
+        ):
+            with self.subTest(row):
+                status = parse_status(Reply(TransactionState.IDLE, (row,)))
+                self.assertEqual(status and status.stopped_term, expected)
+
+    def test_texts_of_requests_on_role_and_replication(self) -> None:
+        for kind, argument, text in (
+            (StatementKind.STATUS, "", "STATUS"),
+            (StatementKind.STEP_DOWN, "4", "STEPDOWN 4"),
+            (StatementKind.STOP_REPLICATION, "4", "PAUSE 4"),
+            (StatementKind.START_REPLICATION, "", "RESUME"),
+        ):
+            with self.subTest(text):
+                self.assertEqual(format_text(Statement("-", kind, argument=argument)), text)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/wire_databases.py
+++ b/tests/platform/wire_databases.py
@@ -9,6 +9,9 @@
 from tests.platform.table_store import TableStore
 
 ROLE_WORDS = {True: "primary", False: "replica"}
+ROLE_STATEMENTS = ("STATUS", "STEPDOWN", "PAUSE", "RESUME")
+NO_ANSWER = [""]
+"""Lines of a commit that waits for a synchronous replica until the connection ends."""
 
 
 class WireDatabase:
@@ -30,6 +33,12 @@
         self.work_seconds = 0.0
         self.lag_seconds = 0.0
         self.alive = True
+        self.receives = True
+        self.stopped_term = 0
+        """Term under which replication stopped, 0 while it goes on."""
+        self.status_seconds = 0.0
+        """Seconds by which answers on role and replication come late."""
+        self.log: list[str] = []
         self.ran: list[str] = []
         self.callers: list[str] = []
         """What each STARTUP said of whose statements come."""
@@ -103,6 +112,8 @@
             self._send("ERROR WRONGNODE -" if wrong else self._ready())
             return not wrong
         statement_id, _, text = rest.partition(" ")
+        if text.split(" ")[0] in ROLE_STATEMENTS:
+            time.sleep(self.database.status_seconds)
         if not self._enter_slot(text):
             self._send("ERROR BUSY -", self._ready())
             return True
@@ -111,6 +122,8 @@
                 lines = self._run(statement_id, text)
         finally:
             self._leave_slot(text)
+        if lines == NO_ANSWER:
+            return True
         if statement_id != "-" and self.database.late_answers:
             time.sleep(self.database.late_answers.pop(0))
         if statement_id != "-" and self.database.lose_answers:
@@ -148,12 +161,8 @@
             self.state, self.plain = "T", not rest
         elif word == "ROLLBACK":
             self.state, self.written = "I", []
-        elif word == "STATUS":
-            role = ROLE_WORDS[database.leads]
-            term, number = database.applied
-            return [f"DATAROW {role} {term} {term}.{number} 0 0 0 1", "COMPLETE -"]
-        elif word == "STEPDOWN":
-            return self._step_down(int(rest))
+        elif word in ROLE_STATEMENTS:
+            return self._run_role_statement(word, rest)
         elif word == "PARSE":
             name, access, _ = rest.split(" ", 2)
             self.names[name] = access
@@ -161,14 +170,19 @@
             return self._work(statement_id, word, rest)
         return ["COMPLETE -"]
 
-    def _step_down(self, newer_term: int) -> list[str]:
+    def _run_role_statement(self, word: str, argument: str) -> list[str]:
         database = self.database
         term, number = database.applied
-        database.group.stepped_down.append(database.name)
-        if term < newer_term:
-            database.leads = False
+        if word == "STEPDOWN":
+            database.group.stepped_down.append(database.name)
+            database.leads = database.leads and term >= int(argument)
+        elif word == "PAUSE" and term < int(argument) and not database.leads:
+            database.stopped_term = int(argument)
+        elif word == "RESUME":
+            database.stopped_term = 0
         role = ROLE_WORDS[database.leads]
-        return [f"DATAROW {role} {term} {term}.{number} 0 0 0 1", "COMPLETE -"]
+        row = f"{role} {term} {term}.{number} {database.stopped_term} 0 0 1"
+        return [f"DATAROW {row}", "COMPLETE -"]
 
     def _work(self, statement_id: str, word: str, rest: str) -> list[str]:
         database = self.database
@@ -186,11 +200,12 @@
         if word == "COMMIT":
             self.state = "I"
             written, self.written = self.written, []
-            database.group.commit(written, database)
+            if not database.group.commit(written, database):
+                return NO_ANSWER
         elif writes and self.state == "T":
             self.written.append(rest)
-        elif writes:
-            database.group.commit([rest], database)
+        elif writes and not database.group.commit([rest], database):
+            return NO_ANSWER
         thing = rest.partition(" ")[0]
         value = database.values.get(thing, "none")
         return [f"DATAROW {value}", f"COMPLETE signed.{statement_id}"]
@@ -213,7 +228,8 @@
     """Three databases; replicas have a commit at once, or `lag_seconds` later.
 
     fences: a promotion takes the lead from the old primary; else that goes on until it is told to
-    step down, or for a second.
+    step down, or for a second. synchronous_replicas: how many replicas must receive a commit before
+    it is answered.
     """
 
     def __init__(
@@ -222,9 +238,11 @@
         store: TableStore,
         promote_seconds: float = 0.1,
         fences: bool = True,
+        synchronous_replicas: int = 0,
     ) -> None:
         self.name = name
         self.fences = fences
+        self.synchronous_replicas = synchronous_replicas
         self.stepped_down: list[str] = []
         self.committed_late: list[str] = []
         """What an old primary committed after another had taken the lead."""
@@ -239,25 +257,31 @@
             database.announce()
         store.on_promote = self.promote
 
-    def commit(self, written: list[str], origin: WireDatabase) -> None:
+    def commit(self, written: list[str], origin: WireDatabase) -> bool:
+        """Returns whether the commit is answered: enough replicas have received it."""
         if not written:
-            return
+            return True
         newest = max(database.applied[0] for database in self.databases.values())
         if origin.applied[0] < newest:
             self.committed_late += written
             self._apply(origin, written)
-            return
+            return True
+        received = 0
         for database in self.databases.values():
             if not database.alive:
                 continue
+            if not database.leads and (not database.receives or database.stopped_term):
+                continue
             if database.leads or not database.lag_seconds:
                 self._apply(database, written)
+                received += not database.leads
             else:
                 timer = threading.Timer(
                     database.lag_seconds, self._apply_later, (database, written)
                 )
                 timer.daemon = True
                 timer.start()
+        return received >= self.synchronous_replicas
 
     def _apply_later(self, database: WireDatabase, written: list[str]) -> None:
         with self.lock:
@@ -268,6 +292,7 @@
         for each in written:
             thing, _, value = each.partition(" ")
             database.values[thing] = value
+            database.log.append(value)
 
     def promote(self, name: str) -> bool:
         chosen = next(d for d in self.databases.values() if d.name == name)
@@ -286,6 +311,7 @@
                         continue
                     database.leads = database is chosen
                     database.applied = applied
+                    database.stopped_term = 0
             for database in self.databases.values():
                 if database.alive:
                     database.announce()
--- a/tests/unfenced/model_process.py
+++ b/tests/unfenced/model_process.py
@@ -165,6 +165,7 @@
             store_client,
             executor,
             self.claim_events,
+            lambda group: self.services.routes.synchronous_replicas(group),
         )
         self.driver = FailoverDriver(
             context,
