--- a/tests/core/pooler/test_freshness.py
+++ b/tests/core/pooler/test_freshness.py
@@ -98,7 +98,7 @@
         self.assertFalse(view.accepts_work("a", 16.0, 5.0))
         view = view.with_record(record("a", 3, "primary"), 20.0)
         self.assertTrue(view.accepts_work("a", 99.0, 5.0))
-        self.assertEqual(view.departed, frozenset())
+        self.assertEqual(view.departed_since, {})
 
 
 class ReadTargetsTest(unittest.TestCase):
