--- a/src/dewledge/core/pooler/databases/group.py
+++ b/src/dewledge/core/pooler/databases/group.py
@@ -68,10 +68,13 @@
         """Logs events of the group's databases."""
         self.relay: str | None = None
         """The address of a process that can reach the suspected database, None for none."""
+        self.newest_term = 0
+        """Highest term in an answer of a database to this process, 0 before the first answer."""
         self._clock = clock
         self._drain_bound = drain_bound
         self._suspected: str | None = None
         self._answered_at: dict[str, float] = {}
+        self._observed_terms: dict[str, int] = {}
         self._lags = ReplicaLags(self.history)
         self._proof_request = ProofRequest(self.history, clock)
         self._primary_waiters: list[Callable[[], None]] = []
@@ -219,8 +222,14 @@
         """Records the log position in a database's answer, and the time of the answer."""
         now = self._clock()
         self._answered_at[database_id] = now
+        self._observed_terms[database_id] = position.term
+        self.newest_term = max(self.newest_term, position.term)
         self._lags.observe(database_id, position, now)
 
+    def observed_term(self, database_id: str) -> int:
+        """Returns the term in the last answer of a database to this process, 0 without one."""
+        return self._observed_terms.get(database_id, 0)
+
     def last_answer_at(self, database_id: str) -> float:
         """Returns when a database last sent this process an answer with a log position."""
         return self._answered_at.get(database_id, LONG_AGO)
--- a/src/dewledge/core/pooler/failover/candidates.py
+++ b/src/dewledge/core/pooler/failover/candidates.py
@@ -5,7 +5,7 @@
 """
 
 import zlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from dewledge.core.pooler.databases.group_view import GroupView
 from dewledge.core.pooler.failover.messages import DatabaseStatus
@@ -13,6 +13,9 @@
 
 MAX_JUDGES = 15
 """Processes: bounds the indirect probes of a check in deployments of hundreds of processes."""
+LOST_TERM_TIMEOUT_SECONDS = 30.0
+"""Seconds that a group without a primary waits for a database that follows its newest term. Then
+one of an older term is promoted, and the commits of the newest term are lost."""
 LOST_COPY_TIMEOUT_SECONDS = 30.0
 """Seconds from the removal of a database's entry until its log is given up: a crashed database may
 come back with commits that no other one has."""
@@ -56,6 +59,25 @@
     return sorted(view.databases.keys() - given_up - {replaced})
 
 
+def following_databases(
+    names: Sequence[str],
+    statuses: Mapping[str, DatabaseStatus],
+    observed_term: Callable[[str], int],
+    newest_term: int,
+) -> Sequence[str]:
+    """Returns those of `names` that follow the newest term.
+
+    A database that does not may hold commits that an earlier promotion rolled back, and lacks those
+    made since. Without a status, the term in its last answer to any statement counts.
+    """
+
+    def term(name: str) -> int:
+        status = statuses.get(name)
+        return observed_term(name) if status is None else status.term
+
+    return [name for name in names if term(name) >= newest_term]
+
+
 def choose_candidate(names: Sequence[str], statuses: Mapping[str, DatabaseStatus]) -> str | None:
     """Returns the database with the highest received log position; on a tie, the last by name.
 
--- a/src/dewledge/core/pooler/failover/claim_maintenance.py
+++ b/src/dewledge/core/pooler/failover/claim_maintenance.py
@@ -4,6 +4,9 @@
 can replace the primary even while the store is down. Otherwise the claim lists the current judges
 as voters. Sets of earlier voters stay in the claim until none of them can confirm an older claim,
 so that two disjoint majorities never count at the same time.
+
+After a change of the primary, the holder writes the new term into the claim: a process that starts
+while the primary is silent then knows which databases have not followed it.
 """
 
 from collections.abc import Sequence
@@ -26,6 +29,8 @@
 fence, each judge waits this much longer than the judge ranked before it."""
 CLAIM_SEND_INTERVAL_SECONDS = 0.25
 """Seconds between sends of the claim to processes that have not acknowledged it."""
+FIRST_TERM = 1
+"""Version: the first term of a group, which a claim need not name."""
 
 
 class ClaimMaintenance:
@@ -53,6 +58,8 @@
             self._judges, self._judges_since = tuple(judges), now
         if not judges or now < self._next_write_at:
             return []
+        if self._lacks_term(situation):
+            return self._write(situation, False)
         if self._lease.fencing is Fencing.PLATFORM:
             if self._lease.claim is not None or judges[0] != self._local_name:
                 return []
@@ -62,6 +69,15 @@
             return self._write(situation, False)
         return self._maintain_voters(situation)
 
+    def _lacks_term(self, situation: Situation) -> bool:
+        """Returns whether the claim of this process names an older term than the newest one."""
+        claim = self._lease.claim
+        if claim is None or claim.holder != self._local_name:
+            return False
+        if not self._lease.is_confirmed(situation.now):
+            return False
+        return situation.log.newest_term > max(claim.term, FIRST_TERM)
+
     def _maintain_voters(self, situation: Situation) -> Sequence[FailoverEffect]:
         claim, judges, now = self._lease.claim, self._judges, situation.now
         if self._local_name not in judges or not self._lease.is_confirmed(now):
@@ -93,4 +109,5 @@
 
     def _write(self, situation: Situation, drops_earlier_voters: bool) -> Sequence[FailoverEffect]:
         self._next_write_at = situation.now + CLAIM_WRITE_INTERVAL_SECONDS
-        return [maintenance_claim(self._lease, self._judges, drops_earlier_voters)]
+        term = situation.log.newest_term
+        return [maintenance_claim(self._lease, self._judges, drops_earlier_voters, term)]
--- a/src/dewledge/core/pooler/failover/claim_writing.py
+++ b/src/dewledge/core/pooler/failover/claim_writing.py
@@ -5,6 +5,8 @@
 
 from collections.abc import Sequence
 
+import msgspec
+
 from dewledge.core.pooler.failover.messages import Claim, WriteClaim
 from dewledge.core.pooler.failover.primary_lease import Fencing, PrimaryLease
 
@@ -13,27 +15,31 @@
 
 
 def maintenance_claim(
-    lease: PrimaryLease, voters: Sequence[str], drops_earlier_voters: bool
+    lease: PrimaryLease, voters: Sequence[str], drops_earlier_voters: bool, term: int = 0
 ) -> WriteClaim:
-    """Returns a claim that replaces no primary and only updates the voters.
+    """Returns a claim that replaces no primary and only updates the voters and the term.
 
     drops_earlier_voters: whether no voter can still confirm claims older than the newest one.
+    term: newest term known of the group.
     """
     leader = None if lease.claim is None else lease.claim.leader
-    return _next_claim(lease, voters, "", leader, drops_earlier_voters=drops_earlier_voters)
+    claim = _next_claim(lease, voters, "", leader, drops_earlier_voters=drops_earlier_voters)
+    return _with_term(claim, term)
 
 
 def replacement_claim(
-    lease: PrimaryLease, voters: Sequence[str], replaced: str, still_serves: bool
+    lease: PrimaryLease, voters: Sequence[str], replaced: str, still_serves: bool, term: int = 0
 ) -> WriteClaim:
     """Returns the claim to replace a primary.
 
-    still_serves: whether the old primary may be used until the promotion is ordered.
+    still_serves: whether the old primary may be used until the promotion is ordered. term: newest
+    term known of the group.
     """
-    if not still_serves:
-        return _next_claim(lease, voters, replaced, NO_LEADER)
-    leader = None if lease.claim is None else lease.claim.leader
-    return _next_claim(lease, voters, replaced, replaced if leader is None else leader)
+    leader: str | None = NO_LEADER
+    if still_serves:
+        leader = None if lease.claim is None else lease.claim.leader
+        leader = replaced if leader is None else leader
+    return _with_term(_next_claim(lease, voters, replaced, leader), term)
 
 
 def order_claim(
@@ -67,12 +73,18 @@
 ) -> WriteClaim:
     claim = lease.claim
     expected = 0 if claim is None else claim.fencing_token
+    term = 0 if claim is None else claim.term
     if lease.fencing is Fencing.PLATFORM:
-        return WriteClaim(replaced, expected)
+        return WriteClaim(replaced, expected, term=term)
     if ordered is None:
         ordered = last_order(lease, replaced)
     quorums = _earlier_quorums(claim, drops_earlier_voters)
-    return WriteClaim(replaced, expected, leader, tuple(voters), quorums, ordered)
+    return WriteClaim(replaced, expected, leader, tuple(voters), quorums, ordered, term)
+
+
+def _with_term(claim: WriteClaim, term: int) -> WriteClaim:
+    """Returns the claim with the newest known term; a claim never goes back to an older one."""
+    return msgspec.structs.replace(claim, term=max(claim.term, term))
 
 
 def _earlier_quorums(
--- a/src/dewledge/core/pooler/failover/commit_proof.py
+++ b/src/dewledge/core/pooler/failover/commit_proof.py
@@ -27,7 +27,7 @@
     """The databases, without the old primary, that may have received a commit.
 
     departed: for those whose entry was removed, a position that covers all commits acknowledged
-    until then, None if none is known. synchronous_replicas: see Durability.
+    until then, None if none is known. synchronous_replicas: see GroupLog.
     """
 
     names: Sequence[str]
--- a/src/dewledge/core/pooler/failover/group_failover.py
+++ b/src/dewledge/core/pooler/failover/group_failover.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Sequence
 
 from dewledge.core.pooler.databases.group_view import GroupView
+from dewledge.core.pooler.failover.candidate_check import CandidateCheck, candidates_checked
 from dewledge.core.pooler.failover.claim_maintenance import ClaimMaintenance
 from dewledge.core.pooler.failover.claim_turn import CLAIM_HOLDER_TIMEOUT_SECONDS, ClaimTurn
-from dewledge.core.pooler.failover.commit_proof import ProofCheck
 from dewledge.core.pooler.failover.loss_watch import Loss, LossWatch
 from dewledge.core.pooler.failover.messages import (
     CandidatesChecked,
@@ -32,7 +32,6 @@
     ReachTested,
     RegisteredProcesses,
     ReplicationStopped,
-    StartReplication,
     StatusRead,
     SteppedDown,
     TryLeader,
@@ -44,17 +43,19 @@
     TRANSITIONS,
     PhaseEnd,
 )
-from dewledge.core.pooler.failover.primary_lease import LONG_AGO, Fencing, PrimaryLease
+from dewledge.core.pooler.failover.primary_lease import Fencing, PrimaryLease
 from dewledge.core.pooler.failover.reach_check import ReachCheck
 from dewledge.core.pooler.failover.replacement import PrimaryReplacement
-from dewledge.core.pooler.failover.situation import Durability, Situation, Step
-from dewledge.core.shared.positions import LogPosition
+from dewledge.core.pooler.failover.replication_restart import ReplicationRestart
+from dewledge.core.pooler.failover.situation import GroupLog, Situation, Step
 
 _NO_LOSS = Loss(LossCause.UNREACHABLE, "")
 NO_REGISTERED_PROCESSES = RegisteredProcesses()
-NO_SYNCHRONOUS_REPLICAS = Durability()
-RESTART_REPLICATION_INTERVAL_SECONDS = 2.0
-"""Seconds between requests of one judge that the replicas of a reachable primary receive again."""
+EMPTY_LOG = GroupLog()
+_PRIMARY_USABLE = frozenset(
+    {PhaseEnd.NEW_PRIMARY, PhaseEnd.REACHABLE, PhaseEnd.REACHED_BY_OTHER, PhaseEnd.RETURNED}
+)
+"""Ends of a phase with a primary that serves."""
 
 
 class GroupFailover:
@@ -81,9 +82,10 @@
         self._claim_maintenance = ClaimMaintenance(local_name, self._lease)
         self.phase = Phase.STEADY
         self._loss = _NO_LOSS
-        self._replacement = PrimaryReplacement(local_name, self._lease, _NO_LOSS)
-        self._last_check: ProofCheck | None = None
-        self._replication_restarted_at = LONG_AGO
+        self._replacement = PrimaryReplacement(local_name, self._lease, _NO_LOSS, 0.0)
+        self._lost_since: float | None = None
+        self._last_check: CandidateCheck | None = None
+        self._replication_restart = ReplicationRestart(local_name, self._claim_turn)
         self._started_at = 0.0
         self._phase_started_at = 0.0
 
@@ -108,10 +110,10 @@
         members: Sequence[str],
         now: float,
         registered: RegisteredProcesses = NO_REGISTERED_PROCESSES,
-        durability: Durability = NO_SYNCHRONOUS_REPLICAS,
+        log: GroupLog = EMPTY_LOG,
     ) -> Sequence[FailoverEffect]:
         """Applies an event and returns the effects; the other parameters are those of Situation."""
-        situation = Situation(view, members, registered, now, durability)
+        situation = Situation(view, members, registered, now, log)
         self._apply_event(event, now)
         effects: list[FailoverEffect] = []
         if isinstance(event, StatusRead) and self.phase is Phase.PROMOTING:
@@ -191,7 +193,7 @@
 
     def _watch_primary(self, situation: Situation) -> Sequence[FailoverEffect]:
         view, now = situation.view, situation.now
-        if situation.durability.synchronous_replicas is None:
+        if situation.log.synchronous_replicas is None:
             return []
         loss = self._loss_watch.find_loss(view, now)
         if loss is not None:
@@ -211,7 +213,10 @@
     def _prepare_replacement(self, loss: Loss, now: float) -> None:
         self._loss = loss
         self._started_at = now
-        self._replacement = PrimaryReplacement(self._local_name, self._lease, loss)
+        if self._lost_since is None:
+            self._lost_since = now
+        lease, since = self._lease, self._lost_since
+        self._replacement = PrimaryReplacement(self._local_name, lease, loss, since)
 
     # Checking.
 
@@ -219,7 +224,7 @@
         primary, now = situation.view.primary, situation.now
         if self.phase is not Phase.STEADY or primary is None or primary.id != database:
             return []
-        if situation.durability.synchronous_replicas is None:
+        if situation.log.synchronous_replicas is None:
             return []
         if not self._reach_check.may_start(now):
             return []
@@ -239,32 +244,15 @@
             return self._advance(situation)
         self._apply_step(step, situation.now)
         if step.end is PhaseEnd.REACHABLE:
-            return [*step.effects, *self._restart_replication(situation)]
+            primary = self._loss.replaced
+            return [*step.effects, *self._replication_restart.requests(primary, situation)]
         return step.effects
 
-    def _restart_replication(self, situation: Situation) -> Sequence[FailoverEffect]:
-        """Returns requests to the replicas of a reachable primary to receive again.
-
-        A process that ended during a replacement may have left them stopped, and a primary whose
-        synchronous replicas receive nothing acknowledges no commit.
-        """
-        view, primary, now = situation.view, self._loss.replaced, situation.now
-        is_judge = self._local_name in situation.members
-        if not situation.durability.synchronous_replicas or not is_judge:
-            return []
-        if now < self._replication_restarted_at + RESTART_REPLICATION_INTERVAL_SECONDS:
-            return []
-        if self._claim_turn.active_holder(primary, now, True) is not None:
-            return []
-        self._replication_restarted_at = now
-        names = [name for name in sorted(view.databases) if name not in view.departed_since]
-        return [StartReplication(name) for name in names if name != primary]
-
     # Claiming.
 
     def _start_claim(self, situation: Situation) -> None:
         now = situation.now
-        is_synchronous = bool(situation.durability.synchronous_replicas)
+        is_synchronous = bool(situation.log.synchronous_replicas)
         holder = self._claim_turn.active_holder(self._loss.replaced, now, is_synchronous)
         if holder is not None:
             self._end_phase(PhaseEnd.CLAIMED_BY_OTHER, now, holder)
@@ -309,20 +297,18 @@
         if check is None or check == self._last_check:
             return
         self._last_check = check
-        positions = [f"{name}:{_format(position)}" for name, position in check.stopped.items()]
         self._record(
-            CandidatesChecked(
-                group=self._group,
-                synchronous_replicas=situation.durability.synchronous_replicas or 0,
-                proven=",".join(check.proven),
-                final="" if check.final is None else _format(check.final),
-                stopped=",".join(positions),
-                unknown=",".join(check.unknown),
-                after_ms=int((situation.now - self._started_at) * 1000),
+            candidates_checked(
+                self._group,
+                situation.log.synchronous_replicas or 0,
+                check,
+                int((situation.now - self._started_at) * 1000),
             )
         )
 
     def _apply_step(self, step: Step, now: float) -> None:
+        if step.end is PhaseEnd.RETURNED:
+            self._reach_check.clear_suspicion()
         if step.end is not None:
             self._end_phase(step.end, now, step.detail)
 
@@ -334,6 +320,8 @@
     def _end_phase(self, end: PhaseEnd, now: float, detail: str = "") -> None:
         transition = TRANSITIONS[end]
         self.phase = transition.next_phase
+        if end in _PRIMARY_USABLE:
+            self._lost_since = None
         self._phase_started_at = now
         self._replacement.start_phase(now)
         self._record(
@@ -346,7 +334,3 @@
                 after_ms=int((now - self._started_at) * 1000),
             )
         )
-
-
-def _format(position: LogPosition) -> str:
-    return f"{position.term}.{position.offset}"
--- a/src/dewledge/core/pooler/failover/loss_watch.py
+++ b/src/dewledge/core/pooler/failover/loss_watch.py
@@ -34,6 +34,11 @@
     cause: LossCause
     replaced: str
 
+    @property
+    def is_planned(self) -> bool:
+        """Whether the primary is draining and may still serve."""
+        return self.cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
+
 
 class LossWatch:
     """Tracks since when a group has had no primary, or a primary that the newest claim forbids."""
--- a/src/dewledge/core/pooler/failover/messages.py
+++ b/src/dewledge/core/pooler/failover/messages.py
@@ -35,6 +35,7 @@
     voters: the processes of which a majority can confirm that no newer claim exists.
     quorums: sets of voters of earlier claims that may still confirm those claims.
     ordered: the database whose promotion was ordered last; it leads, or may start to at any time.
+    term: a term in which a database of the group has led, 0 if the writer knew none.
     """
 
     holder: str
@@ -44,6 +45,7 @@
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
+    term: int = 0
 
     def allows(self, database_id: str) -> bool:
         """Returns whether a database may be used as primary."""
@@ -171,6 +173,7 @@
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
+    term: int = 0
 
 
 class SendClaim(msgspec.Struct, frozen=True):
@@ -272,16 +275,21 @@
 
 
 class CandidatesChecked(msgspec.Struct, frozen=True):
-    """Log record: which databases are proven to hold all acknowledged commits (commit_proof.py).
-
-    proven: the databases, empty if none is. final: last log position of the old primary after it
-    stepped down, empty before. stopped: the databases that stopped replication, with the positions
-    they had received. unknown: the other databases that may hold acknowledged commits. after_ms:
-    since the start of the failover.
+    """Log record: which databases may be promoted, by what is known of their logs.
+
+    statuses: the databases that answered, with their terms and received positions. newest_term: the
+    newest term known of the group. following: the candidates that follow it. In a group with
+    synchronous replicas (commit_proof.py), proven: the databases that hold all acknowledged
+    commits; final: last log position of the old primary after it stepped down; stopped: the
+    databases that stopped replication, with the positions that they had received; unknown: the
+    other databases that may hold acknowledged commits. after_ms: since the start of the failover.
     """
 
     group: str
     synchronous_replicas: int
+    statuses: str
+    newest_term: int
+    following: str
     proven: str
     final: str
     stopped: str
--- a/src/dewledge/core/pooler/failover/phases.py
+++ b/src/dewledge/core/pooler/failover/phases.py
@@ -25,6 +25,10 @@
     WriteClaim,
 )
 
+PHASE_TIMEOUT_SECONDS = 6.0
+"""Seconds that each of the phases choosing, releasing and promoting may last; then the replacement
+is given up."""
+
 
 class PhaseEnd(Enum):
     """Event that ends a phase. A detail, where there is one, is appended to the reason logged."""
@@ -57,6 +61,8 @@
     """No process can still use the old primary, and the candidate has received its log."""
     NOT_RELEASED = auto()
     """The phase timed out while a process might still use the old primary."""
+    RETURNED = auto()
+    """The unreachable primary answers again, and leads in the newest term."""
     CANDIDATE_REFUSED = auto()
     """The platform refused to promote the first candidate."""
     TOKEN_REFUSED = auto()
@@ -112,6 +118,7 @@
     PhaseEnd.CHOSEN: Transition(_CHOOSING, Phase.PROMOTING, "chosen"),
     PhaseEnd.CHOSEN_OLD_IN_USE: Transition(_CHOOSING, Phase.RELEASING, "chosen"),
     PhaseEnd.NO_CANDIDATE: Transition(_CHOOSING, Phase.STEADY, "no_candidate"),
+    PhaseEnd.RETURNED: Transition(_CHOOSING, Phase.STEADY, "returned"),
     PhaseEnd.RELEASED: Transition(_RELEASING, Phase.PROMOTING, "released"),
     PhaseEnd.NOT_RELEASED: Transition(_RELEASING, Phase.STEADY, "not_released"),
     PhaseEnd.CANDIDATE_REFUSED: Transition(_PROMOTING, Phase.CHOOSING, "candidate_refused"),
@@ -136,7 +143,7 @@
         SendClaim,
         WriteClaim,
     ),
-    Phase.RELEASING: (StepDown, WriteClaim, SendClaim, ReadStatus),
+    Phase.RELEASING: (StepDown, StartReplication, WriteClaim, SendClaim, ReadStatus),
     Phase.PROMOTING: (Promote, ReadStatus, AnnounceLeader),
     Phase.FOLLOWING: (),
 }
--- a/src/dewledge/core/pooler/failover/replacement.py
+++ b/src/dewledge/core/pooler/failover/replacement.py
@@ -3,27 +3,21 @@
 
 If the platform checks no fencing tokens, three conditions must hold before a promotion is ordered:
 no process can still use the old primary; the store holds the order, so that the next claim holder
-orders the same database; and no other process can hold a newer claim.
-
-If the group has synchronous replicas, a candidate must be proven to hold all acknowledged commits
-(commit_proof.py). Without a proof, the group waits for its other databases, without a primary.
+orders the same database; and no other process can hold a newer claim. candidate_choice.py selects
+the candidate.
 """
 
 from collections.abc import Sequence
 
-from dewledge.core.pooler.failover.candidates import (
-    choose_candidate,
-    eligible_databases,
-    possible_copies,
-)
+from dewledge.core.pooler.failover.candidate_check import CandidateCheck
+from dewledge.core.pooler.failover.candidate_choice import CandidateChoice
 from dewledge.core.pooler.failover.claim_writing import (
-    last_order,
     order_claim,
     replacement_claim,
     withdrawal_claim,
 )
-from dewledge.core.pooler.failover.commit_proof import CommitProof, Copies, ProofCheck
-from dewledge.core.pooler.failover.lease_release import STEP_DOWN_INTERVAL_SECONDS, LeaseRelease
+from dewledge.core.pooler.failover.final_catch_up import FinalCatchUp
+from dewledge.core.pooler.failover.lease_release import LeaseRelease
 from dewledge.core.pooler.failover.loss_watch import Loss
 from dewledge.core.pooler.failover.messages import (
     AnnounceLeader,
@@ -37,11 +31,10 @@
     ReadStatus,
     ReplicationStopped,
     StatusRead,
-    StepDown,
     SteppedDown,
     WriteClaim,
 )
-from dewledge.core.pooler.failover.phases import PhaseEnd
+from dewledge.core.pooler.failover.phases import PHASE_TIMEOUT_SECONDS, PhaseEnd
 from dewledge.core.pooler.failover.primary_lease import (
     LEASE_SECONDS,
     LONG_AGO,
@@ -51,53 +44,44 @@
 from dewledge.core.pooler.failover.situation import Situation, Step
 from dewledge.core.pooler.failover.survey import StatusSurvey
 
-STATUS_WAIT_SECONDS = 0.3
-"""Seconds that the selection waits for the statuses of all databases. If the platform fences old
-primaries and no database has reported a status after twice that time, one is selected without."""
-CATCH_UP_TIMEOUT_SECONDS = 2.0
-"""Seconds that the candidate has to catch up with a draining primary that still serves. Promoted at
-once, it would lack the commits on their way to it, and they would be rolled back."""
-FINAL_CATCH_UP_TIMEOUT_SECONDS = 0.6
-"""Seconds that the candidate has to receive the last commits of a primary that stepped down; the
-group has no primary in that time."""
 ORDER_WRITE_INTERVAL_SECONDS = 1.5
 """Seconds between writes of the order to the store: longer than the timeout of a call to it."""
 PROMOTE_INTERVAL_SECONDS = 0.7
 """Seconds between promotion requests to the platform under the same fencing token."""
-PHASE_TIMEOUT_SECONDS = 6.0
-"""Seconds that each of the phases choosing, releasing and promoting may last; then the replacement
-is given up."""
 
 
 class PrimaryReplacement:
     """Replacement of a primary by this process, in three phases: choose, release, promote."""
 
-    def __init__(self, local_name: str, lease: PrimaryLease, loss: Loss) -> None:
+    def __init__(self, local_name: str, lease: PrimaryLease, loss: Loss, lost_since: float) -> None:
+        """`lost_since`: since when the group has had no usable primary (steady clock, seconds)."""
         self.candidate = ""
         self.fencing_token = 0
         """Fencing token of the claim under which this process acts, 0 before the store holds it."""
         self._lease = lease
         self._loss = loss
         self._survey = StatusSurvey()
-        self._proof = CommitProof()
-        self.last_check: ProofCheck | None = None
-        """Last check of the candidates, None if the group has no synchronous replicas."""
         self._release = LeaseRelease(local_name, loss.replaced, self.is_planned, self._is_unfenced)
         self._phase_started_at = 0.0
         self._next_order_write_at = LONG_AGO
         self._promoted_at = LONG_AGO
         self._has_promoted = False
-        self._step_down_sent_at = LONG_AGO
+        self._choice = CandidateChoice(lease, loss, lost_since, self._survey, self._release)
+        self._final_catch_up = FinalCatchUp()
         self._min_leader_term = 0
         """Lowest term in which the candidate can lead by this order."""
         self.is_new_primary_confirmed = False
         """Whether the promoted database reported that it leads."""
-        self._stepped_down_at: float | None = None
 
     @property
     def is_planned(self) -> bool:
         """Whether the old primary is draining and may still serve."""
-        return self._loss.cause in (LossCause.DRAINING, LossCause.ENTRY_GONE)
+        return self._loss.is_planned
+
+    @property
+    def last_check(self) -> CandidateCheck | None:
+        """Last check of the candidates, None before the first."""
+        return self._choice.last_check
 
     @property
     def _is_unfenced(self) -> bool:
@@ -119,18 +103,20 @@
         if not isinstance(event, ClaimAcknowledged):
             self._survey.add(StatusRead(event.database, event.status))
         if isinstance(event, ReplicationStopped):
-            self._proof.add(event)
+            self._choice.on_replication_stopped(event)
             return
         self._release.on_answer(event, now)
 
     def start_phase(self, now: float) -> None:
         """Records the start of a phase."""
         self._phase_started_at = now
+        self._choice.start(now)
 
     def first_claim(self, situation: Situation) -> WriteClaim:
         """Returns the first claim of the replacement, to be written before anything else."""
         replaced = self._loss.replaced
-        return replacement_claim(self._lease, situation.members, replaced, self.is_planned)
+        term = self._choice.newest_term(situation)
+        return replacement_claim(self._lease, situation.members, replaced, self.is_planned, term)
 
     def announce_if_leading(self, event: StatusRead) -> Sequence[FailoverEffect]:
         """Returns the announcement of the candidate as primary if it reports that it leads.
@@ -165,128 +151,17 @@
             return self._release_old_primary(situation)
         return self._continue_promotion(situation)
 
-    # Choosing.
-
     def _choose_candidate(self, situation: Situation) -> Step:
-        survey, now = self._survey, situation.now
-        names = self._eligible_databases(situation)
-        wanted = [*names, self._loss.replaced] if self.is_planned else names
-        effects: list[FailoverEffect] = [*survey.requests(wanted)]
-        effects += self._release.claims_to_send(situation.registered, now)
-        missing = [name for name in wanted if name not in survey.statuses]
-        if missing and now < self._phase_started_at + STATUS_WAIT_SECONDS:
-            return Step(effects)
-        if self._is_unfenced:
-            effects += self._stop_unordered_leaders(names, now)
-            names = [name for name in names if survey.follows(name)]
-        chosen = self._previously_ordered or choose_candidate(names, survey.statuses)
-        if chosen is None or (
-            chosen not in survey.statuses and not self._has_status_wait_ended(now)
-        ):
-            if now > self._phase_started_at + PHASE_TIMEOUT_SECONDS:
-                return self._give_up(effects, situation, PhaseEnd.NO_CANDIDATE)
-            return Step(effects)
-        still_serves = self.is_planned and self._release.final_status is None
-        is_behind = still_serves and survey.is_behind(chosen, self._loss.replaced)
-        if is_behind and now < self._phase_started_at + CATCH_UP_TIMEOUT_SECONDS:
-            if survey.try_start_retry(now):
-                survey.reset_asked()
-            return Step(effects)
-        if situation.durability.synchronous_replicas and chosen != self._previously_ordered:
-            effects += self._end_acknowledgements(situation)
-            chosen = self._find_proven(names, situation)
-            if chosen is None:
-                return self._wait_for_proof(effects, situation)
-        self.candidate = chosen
+        choice = self._choice.step(situation)
+        if choice.end is not None:
+            return self._give_up(choice.effects, situation, choice.end)
+        if choice.candidate is None:
+            return Step(choice.effects)
+        self.candidate = choice.candidate
         if self._is_unfenced:
-            self._min_leader_term = survey.min_leader_term(chosen)
-            return Step(effects, PhaseEnd.CHOSEN_OLD_IN_USE)
-        return Step([*effects, *self._order_promotion(now)], PhaseEnd.CHOSEN)
-
-    def _eligible_databases(self, situation: Situation) -> Sequence[str]:
-        """Returns the databases that may lead; after an unfinished claim, also the old primary."""
-        is_unfinished = self._loss.cause is LossCause.UNFINISHED
-        replaced = "" if is_unfinished else self._loss.replaced
-        return eligible_databases(situation.view, replaced, self._survey.refused)
-
-    @property
-    def _previously_ordered(self) -> str | None:
-        """Database whose promotion was ordered by an earlier claim holder, None for none.
-
-        That database leads, or may start to at any time, so its promotion must be ordered again: it
-        could take over unnoticed from any other database promoted now.
-        """
-        ordered = last_order(self._lease, self._loss.replaced)
-        is_candidate = ordered in self._survey.statuses and ordered not in self._survey.refused
-        return ordered if is_candidate and self._is_unfenced else None
-
-    def _stop_unordered_leaders(self, names: Sequence[str], now: float) -> Sequence[FailoverEffect]:
-        """Asks databases that lead without a promotion order to step down.
-
-        Otherwise such a database would serve statements as soon as a claim names it leader, before
-        its promotion.
-        """
-        ordered = self._previously_ordered
-        unordered = [name for name in names if self._survey.leads(name) and name != ordered]
-        if not unordered or now < self._step_down_sent_at + STEP_DOWN_INTERVAL_SECONDS:
-            return []
-        self._step_down_sent_at = now
-        return [StepDown(name, self._survey.next_term) for name in unordered]
-
-    # Proving that the candidate holds all acknowledged commits.
-
-    def _end_acknowledgements(self, situation: Situation) -> Sequence[FailoverEffect]:
-        """Returns requests after which the old primary can acknowledge no more commits."""
-        survey, release, now = self._survey, self._release, situation.now
-        requests = release.step_down_requests(survey.next_term, situation.registered, now)
-        if release.is_stepping_down:
-            return requests
-        if release.final_status is not None and not self._has_final_catch_up_ended(now):
-            if survey.try_start_retry(now):
-                survey.reset_asked()
-            return []
-        copies = possible_copies(situation.view, self._loss.replaced, now)
-        return self._proof.stop_requests(copies, survey.stop_term, now)
-
-    def _find_proven(self, names: Sequence[str], situation: Situation) -> str | None:
-        """Returns the proven candidate with the highest position, None for none.
-
-        A draining replica is selected only if none of `names` is proven.
-        """
-        survey, view = self._survey, situation.view
-        copies = possible_copies(view, self._loss.replaced, situation.now)
-        draining = [name for name in copies if view.databases[name].draining]
-        others = [name for name in draining if survey.follows(name) and name not in survey.refused]
-        final = self._release.final_status
-        position = None if final is None else final.received
-        departed = {
-            name: situation.durability.proven_since(since)
-            for name, since in view.departed_since.items()
-        }
-        check = self._proof.check(
-            [*names, *others],
-            Copies(copies, departed, situation.durability.synchronous_replicas or 0),
-            survey.statuses,
-            position,
-        )
-        self.last_check = check
-        eligible = [name for name in check.proven if name in names]
-        return choose_candidate(eligible or check.proven, survey.statuses)
-
-    def _wait_for_proof(self, effects: list[FailoverEffect], situation: Situation) -> Step:
-        if situation.now > self._phase_started_at + PHASE_TIMEOUT_SECONDS:
-            effects += self._proof.start_requests()
-            return self._give_up(effects, situation, PhaseEnd.NO_CANDIDATE)
-        return Step(effects)
-
-    def _has_final_catch_up_ended(self, now: float) -> bool:
-        """Returns whether the last commits of a primary that stepped down have had their time."""
-        if self._stepped_down_at is None:
-            self._stepped_down_at = now
-        return now >= self._stepped_down_at + FINAL_CATCH_UP_TIMEOUT_SECONDS
-
-    def _has_status_wait_ended(self, now: float) -> bool:
-        return now > self._phase_started_at + 2 * STATUS_WAIT_SECONDS
+            self._min_leader_term = self._survey.min_leader_term(self.candidate)
+            return Step(choice.effects, PhaseEnd.CHOSEN_OLD_IN_USE)
+        return Step([*choice.effects, *self._order_promotion(situation.now)], PhaseEnd.CHOSEN)
 
     # Releasing the old primary.
 
@@ -331,7 +206,7 @@
         final_status = self._release.final_status
         if final_status is None:
             return True
-        has_ended = self._has_final_catch_up_ended(now)
+        has_ended = self._final_catch_up.has_ended(now)
         status = self._survey.statuses.get(self.candidate)
         if status is None or status.received >= final_status.received:
             return True
@@ -367,6 +242,7 @@
 
     def _give_up(self, effects: list[FailoverEffect], situation: Situation, end: PhaseEnd) -> Step:
         """Ends the replacement; without an order, an unreachable old primary stays primary."""
+        effects += self._choice.undo()
         old_primary = self._loss.replaced
         may_stay_primary = self._loss.cause is LossCause.UNREACHABLE and not self._has_promoted
         if self._is_unfenced and may_stay_primary and self.fencing_token:
--- a/src/dewledge/core/pooler/failover/situation.py
+++ b/src/dewledge/core/pooler/failover/situation.py
@@ -10,16 +10,20 @@
 from dewledge.core.shared.positions import LogPosition
 
 
-class Durability(msgspec.Struct, frozen=True):
-    """Which commits of a group a new primary must hold.
+class GroupLog(msgspec.Struct, frozen=True):
+    """What this process knows of a group's log, and which commits a new primary must hold.
 
     synchronous_replicas: replicas that must receive a commit before it is acknowledged, None while
     the configuration is unknown. proven_since: returns a position that covers every commit
-    acknowledged until a time (steady clock, seconds), None if none is known.
+    acknowledged until a time (steady clock, seconds), None if none is known. newest_term: highest
+    term in an answer of a database. observed_term: returns the term in a database's last answer, 0
+    without one.
     """
 
     synchronous_replicas: int | None = 0
     proven_since: Callable[[float], LogPosition | None] = lambda _at: None
+    newest_term: int = 0
+    observed_term: Callable[[str], int] = lambda _name: 0
 
 
 class Situation(msgspec.Struct, frozen=True):
@@ -33,7 +37,7 @@
     members: Sequence[str]
     registered: RegisteredProcesses
     now: float
-    durability: Durability
+    log: GroupLog
 
 
 class Step(msgspec.Struct, frozen=True):
--- a/src/dewledge/core/pooler/failover/survey.py
+++ b/src/dewledge/core/pooler/failover/survey.py
@@ -46,10 +46,15 @@
         self._retried_at = now
         return True
 
+    @property
+    def newest_term(self) -> int:
+        """Highest reported term, 0 without a status."""
+        return max((status.term for status in self.statuses.values()), default=0)
+
     @property
     def next_term(self) -> int:
         """Lowest term above all reported terms."""
-        return max((status.term for status in self.statuses.values()), default=0) + 1
+        return self.newest_term + 1
 
     @property
     def stop_term(self) -> int:
--- a/src/dewledge/shell/pooler/failover/claim_keeper.py
+++ b/src/dewledge/shell/pooler/failover/claim_keeper.py
@@ -91,6 +91,7 @@
             leader="any" if claim.leader is None else claim.leader,
             ordered=claim.ordered,
             token=claim.fencing_token,
+            term=claim.term,
         ).info("claim_known")
         if claim.leader is not None and claim.holder != self._own_name:
             fencing_token = claim.fencing_token
--- a/src/dewledge/shell/pooler/failover/failover_calls.py
+++ b/src/dewledge/shell/pooler/failover/failover_calls.py
@@ -64,6 +64,7 @@
                 effect.voters,
                 effect.quorums,
                 effect.ordered,
+                effect.term,
             )
         )
         try:
--- a/src/dewledge/shell/pooler/failover/failover_driver.py
+++ b/src/dewledge/shell/pooler/failover/failover_driver.py
@@ -42,7 +42,7 @@
     TryLeader,
     WriteClaim,
 )
-from dewledge.core.pooler.failover.situation import Durability
+from dewledge.core.pooler.failover.situation import GroupLog
 from dewledge.core.pooler.statements.statements import Reply
 from dewledge.shell.pooler.failover.database_requests import DatabaseRequests
 from dewledge.shell.pooler.failover.failover_calls import FailoverCalls
@@ -183,13 +183,21 @@
             judges,
             self._context.loop.now(),
             self._registered,
-            Durability(self._context.synchronous_replicas(group_name), group.proven_since),
+            self._log_of(group),
         )
         relay = None if failover.reached_by is None else self._addresses().get(failover.reached_by)
         group.set_suspected(failover.suspected, relay)
         for effect in effects:
             self._carry_out(group, effect)
 
+    def _log_of(self, group: Group) -> GroupLog:
+        return GroupLog(
+            self._context.synchronous_replicas(group.view.name),
+            group.proven_since,
+            group.newest_term,
+            group.observed_term,
+        )
+
     def _carry_out(self, group: Group, effect: FailoverEffect) -> None:
         if isinstance(effect, TestReach):
             self._test_connection(group, effect.database)
--- a/src/dewledge/shell/pooler/tables/coordination_rows.py
+++ b/src/dewledge/shell/pooler/tables/coordination_rows.py
@@ -30,6 +30,7 @@
     voters: tuple[str, ...] = ()
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
+    term: int = 0
 
 
 class AcknowledgementValue(msgspec.Struct, frozen=True):
@@ -66,6 +67,7 @@
         value.voters,
         value.quorums,
         value.ordered,
+        value.term,
     )
 
 
--- a/tests/core/pooler/failover/test_commit_proof.py
+++ b/tests/core/pooler/failover/test_commit_proof.py
@@ -6,17 +6,16 @@
 from dewledge.core.pooler.failover.candidates import LOST_COPY_TIMEOUT_SECONDS, possible_copies
 from dewledge.core.pooler.failover.claim_turn import CLAIM_HOLDER_TIMEOUT_SECONDS
 from dewledge.core.pooler.failover.commit_proof import CommitProof, Copies
+from dewledge.core.pooler.failover.final_catch_up import FINAL_CATCH_UP_TIMEOUT_SECONDS
 from dewledge.core.pooler.failover.group_failover import GroupFailover
 from dewledge.core.pooler.failover.lease_release import STEP_DOWN_TIMEOUT_SECONDS
 from dewledge.core.pooler.failover.messages import (
-    CandidatesChecked,
     Claim,
     ClaimAcknowledged,
     ClaimReceived,
     DatabaseStatus,
     FailoverEffect,
     FailoverEvent,
-    PhaseChanged,
     Promote,
     PromotionAnswered,
     ReachTested,
@@ -29,12 +28,9 @@
     StopReplication,
     WriteClaim,
 )
+from dewledge.core.pooler.failover.phases import PHASE_TIMEOUT_SECONDS
 from dewledge.core.pooler.failover.primary_lease import Fencing, PrimaryLease
-from dewledge.core.pooler.failover.replacement import (
-    FINAL_CATCH_UP_TIMEOUT_SECONDS,
-    PHASE_TIMEOUT_SECONDS,
-)
-from dewledge.core.pooler.failover.situation import Durability
+from dewledge.core.pooler.failover.situation import GroupLog
 from dewledge.core.shared.positions import LogPosition
 from tests.core.pooler.failover.test_group_failover import MEMBERS, FailoverCase
 
@@ -93,8 +89,8 @@
     def handle_with(
         self, event: FailoverEvent, members: Sequence[str], registered: RegisteredProcesses
     ) -> Sequence[FailoverEffect]:
-        durability = Durability(self.synchronous_replicas, lambda _at: self.proven)
-        effects = self.failover.handle(event, self.view, members, self.now, registered, durability)
+        log = GroupLog(self.synchronous_replicas, lambda _at: self.proven)
+        effects = self.failover.handle(event, self.view, members, self.now, registered, log)
         self.effects += effects
         return effects
 
@@ -147,8 +143,7 @@
         self.stop(r1=4)
         self.advance(PHASE_TIMEOUT_SECONDS + 0.5)
         self.assertEqual(self.promoted(), [])
-        ends = [each.reason for each in self.events if isinstance(each, PhaseChanged)]
-        self.assertIn("no_candidate", ends)
+        self.assertIn("no_candidate", [event.reason for event in self.events])
         self.assertEqual(
             self.effects_of(StartReplication), [StartReplication("r1"), StartReplication("r2")]
         )
@@ -182,11 +177,8 @@
         self.report(r1=4, r2=6)
         self.advance(0.2)
         self.stop(r1=4)
-        checks = [event for event in self.events if isinstance(event, CandidatesChecked)]
-        self.assertEqual(
-            [(each.proven, each.stopped, each.unknown) for each in checks],
-            [("", "", "r1,r2"), ("r2", "r1:1.4", "r2")],
-        )
+        found = [(each.proven, each.stopped, each.unknown) for each in self.checks]
+        self.assertEqual(found, [("", "", "r1,r2"), ("r2", "r1:1.4", "r2")])
 
     def test_copy_is_given_up_after_its_entry_is_gone(self) -> None:
         self.view = self.view.with_departure("r2", 99, self.now)
@@ -236,7 +228,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.lease = PrimaryLease(Fencing.PROCESSES)
-        self.failover = GroupFailover("menus", "a", self.events.append, self.lease)
+        self.failover = GroupFailover("menus", "a", self.record, self.lease)
         self.token = 0
 
     def handle(
@@ -306,7 +298,7 @@
         self.confirm_loss()
         self.advance(5.0)
         self.assertEqual(self.effects, [])
-        self.assertEqual([each for each in self.events if isinstance(each, PhaseChanged)], [])
+        self.assertEqual(self.events, [])
 
 
 if __name__ == "__main__":
--- a/tests/core/pooler/failover/test_group_failover.py
+++ b/tests/core/pooler/failover/test_group_failover.py
@@ -10,6 +10,7 @@
 from dewledge.core.pooler.failover.messages import (
     AnnounceLeader,
     AskIndirectProbes,
+    CandidatesChecked,
     Claim,
     ClaimReceived,
     ClaimRefused,
@@ -42,13 +43,20 @@
     def setUp(self) -> None:
         self.now = 1000.0
         self.events: list[PhaseChanged] = []
+        self.checks: list[CandidatesChecked] = []
         self.view = GroupView("menus")
         self.revision = 0
         for name, role in (("p", "primary"), ("r1", "replica"), ("r2", "replica")):
             self.register_database(name, role)
-        self.failover = GroupFailover("menus", "a", self.events.append)
+        self.failover = GroupFailover("menus", "a", self.record)
         self.effects: list[FailoverEffect] = []
 
+    def record(self, event: PhaseChanged | CandidatesChecked) -> None:
+        if isinstance(event, PhaseChanged):
+            self.events.append(event)
+        else:
+            self.checks.append(event)
+
     def register_database(self, name: str, role: str, draining: bool = False) -> None:
         self.revision += 1
         record = DatabaseRecord(
@@ -284,7 +292,7 @@
     def test_single_process_claims_healthy_group(self) -> None:
         writers = []
         for name in MEMBERS:
-            failover = GroupFailover("menus", name, self.events.append)
+            failover = GroupFailover("menus", name, self.record)
             for now in (self.now, self.now + STABLE_JUDGES_SECONDS):
                 effects = failover.handle(Ticked(), self.view, MEMBERS, now)
                 writers += [name for effect in effects if isinstance(effect, WriteClaim)]
@@ -298,7 +306,7 @@
             (0.2 + 2 * STABLE_JUDGES_SECONDS, MEMBERS),
         )
         for name in MEMBERS[1:]:
-            failover = GroupFailover("menus", name, self.events.append)
+            failover = GroupFailover("menus", name, self.record)
             for after, members in known_processes:
                 effects = failover.handle(Ticked(), self.view, members, self.now + after)
                 self.assertEqual(effects, [], (name, after))
@@ -404,7 +412,7 @@
 
 class ConcurrentClaimsTest(FailoverCase):
     def test_only_one_process_promotes_under_each_token(self) -> None:
-        contenders = {name: GroupFailover("menus", name, self.events.append) for name in MEMBERS}
+        contenders = {name: GroupFailover("menus", name, self.record) for name in MEMBERS}
         promotions = []
         row: Claim | None = None
         for step in range(200):
--- a/tests/core/pooler/failover/test_release.py
+++ b/tests/core/pooler/failover/test_release.py
@@ -35,7 +35,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.lease = PrimaryLease(Fencing.PROCESSES)
-        self.failover = GroupFailover("menus", "a", self.events.append, self.lease)
+        self.failover = GroupFailover("menus", "a", self.record, self.lease)
         self.is_store_up = True
         self.token = 0
 
--- a/tests/platform/wire_databases.py
+++ b/tests/platform/wire_databases.py
@@ -33,6 +33,8 @@
         self.work_seconds = 0.0
         self.lag_seconds = 0.0
         self.alive = True
+        self.silent = False
+        """Whether open connections get no answer."""
         self.receives = True
         self.stopped_term = 0
         """Term under which replication stopped, 0 while it goes on."""
@@ -44,10 +46,31 @@
         """What each STARTUP said of whose statements come."""
         self._sequence = 0
         self._connections: set[socket.socket] = set()
-        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listen(0)
+
+    def fall_silent(self) -> None:
+        """Answers nothing more on open connections, and accepts none, until `wake`."""
+        self.silent = True
+        self._close_listener()
+
+    def wake(self) -> None:
+        """Answers again, also what was asked meanwhile."""
+        self._listen(int(self.address.rpartition(":")[2]))
+        self.silent = False
+
+    def _listen(self, port: int) -> None:
+        self._listener = socket.create_server(("127.0.0.1", port))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def come_back(self) -> None:
+        """Starts again after a crash, as a replica with its log."""
+        self.alive = True
+        self.leads = False
+        self._connections.clear()
+        self._listen(0)
+        self.announce()
+
     def announce(self) -> None:
         self._sequence += 1
         self.group.store.put(
@@ -68,17 +91,21 @@
 
     def crash(self) -> None:
         self.alive = False
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        self._close_listener()
         for connection in list(self._connections):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
 
+    def _close_listener(self) -> None:
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
     def _accept(self) -> None:
+        listener = self._listener
         while self.alive:
             try:
-                connection, _ = self._listener.accept()
+                connection, _ = listener.accept()
             except OSError:
                 return
             self._connections.add(connection)
@@ -103,6 +130,8 @@
             return
 
     def _take(self, line: str) -> bool:
+        while self.database.silent and self.database.alive:
+            time.sleep(0.02)
         word, _, rest = line.partition(" ")
         if word == "STARTUP":
             fields = rest.split(" ")
@@ -310,6 +339,8 @@
                         self._end_later(database)
                         continue
                     database.leads = database is chosen
+                    if not database.alive:
+                        continue
                     database.applied = applied
                     database.stopped_term = 0
             for database in self.databases.values():
--- a/tests/unfenced/test_guards.py
+++ b/tests/unfenced/test_guards.py
@@ -19,9 +19,9 @@
 
 GUARDS: tuple[tuple[str, Any, str, bool, tuple[int, ...]], ...] = (
     ("any primary may be used", PrimaryLease, "allows", True, (6, 7)),
-    ("the lease never lapses", PrimaryLease, "is_confirmed", True, (1,)),
+    ("the lease never lapses", PrimaryLease, "is_confirmed", True, (33,)),
     ("nobody is waited for", ClaimAcknowledgements, "is_effective", True, (23, 29)),
-    ("the lease is not asked for", PrimaryLeaseUse, "lacks_lease", False, (5, 15)),
+    ("the lease is not asked for", PrimaryLeaseUse, "lacks_lease", False, (8, 9)),
 )
 """Name, where the guard is, what it is made to say, and seeds of days that it holds."""
 
