--- a/src/dewledge/shell/pooler/links/byte_stream.py
+++ b/src/dewledge/shell/pooler/links/byte_stream.py
@@ -15,7 +15,8 @@
 READ_BYTES = 64 * 1024
 """Bytes read from a connection in one iteration of the event loop."""
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
-"""Bytes buffered for one connection; beyond them the peer reads too slowly and is disconnected."""
+"""Bytes buffered for one connection. A peer that has more of its earlier answers to read when the
+next one is sent reads too slowly, and is disconnected."""
 CLOSE_LINGER_SECONDS = 1.0
 """Seconds between the shutdown of the sending side and the close of the socket. A close with unread
 input would send a reset, and the peer could lose the last answer."""
@@ -51,14 +52,14 @@
     def send(self, data: bytes) -> None:
         """Sends bytes, buffering whatever the socket does not accept yet.
 
-        Ends the connection if the buffer exceeds `MAX_UNSENT_BYTES`.
+        Ends the connection if more than `MAX_UNSENT_BYTES` of earlier calls are still buffered.
         """
         if self.closed or self._closing:
             return
-        self._unsent += data
         if len(self._unsent) > MAX_UNSENT_BYTES:
             self._end()
             return
+        self._unsent += data
         self._flush()
 
     def read_available(self) -> None:
