--- a/src/dewledge/shell/pooler/links/byte_stream.py
+++ b/src/dewledge/shell/pooler/links/byte_stream.py
@@ -49,6 +49,11 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         loop.watch(sock, READABLE, self._on_ready)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether bytes are buffered that the socket has not accepted."""
+        return not self.closed and bool(self._unsent)
+
     def send(self, data: bytes) -> None:
         """Sends bytes, buffering whatever the socket does not accept yet.
 
--- a/src/dewledge/shell/pooler/links/channel_server.py
+++ b/src/dewledge/shell/pooler/links/channel_server.py
@@ -76,7 +76,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no channel has a waiting or running statement or an open transaction."""
+        """Whether no channel has a waiting or running statement or an open transaction, and all
+        replies are sent."""
         return all(link.is_idle for link in self._links)
 
     def start(self) -> None:
@@ -147,8 +148,9 @@
     @property
     def is_idle(self) -> bool:
         """Whether no channel of this link has a waiting or running statement or an open
-        transaction."""
-        return all(session.is_idle for session in self._channels.values())
+        transaction, and all replies are sent."""
+        are_idle = all(session.is_idle for session in self._channels.values())
+        return are_idle and not self._stream.is_sending
 
     def send(self, message: PeerLinkMessage) -> None:
         """Sends a message; see FramedStream.send."""
--- a/src/dewledge/shell/pooler/links/client_listener.py
+++ b/src/dewledge/shell/pooler/links/client_listener.py
@@ -50,6 +50,11 @@
         self.session = new_session(self)
         self._stream = ByteStream(loop, sock, self._received, self._ended)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether bytes are buffered that the client's connection has not accepted."""
+        return self._stream.is_sending
+
     def send_ready(self) -> None:
         """Informs the client that its session is open."""
         self._stream.send(self._codec.ready())
@@ -140,6 +145,14 @@
         self._session_numbers = itertools.count(1)
         self._throttle = FailedLoginThrottle()
         self.connections: set[ClientConnection] = set()
+        self._closing: set[ClientConnection] = set()
+        """Connections whose session has ended, and whose last answer may still be sent."""
+
+    @property
+    def sending_count(self) -> int:
+        """The number of connections without a session whose last answer is still being sent."""
+        self._closing = {each for each in self._closing if each.is_sending}
+        return len(self._closing)
 
     def start(self) -> None:
         """Starts to accept connections."""
@@ -167,7 +180,14 @@
             sock,
             self._new_codec(),
             self._throttle,
-            self.connections.discard,
+            self._remove,
             lambda transport: ClientSession(name, self._services, transport),
         )
         self.connections.add(connection)
+
+    def _remove(self, connection: ClientConnection) -> None:
+        self.connections.discard(connection)
+        if connection.is_sending:
+            self._closing.add(connection)
+        else:
+            self._closing.discard(connection)
--- a/src/dewledge/shell/pooler/links/framed_stream.py
+++ b/src/dewledge/shell/pooler/links/framed_stream.py
@@ -38,6 +38,11 @@
         """Whether the connection has ended."""
         return self._stream.closed
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether messages are buffered that the socket has not accepted."""
+        return self._stream.is_sending
+
     def send(self, message: PeerLinkMessage) -> None:
         """Sends a message; see ByteStream.send."""
         self._stream.send(frame_of(encode(message)))
--- a/src/dewledge/shell/pooler/planned_stop.py
+++ b/src/dewledge/shell/pooler/planned_stop.py
@@ -5,7 +5,7 @@
 connection is closed when it is idle. After END_TRANSACTIONS_RATIO of the limit, idle open
 transactions are rolled back; after REFUSE_WORK_RATIO, new connections and statements are refused.
 The process ends when no work is left, at the earliest after END_TRANSACTIONS_RATIO, at the latest
-after END_PROCESS_RATIO.
+after END_PROCESS_RATIO. Answers that are still being sent are work.
 """
 
 from collections.abc import Callable
@@ -95,8 +95,13 @@
             if elapsed > bound * END_TRANSACTIONS_RATIO:
                 connection.session.end_transaction("planned_stop")
             connection.leave()
-        is_done = not self._clients.connections and self._channel_server.is_idle
-        if (
-            elapsed > bound * END_TRANSACTIONS_RATIO and is_done
-        ) or elapsed > bound * END_PROCESS_RATIO:
+        may_end = elapsed > bound * END_TRANSACTIONS_RATIO and self._is_work_done
+        if may_end or elapsed > bound * END_PROCESS_RATIO:
             self._finish()
+
+    @property
+    def _is_work_done(self) -> bool:
+        """Whether no session is open, and all answers to clients and processes are sent."""
+        if self._clients.connections or self._clients.sending_count:
+            return False
+        return self._channel_server.is_idle
--- a/src/dewledge/shell/pooler/pooler_process.py
+++ b/src/dewledge/shell/pooler/pooler_process.py
@@ -182,7 +182,9 @@
     def _finish(self) -> None:
         self._failover.driver.stop()
         self._waits.report()
-        logger.bind(unfinished=len(self._clients.connections)).info("pooler_stopped")
+        logger.bind(
+            unfinished=len(self._clients.connections), sending=self._clients.sending_count
+        ).info("pooler_stopped")
         self._tables.stop()
         self._clients.close()
         self._pages.close()
--- a/tests/platform/wire_databases.py
+++ b/tests/platform/wire_databases.py
@@ -28,6 +28,8 @@
         self.lose_answers = 0
         self.late_answers: list[float] = []
         """Seconds by which the next answers to clients' statements come late."""
+        self.row_count = 1
+        """Rows of an answer."""
         self.slots = 1000
         self.busy = 0
         self.work_seconds = 0.0
@@ -237,7 +239,8 @@
             return NO_ANSWER
         thing = rest.partition(" ")[0]
         value = database.values.get(thing, "none")
-        return [f"DATAROW {value}", f"COMPLETE signed.{statement_id}"]
+        rows = [f"DATAROW {value}"] * database.row_count
+        return [*rows, f"COMPLETE signed.{statement_id}"]
 
     def _ready(self) -> str:
         term, number = self.database.applied
--- a/tests/shell/test_byte_stream.py
+++ b/tests/shell/test_byte_stream.py
@@ -62,6 +62,23 @@
         self.run_on_loop(lambda: self.stream.send(b"next"))
         self.assertEqual(self.ended, 1)
 
+    def test_stream_counts_as_sending_until_the_peer_has_read(self) -> None:
+        """Guards against a stop that takes a connection for done while it still sends."""
+        self.run_on_loop(
+            lambda: self.stream.send(bytes(4 * MEBIBYTE)), self.stream.close_after_sending
+        )
+        self.assertTrue(self.stream.is_sending)
+        self.assertEqual(self.read_until_end(), 4 * MEBIBYTE)
+        self.assertFalse(self.stream.is_sending)
+
+    def test_input_does_not_cut_an_answer_that_is_on_its_way(self) -> None:
+        """Guards against a reset by unread input, which would discard the rest of the answer."""
+        size = 4 * MEBIBYTE
+        self.run_on_loop(lambda: self.stream.send(bytes(size)), self.stream.close_after_sending)
+        self.peer.send(b"early input")
+        self.assertEqual(self.read_until_end(), size)
+        self.assertEqual(self.received, [])
+
 
 if __name__ == "__main__":
     unittest.main()
