--- a/src/dewledge/shell/pooler/links/byte_stream.py
+++ b/src/dewledge/shell/pooler/links/byte_stream.py
@@ -6,7 +6,10 @@
 
 import contextlib
 import errno
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 
 from dewledge.shell.shared.event_loop import READABLE, WRITABLE, EventLoop, Timer
@@ -18,8 +21,11 @@
 """Bytes buffered for one connection. A peer that has more of its earlier answers to read when the
 next one is sent reads too slowly, and is disconnected."""
 CLOSE_LINGER_SECONDS = 1.0
-"""Seconds between the shutdown of the sending side and the close of the socket. A close with unread
-input would send a reset, and the peer could lose the last answer."""
+"""Seconds between the last bytes sent and the close of the socket. A close with unread input would
+send a reset, and the peer could lose the last answer."""
+_QUEUE_SIZE = struct.Struct("i")
+_END_OF_STREAM = 1
+"""Unacknowledged units that the system counts for the end of the stream."""
 KEEP_ALIVE_PROBES = KeepAlive(idle_seconds=1, interval_seconds=1, probes=3)
 """Closes an idle connection after 4 seconds if its peer no longer answers keep-alive probes."""
 USER_TIMEOUT_MS = 4000
@@ -41,6 +47,7 @@
         self._received = received
         self._ended = ended
         self._unsent = bytearray()
+        self._sent_at = loop.now()
         self._closing = False
         self.closed = False
         sock.setblocking(False)
@@ -73,11 +80,19 @@
             self._read()
 
     def close_after_sending(self) -> None:
-        """Closes the connection after all buffered bytes are sent; later input is discarded."""
+        """Closes the connection after all buffered bytes are sent.
+
+        Input that meets the close is not read once the peer has all bytes: the system refuses it. A
+        request that was read and not answered would leave its sender waiting.
+        """
         if self.closed:
             return
         self._closing = True
-        if not self._unsent:
+        if self._unsent:
+            return
+        if self._loop.now() >= self._sent_at + CLOSE_LINGER_SECONDS:
+            self.close()
+        else:
             self._shut_down()
 
     def close(self) -> None:
@@ -103,6 +118,9 @@
             self._read()
 
     def _read(self) -> None:
+        if self._closing and self._has_peer_everything():
+            self._end()
+            return
         try:
             data = self._socket.recv(READ_BYTES)
         except (BlockingIOError, InterruptedError):
@@ -114,6 +132,16 @@
         elif not self._closing:
             self._received(data)
 
+    def _has_peer_everything(self) -> bool:
+        """Returns whether the peer's system has acknowledged all bytes; False if not known."""
+        if self._unsent:
+            return False
+        try:
+            answer = fcntl.ioctl(self._socket, termios.TIOCOUTQ, bytes(_QUEUE_SIZE.size))
+        except OSError:
+            return False
+        return int(_QUEUE_SIZE.unpack(answer)[0]) <= _END_OF_STREAM
+
     def _flush(self) -> None:
         try:
             sent = self._socket.send(self._unsent) if self._unsent else 0
@@ -122,6 +150,8 @@
         except OSError:
             self._loop.call_later(0.0, self._end)
             return
+        if sent:
+            self._sent_at = self._loop.now()
         del self._unsent[:sent]
         if self._unsent:
             self._loop.watch(self._socket, READABLE | WRITABLE, self._on_ready)
--- a/tests/shell/test_byte_stream.py
+++ b/tests/shell/test_byte_stream.py
@@ -1,11 +1,14 @@
 """Large answers, peers that read slowly, and the close of a connection after its last answer."""
 
+import contextlib
 import socket
 import threading
+import time
 import unittest
 from collections.abc import Callable
 
 from dewledge.shell.pooler.links.byte_stream import (
+    CLOSE_LINGER_SECONDS,
     MAX_UNSENT_BYTES,
     ByteStream,
 )
@@ -71,6 +74,26 @@
         self.assertEqual(self.read_until_end(), 4 * MEBIBYTE)
         self.assertFalse(self.stream.is_sending)
 
+    def test_connection_at_rest_is_closed_without_reading_more(self) -> None:
+        """Guards against a request that is read and never answered, because it met the close."""
+        self.run_on_loop(lambda: self.stream.send(b"answer"))
+        time.sleep(CLOSE_LINGER_SECONDS + 0.1)
+        self.run_on_loop(self.stream.close_after_sending)
+        self.assertTrue(self.stream.closed)
+        self.assertEqual(self.read_until_end(), len(b"answer"))
+        self.assertEqual(self.received, [])
+
+    def test_request_that_meets_the_close_after_an_answer_is_not_read(self) -> None:
+        self.run_on_loop(lambda: self.stream.send(b"answer"), self.stream.close_after_sending)
+        self.assertEqual(self.peer.recv(MEBIBYTE), b"answer")
+        self.peer.send(b"request")
+        started = time.monotonic()
+        with contextlib.suppress(ConnectionResetError):
+            self.assertEqual(self.peer.recv(MEBIBYTE), b"")
+        self.run_on_loop(lambda: None)
+        self.assertTrue(self.stream.closed)
+        self.assertLess(time.monotonic() - started, CLOSE_LINGER_SECONDS)
+
     def test_input_does_not_cut_an_answer_that_is_on_its_way(self) -> None:
         """Guards against a reset by unread input, which would discard the rest of the answer."""
         size = 4 * MEBIBYTE
