--- a/src/dewledge/core/pooler/coordination_store.py
+++ b/src/dewledge/core/pooler/coordination_store.py
@@ -26,7 +26,10 @@
 
 
 class TableRows(msgspec.Struct, frozen=True):
-    """A whole table at one version. store_time: the store's steady clock, seconds."""
+    """A whole table. store_time: the store's steady clock, seconds.
+
+    version: contains all changes up to this version, and possibly later ones.
+    """
 
     rows: tuple[StoreRow, ...]
     version: int
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -91,17 +91,20 @@
     def read_table(self, table: str, limit: float = CALL_TIMEOUT_SECONDS) -> TableRows:
         """Returns all rows of a table that have an empty `part` field, read page by page.
 
-        limit: timeout in seconds of each page's call.
+        limit: timeout in seconds of each page's call. Each page is of another moment, so the result
+        has the version of the first one: a watch from there returns what changed between the pages.
         """
-        rows: list[StoreRow] = []
-        start = ""
-        while True:
-            query = {"table": table, "part": "", "startRev": start, "limit": str(PAGE_ROWS)}
-            answer = self._get("/dewledge/rows-get", query, limit)
-            rows += [self._store_row(table, row) for row in answer.rows]
-            if not answer.has_more or not answer.rows:
-                return TableRows(tuple(rows), answer.ver, answer.now_ms / 1000)
-            start = answer.rows[-1].tls_key + "\0"
+        page = self._read_page(table, "", limit)
+        version, store_time = page.ver, page.now_ms / 1000
+        rows = [self._store_row(table, row) for row in page.rows]
+        while page.has_more and page.rows:
+            page = self._read_page(table, page.rows[-1].tls_key + "\0", limit)
+            rows += [self._store_row(table, row) for row in page.rows]
+        return TableRows(tuple(rows), version, store_time)
+
+    def _read_page(self, table: str, start: str, limit: float) -> _Answer:
+        query = {"table": table, "part": "", "startRev": start, "limit": str(PAGE_ROWS)}
+        return self._get("/dewledge/rows-get", query, limit)
 
     def read_row(self, table: str, key: str) -> StoreRow | None:
         """Returns the row with this key and an empty `part` field, None if it does not exist."""
--- a/tests/platform/table_store.py
+++ b/tests/platform/table_store.py
@@ -64,6 +64,8 @@
 
         self.answered_bytes = 0
         self.reads = 0
+        self.between_pages: Callable[[], object] = lambda: None
+        """Called after a page that is not the last has been read."""
         self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self._server.daemon_threads = True
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
@@ -106,7 +108,10 @@
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/dewledge/rows-get":
-            self._answer(handler, *self._get(query))
+            status, page = self._get(query)
+            if page["hasMore"]:
+                self.between_pages()
+            self._answer(handler, status, page)
         elif url.path == "/dewledge/rows-feed":
             self._answer(handler, *self._feed(query))
         elif url.path == "/dewledge/rows-tx":
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -36,6 +36,17 @@
         self.assertEqual([row.key for row in table.rows], [f"k{n:05}" for n in range(1203)])
         self.assertEqual(table.version, 1203)
 
+    def test_a_change_between_two_pages_is_in_the_feed_after_the_table(self) -> None:
+        """Guards against a table that is called newer than its first page, and misses a change."""
+        for number in range(600):
+            self.stand_in.put("servers", f"k{number:05}", b"old")
+        self.stand_in.between_pages = lambda: self.stand_in.put("servers", "k00001", b"new")
+        table = self.store.read_table("servers")
+        values = {row.key: row.value for row in table.rows}
+        changes = self.store.watch_table("servers", table.version, 0.0)
+        values |= {row.key: row.value for row in changes.rows}
+        self.assertEqual(values["k00001"], b"new")
+
     def test_one_row_is_read_without_the_others(self) -> None:
         self.stand_in.put("servers", "k", b"x")
         self.stand_in.put("servers", "k2", b"y")
