--- a/src/dewledge/core/pooler/coordination_store.py
+++ b/src/dewledge/core/pooler/coordination_store.py
@@ -74,6 +74,9 @@
 class PromotionCalls(Protocol):
     """Calls to the platform by the holder of a lease, guarded by a fencing token."""
 
+    def change_address(self, address: str) -> None:
+        """Sends subsequent calls to another address ("ip:port")."""
+
     def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
         """Promotes a database to primary. Raises StoreError.
 
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -180,6 +180,10 @@
         options = [*_KEEPALIVE_OPTIONS, (socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)]
         self._calls = HttpCalls(address, CONNECT_TIMEOUT_SECONDS, options)
 
+    def change_address(self, address: str) -> None:
+        """Sends subsequent calls to another address ("ip:port")."""
+        self._calls.change_address(address)
+
     def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
         """Requests a promotion. Raises StoreError.
 
--- a/src/dewledge/shell/pooler/pooler_process.py
+++ b/src/dewledge/shell/pooler/pooler_process.py
@@ -51,7 +51,9 @@
         settings_file: reloaded when it changes and by `reload`.
         client_listener: a socket already listening for clients; created here if None.
         """
-        self._settings = CurrentSettings(settings, settings_file, platform.store)
+        self._settings = CurrentSettings(
+            settings, settings_file, platform.store, platform.promotions
+        )
         base = ProcessBase(settings, platform)
         self._loop, self._services, self._log = base.loop, base.services, base.log
         self._readiness = base.readiness
--- a/src/dewledge/shell/pooler/settings_file.py
+++ b/src/dewledge/shell/pooler/settings_file.py
@@ -17,8 +17,8 @@
 """Settings that can be changed only by a restart; a reload keeps their values."""
 
 
-class AddressableStore(Protocol):
-    """Interface of a store client whose address may change while the process runs."""
+class AddressableClient(Protocol):
+    """Interface of a client whose server's address may change while the process runs."""
 
     def change_address(self, address: str) -> None:
         """Sends subsequent calls to another address ("ip:port")."""
@@ -69,12 +69,20 @@
     """Holds the active settings, replaced when the file is reloaded with valid changes."""
 
     def __init__(
-        self, settings: PoolerSettings, path: Path | None, store: AddressableStore
+        self,
+        settings: PoolerSettings,
+        path: Path | None,
+        store: AddressableClient,
+        promotions: AddressableClient | None = None,
     ) -> None:
-        """`store`: its address is set from the settings after each reload that changed any."""
+        """`store`, `promotions`: their addresses are set after each reload that changed any.
+
+        `promotions` is None if the platform has no promotion API.
+        """
         self.current = settings
         self._file = SettingsFile(path)
         self._store = store
+        self._promotions = promotions
 
     def reload(self) -> None:
         """Loads the file and applies its changes."""
@@ -82,6 +90,8 @@
         if changed is not None:
             self.current = changed
             self._store.change_address(changed.store_address)
+            if self._promotions is not None and changed.duty_address:
+                self._promotions.change_address(changed.duty_address)
 
     def reload_if_changed(self) -> None:
         """Calls `reload` if the file was modified since it was last read."""
--- a/tests/platform/test_log_and_settings.py
+++ b/tests/platform/test_log_and_settings.py
@@ -20,7 +20,7 @@
 from dewledge.pooler_settings import check_pooler_settings, load_pooler_settings
 from dewledge.shell.pooler.observing.log_writer import MAX_BUFFERED_LINES, LogWriter
 from dewledge.shell.pooler.observing.pooler_metrics import PoolerMetrics
-from dewledge.shell.pooler.settings_file import SettingsFile
+from dewledge.shell.pooler.settings_file import CurrentSettings, SettingsFile
 
 ROOT = Path(__file__).parent.parent.parent
 TEMPLATE = ROOT / "deploy" / "pooler.toml.template"
@@ -113,6 +113,20 @@
         self.assertEqual(read.client_address, "10.1.0.8:8784")
         self.assertFalse(file.has_changed())
 
+    def test_a_reload_changes_the_addresses_of_the_store_and_of_the_duty_calls(self) -> None:
+        class Client:
+            address = ""
+
+            def change_address(self, address: str) -> None:
+                self.address = address
+
+        store, duties = Client(), Client()
+        current = CurrentSettings(self.settings, self.file, store, duties)
+        text = self.file.read_text().replace("10.200.1.7:8783", "10.200.1.9:8783")
+        self.file.write_text(text.replace("10.200.0.160:8783", "10.200.0.161:8783") + "\n")
+        current.reload_if_changed()
+        self.assertEqual((store.address, duties.address), ("10.200.1.9:8783", "10.200.0.161:8783"))
+
     def test_a_file_with_findings_changes_nothing(self) -> None:
         file = SettingsFile(self.file)
         for text in ("zone = ", 'zone = "a"', "\0"):
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -111,6 +111,16 @@
         with self.assertRaises(StoreError):
             duties.promote("menus", "i-1", "node-a", 7)
 
+    def test_duty_calls_go_to_a_changed_address(self) -> None:
+        """Guards against promotions that go on to an address which the settings no longer name."""
+        other = TableStore()
+        self.addCleanup(other.close)
+        duties = PlatformPromotions(self.stand_in.address)
+        duties.promote("menus", "i-1", "node-a", 7)
+        duties.change_address(other.address)
+        duties.promote("menus", "i-2", "node-a", 8)
+        self.assertEqual(other.promotions, [("menus", "i-2", "node-a", 8)])
+
 
 class TableWatcherTest(StoreCase):
     def setUp(self) -> None:
--- a/tests/unfenced/model_store.py
+++ b/tests/unfenced/model_store.py
@@ -99,6 +99,9 @@
         self._promotions = promotions
         self._name = name
 
+    def change_address(self, address: str) -> None:
+        raise AssertionError(f"the model has no address {address}")
+
     def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
         promotions = self._promotions
         if promotions.is_down or not promotions.network.reaches(self._name, PLATFORM):
