--- a/src/dewledge/adapters/http_calls.py
+++ b/src/dewledge/adapters/http_calls.py
@@ -4,6 +4,7 @@
 done.
 """
 
+import math
 import threading
 from collections.abc import Mapping, Sequence
 
@@ -52,40 +53,32 @@
         timeout: float,
         headers: Mapping[str, str],
         longest: float | None = None,
+        send_before: float = math.inf,
     ) -> HttpAnswer:
         """Sends one call and waits for its answer, `timeout` seconds after it is connected.
 
         longest: how long an answer that goes on coming is waited for; see HttpExchange.request.
+        send_before: the monotonic time from which on nothing is sent.
         Raises ServerUnreachable if nothing was sent, AnswerMissing or ProtocolError if no whole
         answer came; the call may then have been carried out.
         """
-        while (exchange := self._take_idle()) is not None:
+
+        def send(exchange: HttpExchange) -> HttpAnswer:
+            answer = exchange.request(method, target, body, timeout, send_before, headers, longest)
+            self._keep(exchange)
+            return answer
+
+        while (idle := self._take_idle()) is not None:
             try:
-                return self._exchange(exchange, method, target, body, timeout, headers, longest)
+                return send(idle)
             except ClosedBeforeSending:
                 continue
         try:
-            exchange = HttpExchange(
-                self._address, min(self._connect_seconds, timeout), self._options
-            )
-            return self._exchange(exchange, method, target, body, timeout, headers, longest)
+            connect_seconds = min(self._connect_seconds, timeout)
+            return send(HttpExchange(self._address, connect_seconds, self._options))
         except (OSError, ClosedBeforeSending) as error:
             raise ServerUnreachable(f"{type(error).__name__}: {error}") from error
 
-    def _exchange(
-        self,
-        exchange: HttpExchange,
-        method: str,
-        target: str,
-        body: bytes,
-        timeout: float,
-        headers: Mapping[str, str],
-        longest: float | None,
-    ) -> HttpAnswer:
-        answer = exchange.request(method, target, body, timeout, headers=headers, longest=longest)
-        self._keep(exchange)
-        return answer
-
     def _take_idle(self) -> HttpExchange | None:
         with self._lock:
             return self._idle.pop() if self._idle else None
--- a/src/dewledge/core/pooler/coordination_store.py
+++ b/src/dewledge/core/pooler/coordination_store.py
@@ -1,5 +1,6 @@
 """Interface of the table store: versioned rows, a change feed and conditional writes."""
 
+import math
 from typing import Protocol
 
 import msgspec
@@ -77,9 +78,17 @@
     def change_address(self, address: str) -> None:
         """Sends subsequent calls to another address ("ip:port")."""
 
-    def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
+    def promote(
+        self,
+        group: str,
+        database_id: str,
+        holder: str,
+        fencing_token: int,
+        not_after: float = math.inf,
+    ) -> bool:
         """Promotes a database to primary. Raises StoreError.
 
-        Returns whether the platform accepted the call; False if the token is outdated or the
-        database is not running.
+        not_after: latest time at which the call may be sent (steady clock, seconds); a process that
+        stood still until later sends nothing. Returns whether the platform accepted the call; False
+        if the token is outdated or the database is not running.
         """
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import math
 import socket
 import struct
 from collections.abc import Callable, Mapping
@@ -184,10 +185,17 @@
         """Sends subsequent calls to another address ("ip:port")."""
         self._calls.change_address(address)
 
-    def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
-        """Requests a promotion. Raises StoreError.
-
-        Returns False if the token is outdated or the database is not running.
+    def promote(
+        self,
+        group: str,
+        database_id: str,
+        holder: str,
+        fencing_token: int,
+        not_after: float = math.inf,
+    ) -> bool:
+        """Requests a promotion, unless it could be sent only after `not_after` (steady clock).
+
+        Raises StoreError. Returns False if the token is outdated or the database is not running.
         """
         headers = {
             **_JSON_HEADERS,
@@ -196,7 +204,9 @@
         }
         body = json.dumps({"service": group, "id": database_id}).encode()
         try:
-            answer = self._calls.call("POST", "/promote", body, CALL_TIMEOUT_SECONDS, headers)
+            answer = self._calls.call(
+                "POST", "/promote", body, CALL_TIMEOUT_SECONDS, headers, send_before=not_after
+            )
         except (ServerUnreachable, AnswerMissing, ProtocolError) as error:
             raise StoreOutcomeUnknown(f"no answer: {error}") from error
         if answer.status not in (ACCEPTED_STATUS, FENCED_STATUS):
--- a/src/dewledge/shell/pooler/failover/failover_calls.py
+++ b/src/dewledge/shell/pooler/failover/failover_calls.py
@@ -108,7 +108,11 @@
             return
         try:
             accepted = self._promotions.promote(
-                group, effect.database, self._context.own_name, effect.fencing_token
+                group,
+                effect.database,
+                self._context.own_name,
+                effect.fencing_token,
+                effect.not_after,
             )
         except StoreError as error:
             logger.bind(group=group, database=effect.database, error=error.message).info(
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,9 +1,11 @@
 """The store's client against a stand-in: reads, feed, conditional writes, and each fault."""
 
+import socket
 import threading
 import time
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 from dewledge.core.pooler.coordination_store import HistoryLost, StoreRow, StoreWrite
 from dewledge.errors import (
@@ -111,6 +113,22 @@
         with self.assertRaises(StoreError):
             duties.promote("menus", "i-1", "node-a", 7)
 
+    def test_promotion_is_not_sent_after_its_time_though_it_connected_before(self) -> None:
+        """Guards against a process that stands still while it connects, and promotes afterwards."""
+        duties = PlatformPromotions(self.stand_in.address)
+        not_after = time.monotonic() + 0.2
+
+        def connect(*arguments: object, **options: object) -> object:
+            connection = socket_create(*arguments, **options)  # type: ignore[arg-type]
+            time.sleep(0.3)
+            return connection
+
+        socket_create = socket.create_connection
+        with mock.patch("socket.create_connection", connect), self.assertRaises(StoreError):
+            duties.promote("menus", "i-1", "node-a", 7, not_after)
+        self.assertEqual(self.stand_in.promotions, [])
+        self.assertTrue(duties.promote("menus", "i-1", "node-a", 7, time.monotonic() + 5.0))
+
     def test_duty_calls_go_to_a_changed_address(self) -> None:
         """Guards against promotions that go on to an address which the settings no longer name."""
         other = TableStore()
--- a/tests/unfenced/model_store.py
+++ b/tests/unfenced/model_store.py
@@ -1,5 +1,6 @@
 """The platform's store and its promotions, which check no token, as processes meet them."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -102,7 +103,14 @@
     def change_address(self, address: str) -> None:
         raise AssertionError(f"the model has no address {address}")
 
-    def promote(self, group: str, database_id: str, holder: str, fencing_token: int) -> bool:
+    def promote(
+        self,
+        group: str,
+        database_id: str,
+        holder: str,
+        fencing_token: int,
+        not_after: float = math.inf,
+    ) -> bool:
         promotions = self._promotions
         if promotions.is_down or not promotions.network.reaches(self._name, PLATFORM):
             raise StoreOutcomeUnknown("no answer")
