--- a/src/__main__.py
+++ b/src/__main__.py
@@ -5,13 +5,17 @@
 """
 
 import os
+import signal
 import sys
 from pathlib import Path
 
-from dewledge.cli.pooler_start import SETTINGS_VARIABLE, run_pooler
-
 
 def _start() -> None:
+    # A reload signal must not end a process that still imports its parts; run_pooler reads the
+    # settings again once it handles the signal.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from dewledge.cli.pooler_start import SETTINGS_VARIABLE, run_pooler
+
     config = os.environ.get(SETTINGS_VARIABLE)
     if sys.argv[1:] != ["pooler"] or not config:
         from dewledge.cli.main import main
--- a/src/dewledge/cli/pooler_start.py
+++ b/src/dewledge/cli/pooler_start.py
@@ -67,6 +67,8 @@
     signal.signal(signal.SIGTERM, on_stop)
     signal.signal(signal.SIGINT, on_stop)
     signal.signal(signal.SIGHUP, on_reload)
+    # The file may have changed since it was read, with or without a signal.
+    process.reload()
     process.run()
     log.stop()
     os._exit(EXIT_DONE)
