--- a/src/dewledge/core/pooler/databases/group.py
+++ b/src/dewledge/core/pooler/databases/group.py
@@ -8,6 +8,7 @@
 and it must not have been draining for longer than the drain bound.
 """
 
+import math
 from collections.abc import Callable, Sequence
 
 from dewledge.core.pooler.databases.freshness import FreshnessHistory
@@ -139,6 +140,11 @@
         proof = self.history.floor(at, 0.0)
         return None if proof is None else proof.position
 
+    def serves_until(self, database_id: str) -> float:
+        """Returns until when a draining primary gets work; infinity if it is not draining."""
+        since = self.view.draining_since.get(database_id)
+        return math.inf if since is None else since + self._drain_bound
+
     def may_lead(self, database_id: str) -> bool:
         """Tells whether this process may use a database as primary now.
 
--- a/src/dewledge/core/pooler/failover/candidate_choice.py
+++ b/src/dewledge/core/pooler/failover/candidate_choice.py
@@ -45,6 +45,9 @@
 CATCH_UP_TIMEOUT_SECONDS = 2.0
 """Seconds that the candidate has to catch up with a draining primary that still serves. Promoted at
 once, it would lack the commits on their way to it, and they would be rolled back."""
+PROMOTION_LEAD_SECONDS = 2.0
+"""Seconds before a draining primary gets no more work at which a candidate that is behind is
+promoted after all: the time that a promotion takes, with one repetition of the request."""
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -124,7 +127,7 @@
         chosen = ordered or choose_candidate(names, self._survey.statuses)
         if chosen is None or self._must_wait_for_any_status(chosen, situation.now):
             return self._wait(effects, situation)
-        if self._must_wait_for_catch_up(chosen, situation.now):
+        if self._must_wait_for_catch_up(chosen, situation):
             self._repeat_requests(situation.now)
             return Choice(effects)
         if not situation.log.synchronous_replicas or chosen == ordered:
@@ -155,11 +158,19 @@
         is_known = chosen in self._survey.statuses
         return not is_known and now <= self._started_at + 2 * STATUS_WAIT_SECONDS
 
-    def _must_wait_for_catch_up(self, chosen: str, now: float) -> bool:
-        """Returns whether a draining primary still serves and `chosen` has received less."""
+    def _must_wait_for_catch_up(self, chosen: str, situation: Situation) -> bool:
+        """Returns whether a draining primary still serves and `chosen` has received less.
+
+        A primary that answers is waited for until shortly before it gets no more work.
+        """
+        survey, primary = self._survey, self._loss.replaced
         still_serves = self._loss.is_planned and self._release.final_status is None
-        is_behind = still_serves and self._survey.is_behind(chosen, self._loss.replaced)
-        return is_behind and now < self._started_at + CATCH_UP_TIMEOUT_SECONDS
+        if not still_serves or not survey.is_behind(chosen, primary):
+            return False
+        limit = self._started_at + CATCH_UP_TIMEOUT_SECONDS
+        if primary not in survey.silent:
+            limit = max(limit, situation.log.serves_until(primary) - PROMOTION_LEAD_SECONDS)
+        return situation.now < limit
 
     def _repeat_requests(self, now: float) -> None:
         """Has the next step ask for all statuses again, at most once in an interval."""
--- a/src/dewledge/core/pooler/failover/situation.py
+++ b/src/dewledge/core/pooler/failover/situation.py
@@ -1,5 +1,6 @@
 """Input and result of a step of the failover state machine."""
 
+import math
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -17,13 +18,14 @@
     the configuration is unknown. proven_since: returns a position that covers every commit
     acknowledged until a time (steady clock, seconds), None if none is known. newest_term: highest
     term in an answer of a database. observed_term: returns the term in a database's last answer, 0
-    without one.
+    without one. serves_until: returns until when a draining primary gets work (steady clock).
     """
 
     synchronous_replicas: int | None = 0
     proven_since: Callable[[float], LogPosition | None] = lambda _at: None
     newest_term: int = 0
     observed_term: Callable[[str], int] = lambda _name: 0
+    serves_until: Callable[[str], float] = lambda _name: -math.inf
 
 
 class Situation(msgspec.Struct, frozen=True):
--- a/src/dewledge/core/pooler/failover/survey.py
+++ b/src/dewledge/core/pooler/failover/survey.py
@@ -18,6 +18,8 @@
         self.statuses: dict[str, DatabaseStatus] = {}
         self.refused: frozenset[str] = frozenset()
         """Databases that the platform refused to promote."""
+        self.silent: set[str] = set()
+        """Databases that did not answer the last request."""
         self._asked: set[str] = set()
         self._retried_at = 0.0
 
@@ -25,8 +27,10 @@
         """Adds a status; a database that did not answer may be asked again."""
         if event.status is None:
             self._asked.discard(event.database)
+            self.silent.add(event.database)
         else:
             self.statuses[event.database] = event.status
+            self.silent.discard(event.database)
 
     def mark_refused(self, database: str) -> None:
         """Records that the platform refused to promote a database; its status is dropped."""
--- a/src/dewledge/shell/pooler/failover/failover_driver.py
+++ b/src/dewledge/shell/pooler/failover/failover_driver.py
@@ -196,6 +196,7 @@
             group.proven_since,
             group.newest_term,
             group.observed_term,
+            group.serves_until,
         )
 
     def _carry_out(self, group: Group, effect: FailoverEffect) -> None:
--- a/tests/core/pooler/failover/test_group_failover.py
+++ b/tests/core/pooler/failover/test_group_failover.py
@@ -31,6 +31,7 @@
     Ticked,
     WriteClaim,
 )
+from dewledge.core.pooler.failover.situation import GroupLog
 from dewledge.core.shared.positions import LogPosition
 from tests.core.pooler.failover.test_phases import outside_table, undeclared_effects
 
@@ -375,6 +376,36 @@
             self.advance(0.1)
         self.assertEqual(set(self.effects_of(Promote)), {Promote("r2", 7)})
 
+    def lag_behind_draining_primary(self, seconds: float, serves: float, answers: bool) -> None:
+        """Lets a candidate stay behind a primary that gets work for `serves` seconds."""
+        self.claim_draining_primary()
+        end = self.now + serves
+        log = GroupLog(serves_until=lambda _name: end)
+        for _ in range(round(seconds / 0.1)):
+            self.now += 0.1
+            statuses = {"r1": 4, "r2": 6, "p": 9}
+            for name, offset in statuses.items():
+                status: DatabaseStatus | None = DatabaseStatus(
+                    name == "p", 1, LogPosition(1, offset)
+                )
+                if name == "p" and not answers and self.now > end - serves + 0.5:
+                    status = None
+                event = StatusRead(name, status)
+                handle = self.failover.handle
+                effects = handle(event, self.view, MEMBERS, self.now, NO_REGISTERED_PROCESSES, log)
+                self.effects += effects
+
+    def test_candidate_that_lags_is_awaited_while_the_draining_primary_serves(self) -> None:
+        """Guards against a planned change that rolls back commits though nothing presses."""
+        self.lag_behind_draining_primary(2.8, 5.0, answers=True)
+        self.assertEqual(self.effects_of(Promote), [])
+        self.lag_behind_draining_primary(3.2, 5.0, answers=True)
+        self.assertEqual(set(self.effects_of(Promote)), {Promote("r2", 7)})
+
+    def test_silent_draining_primary_is_not_awaited_longer(self) -> None:
+        self.lag_behind_draining_primary(2.8, 8.0, answers=False)
+        self.assertEqual(set(self.effects_of(Promote)), {Promote("r2", 7)})
+
     def test_lost_primary_is_not_asked_for_status(self) -> None:
         self.lose_primary()
         self.confirm_loss()
