--- a/src/dewledge/core/pooler/sessions/client_session.py
+++ b/src/dewledge/core/pooler/sessions/client_session.py
@@ -36,6 +36,8 @@
 
 MAX_PIPELINED_MESSAGES = 64
 """Messages that a client may have in the queue: limits the memory that it can use."""
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+"""Bytes of the messages in the queue at which no further one is taken."""
 
 _TRANSACTION_ENDS = frozenset({StatementKind.COMMIT, StatementKind.ROLLBACK})
 _TRANSACTION_BEGINS = frozenset({StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY})
@@ -60,6 +62,7 @@
         self._transactions = SessionTransactions(services, self._replies)
         self._admission = OperationAdmission(name, services)
         self._queue: deque[Statement | MalformedInput] = deque()
+        self._queued_bytes = 0
         self._ended = False
         self._closes_when_idle = False
         self._is_handling_batch = False
@@ -86,10 +89,11 @@
             self._transport.close()
         elif self._state is None or (isinstance(message, MalformedInput) and message.fatal):
             self._refuse(_malformed("not a message of this session"))
-        elif len(self._queue) >= MAX_PIPELINED_MESSAGES:
+        elif len(self._queue) >= MAX_PIPELINED_MESSAGES or self._queued_bytes >= MAX_QUEUED_BYTES:
             self._refuse(_malformed("too many statements without an answer"))
         else:
             self._queue.append(message)
+            self._queued_bytes += _size_of(message)
             self._serve_queue()
 
     def handle_all(self, messages: Iterable[ClientMessage]) -> None:
@@ -158,7 +162,9 @@
 
     def _serve_queue(self) -> None:
         while self._queue and not self._is_busy and not self._ended:
-            self._serve(self._queue.popleft())
+            message = self._queue.popleft()
+            self._queued_bytes -= _size_of(message)
+            self._serve(message)
 
     def _serve(self, message: Statement | MalformedInput) -> None:
         state = self._state
@@ -305,5 +311,11 @@
             self._transport.close()
 
 
+def _size_of(message: Statement | MalformedInput) -> int:
+    if isinstance(message, MalformedInput):
+        return len(message.message)
+    return len(message.text) + len(message.argument)
+
+
 def _malformed(message: str) -> Failure:
     return Failure(ErrorCode.MALFORMED_REQUEST, message)
--- a/src/dewledge/core/pooler/sessions/session_state.py
+++ b/src/dewledge/core/pooler/sessions/session_state.py
@@ -20,6 +20,8 @@
 """Values that a session may set at most: limits the memory that a client can use."""
 MAX_PREPARED_STATEMENTS = 256
 """Statements that a session may prepare at most: limits the memory that a client can use."""
+MAX_STATE_BYTES = 2 * 1024 * 1024
+"""Bytes of the values and prepared statements of a session: some messages of the largest size."""
 
 
 class PreparedStatement(msgspec.Struct, frozen=True):
@@ -88,6 +90,12 @@
         self.ticket: Ticket | None = None
         """Ticket of an operation that was refused with a retry time, None for none."""
 
+    @property
+    def kept_bytes(self) -> int:
+        """Characters of all values and prepared statements, with their names."""
+        values = sum(len(name) + len(value) for name, value in self.values.items())
+        return values + sum(len(name) + len(each.shape) for name, each in self.prepared.items())
+
     def writes(self, statement: Statement) -> bool:
         """Returns whether a statement writes; an EXECUTE must name a prepared statement."""
         if statement.kind is StatementKind.EXECUTE:
