--- a/src/dewledge/core/pooler/failover/commit_proof.py
+++ b/src/dewledge/core/pooler/failover/commit_proof.py
@@ -3,7 +3,8 @@
 Such a group acknowledges a commit once a number of replicas have received it. A promotion takes
 effect some time after its request, with what the candidate has received by then. So a candidate is
 proven only once no other replica can be the one whose receipt acknowledges a commit: the old
-primary has stepped down, or the other replicas have stopped replication. Used by replacement.py.
+primary has stepped down, or the other replicas have stopped replication. candidate_choice.py makes
+the requests and asks for the check.
 """
 
 from collections.abc import Mapping, Sequence
--- a/src/dewledge/core/pooler/failover/group_failover.py
+++ b/src/dewledge/core/pooler/failover/group_failover.py
@@ -70,7 +70,7 @@
     ) -> None:
         """lease: shared with the code that uses the primary; the default assumes Fencing.PLATFORM.
 
-        record: called with each change of phase, and with each new result of a commit proof.
+        record: called with each change of phase, and with each new check of the candidates.
         """
         self._group = group
         self._local_name = local_name
--- a/src/dewledge/core/pooler/failover/survey.py
+++ b/src/dewledge/core/pooler/failover/survey.py
@@ -1,6 +1,6 @@
 """Collects the statuses of a group's databases while a new primary is selected.
 
-All statuses are from the current failover. Used by replacement.py.
+All statuses are from the current failover. Used by candidate_choice.py and replacement.py.
 """
 
 from collections.abc import Sequence
