--- a/tests/processes/test_answers.py
+++ b/tests/processes/test_answers.py
@@ -76,6 +76,7 @@
             for relay in relays:
                 relay.mend()
             history = observation.finish()
+        self.allow_for_the_machine(history)
         self.check_promises(history)
 
     def _await_failures(self, observation: Observation, first: int) -> None:
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -87,6 +87,7 @@
 
 class ConfigurationTest(ClusterTestCase):
     def setUp(self) -> None:
+        super().setUp()
         self.database = self.cluster.primary()
         client = PlatformClient(self.cluster.platform_address)
         self.addCleanup(client.close)
