--- a/src/dewledge/core/pooler/failover/group_failover.py
+++ b/src/dewledge/core/pooler/failover/group_failover.py
@@ -32,6 +32,7 @@
     PrimarySuspected,
     PromotionAnswered,
     ReachTested,
+    ReadStatus,
     RegisteredProcesses,
     ReplicationStopped,
     StatusRead,
@@ -87,7 +88,7 @@
         self._replacement = PrimaryReplacement(local_name, self._lease, _NO_LOSS, 0.0)
         self._lost_since: float | None = None
         self._newest_term = 0
-        """Newest term that a status or a completed promotion showed, also in earlier failovers."""
+        """Newest term in a status of a database, also in earlier failovers."""
         self._last_check: CandidateCheck | None = None
         self._replication_restart = ReplicationRestart(local_name, self._lease, self._claim_turn)
         self._started_at = 0.0
@@ -118,7 +119,6 @@
     ) -> Sequence[FailoverEffect]:
         """Applies an event and returns the effects; the other parameters are those of Situation."""
         self._apply_event(event, now)
-        self._observe_promotion(view)
         newest_term = max(log.newest_term, self._newest_term)
         log = msgspec.structs.replace(log, newest_term=newest_term)
         situation = Situation(view, members, registered, now, log)
@@ -149,13 +149,6 @@
             self._replacement.on_answer(event, now)
             self._claim_maintenance.on_acknowledgement(event, now)
 
-    def _observe_promotion(self, view: GroupView) -> None:
-        """Records the term of a promotion that the view shows before a status does."""
-        if self.phase is not Phase.PROMOTING or view.primary is None:
-            return
-        if view.primary.id == self._replacement.candidate:
-            self._newest_term = max(self._newest_term, self._replacement.min_leader_term)
-
     def _on_claim(self, claim: Claim, now: float) -> None:
         if not self._lease.apply_claim(claim):
             return
@@ -183,8 +176,10 @@
 
     def _advance(self, situation: Situation) -> Sequence[FailoverEffect]:
         if self._is_finished(situation.view):
+            term_request = self._request_term()
             self._reach_check.clear_suspicion()
             self._end_phase(PhaseEnd.NEW_PRIMARY, situation.now)
+            return [*term_request, *self._watch_primary(situation)]
         if self.phase is Phase.STEADY:
             return self._watch_primary(situation)
         if self.phase is Phase.CHECKING:
@@ -195,6 +190,12 @@
             return self._continue_replacement(situation)
         return self._continue_following(situation.now)
 
+    def _request_term(self) -> Sequence[FailoverEffect]:
+        """Asks the database that this process promoted for its term, if no status has shown it."""
+        if self.phase is not Phase.PROMOTING or self._replacement.is_new_primary_confirmed:
+            return []
+        return [ReadStatus(self._replacement.candidate)]
+
     def _is_finished(self, view: GroupView) -> bool:
         """Returns whether the failover can end, with a primary that needs no replacement."""
         primary = view.primary
--- a/src/dewledge/core/pooler/failover/replacement.py
+++ b/src/dewledge/core/pooler/failover/replacement.py
@@ -68,8 +68,8 @@
         self._has_promoted = False
         self._choice = CandidateChoice(lease, loss, lost_since, self._survey, self._release)
         self._final_catch_up = FinalCatchUp()
-        self.min_leader_term = 0
-        """Lowest term in which the candidate can lead by this order, 0 before the order."""
+        self._min_leader_term = 0
+        """Lowest term in which the candidate can lead by this order."""
         self.is_new_primary_confirmed = False
         """Whether the promoted database reported that it leads."""
 
@@ -127,7 +127,7 @@
         if event.database != self.candidate or event.status is None:
             return []
         self.is_new_primary_confirmed = (
-            event.status.is_primary and event.status.term >= self.min_leader_term
+            event.status.is_primary and event.status.term >= self._min_leader_term
         )
         return [AnnounceLeader(event.database)] if self.is_new_primary_confirmed else []
 
@@ -159,8 +159,8 @@
         if choice.candidate is None:
             return Step(choice.effects)
         self.candidate = choice.candidate
-        self.min_leader_term = self._survey.min_leader_term(self.candidate)
         if self._is_unfenced:
+            self._min_leader_term = self._survey.min_leader_term(self.candidate)
             return Step(choice.effects, PhaseEnd.CHOSEN_OLD_IN_USE)
         return Step([*choice.effects, *self._order_promotion(situation.now)], PhaseEnd.CHOSEN)
 
