--- a/tests/unfenced/day.py
+++ b/tests/unfenced/day.py
@@ -326,6 +326,7 @@
             *self._replaced(),
             *self._lower_tokens(),
             *self._not_serving(),
+            *self.databases.brought_back,
             *super().violations(),
         ]
 
--- a/tests/unfenced/model_databases.py
+++ b/tests/unfenced/model_databases.py
@@ -34,6 +34,10 @@
         self.lag = dict.fromkeys(self.databases, 0.02)
         self.effects: list[tuple[float, str, int]] = []
         """When a database took the lead, which, and its term."""
+        self.brought_back: list[str] = []
+        """Promotions that put commits in force again which an earlier one had rolled back."""
+        self._term_starts: dict[int, int] = {}
+        """Offset of the log at which each term began."""
         self.role_changed: Callable[[], None] = lambda: None
         self._reached_since: dict[str, float] = {}
         self._look()
@@ -81,6 +85,7 @@
             return
         kept = database.applied
         term = self.newest_term + 1
+        self._begin_term(term, database.id, kept)
         for known in [k for k, position in self.positions.items() if position > kept]:
             del self.positions[known]
         for other in self.databases.values():
@@ -91,6 +96,12 @@
         self.effects.append((self.scheduler.time, database.id, term))
         self.role_changed()
 
+    def _begin_term(self, term: int, name: str, kept: LogPosition) -> None:
+        later_starts = [start for begun, start in self._term_starts.items() if begun > kept.term]
+        if kept.offset > min(later_starts, default=kept.offset):
+            self.brought_back.append(f"{name} took the lead in term {term} with {kept}")
+        self._term_starts[term] = kept.offset
+
     def _look(self) -> None:
         """An old primary that reaches the new one for a while becomes a replica."""
         self.scheduler.call_later(LOOK_SECONDS, self._look)
--- a/tests/unfenced/test_unfenced_days.py
+++ b/tests/unfenced/test_unfenced_days.py
@@ -16,6 +16,9 @@
 KEPT_SEEDS = (7, 9, 12, 23, 49)
 """Days on which a replaced primary was used with a guard off, before nothing waited any more for a
 primary that is cut off (test_guards.py)."""
+ONCE_BROUGHT_BACK = (301,)
+"""Days on which a promotion put commits in force again which an earlier one had rolled back: the
+claim holder forgot the term in which its last candidate led."""
 
 
 class UnfencedDaysTest(unittest.TestCase):
@@ -34,6 +37,11 @@
             with self.subTest(seed=seed):
                 self.assertEqual(UnfencedDay(seed).play(SECONDS).violations(), [])
 
+    def test_no_promotion_brings_back_what_an_earlier_one_rolled_back(self) -> None:
+        for seed in ONCE_BROUGHT_BACK:
+            with self.subTest(seed=seed):
+                self.assertEqual(UnfencedDay(seed).play(SECONDS).violations(), [])
+
 
 class HolderTest(unittest.TestCase):
     def test_a_holder_is_told_when_its_claim_stands_to_learn_whom_to_wait_for(self) -> None:
