--- a/src/dewledge/core/pooler/failover/group_failover.py
+++ b/src/dewledge/core/pooler/failover/group_failover.py
@@ -87,8 +87,9 @@
         self._loss = _NO_LOSS
         self._replacement = PrimaryReplacement(local_name, self._lease, _NO_LOSS, 0.0)
         self._lost_since: float | None = None
-        self._newest_term = 0
-        """Newest term in a status of a database, also in earlier failovers."""
+        self.newest_term = 0
+        """Newest term in a status of a database or in a report of another process, also in earlier
+        failovers; 0 before the first."""
         self._last_check: CandidateCheck | None = None
         self._replication_restart = ReplicationRestart(local_name, self._lease, self._claim_turn)
         self._started_at = 0.0
@@ -119,7 +120,7 @@
     ) -> Sequence[FailoverEffect]:
         """Applies an event and returns the effects; the other parameters are those of Situation."""
         self._apply_event(event, now)
-        newest_term = max(log.newest_term, self._newest_term)
+        newest_term = max(log.newest_term, self.newest_term)
         log = msgspec.structs.replace(log, newest_term=newest_term)
         situation = Situation(view, members, registered, now, log)
         effects: list[FailoverEffect] = []
@@ -133,11 +134,13 @@
     # Applying events.
 
     def _apply_event(self, event: FailoverEvent, now: float) -> None:
+        if isinstance(event, IndirectProbeReported):
+            self.newest_term = max(self.newest_term, event.term)
         if isinstance(event, ReachTested | IndirectProbeReported):
             self._reach_check.add_evidence(event)
         elif isinstance(event, StatusRead | SteppedDown | ReplicationStopped):
             if event.status is not None:
-                self._newest_term = max(self._newest_term, event.status.term)
+                self.newest_term = max(self.newest_term, event.status.term)
             self._replacement.on_answer(event, now)
         elif isinstance(event, ClaimReceived):
             self._on_claim(event.claim, now)
--- a/src/dewledge/core/pooler/failover/messages.py
+++ b/src/dewledge/core/pooler/failover/messages.py
@@ -73,11 +73,15 @@
 
 
 class IndirectProbeReported(msgspec.Struct, frozen=True):
-    """Another process reported whether it can reach a database."""
+    """Another process reported whether it can reach a database.
+
+    term: newest term of the database's group that the other process knows, 0 for none.
+    """
 
     process: str
     database: str
     reachable: bool
+    term: int = 0
 
 
 class ClaimReceived(msgspec.Struct, frozen=True):
--- a/src/dewledge/shell/pooler/failover/failover_driver.py
+++ b/src/dewledge/shell/pooler/failover/failover_driver.py
@@ -130,9 +130,17 @@
         """Passes on another process's answer to an indirect probe."""
         record = self._find_database(answer.database)
         if record is not None:
-            event = IndirectProbeReported(answer.witness, answer.database, answer.reachable)
+            event = IndirectProbeReported(
+                answer.witness, answer.database, answer.reachable, answer.term
+            )
             self._handle(record.group, event)
 
+    def newest_term(self, group: str) -> int:
+        """Returns the newest term of a group that this process knows, 0 for none."""
+        observed = self._groups[group].newest_term if group in self._groups else 0
+        failover = self._failovers.get(group)
+        return observed if failover is None else max(observed, failover.newest_term)
+
     def on_leader_notice(self, notice: LeaderNotice) -> None:
         """Uses a database as primary; only a hint, since each statement still requires proof."""
         record = self._find_database(notice.database)
--- a/src/dewledge/shell/pooler/failover/indirect_probes.py
+++ b/src/dewledge/shell/pooler/failover/indirect_probes.py
@@ -33,6 +33,9 @@
     def on_leader_notice(self, notice: LeaderNotice) -> None:
         """Called when another process reports that a database is primary."""
 
+    def newest_term(self, group: str) -> int:
+        """Returns the newest term of a group that this process knows, 0 for none."""
+
 
 class IndirectProbes:
     """Sends probe requests and answers those of other processes."""
@@ -84,7 +87,8 @@
         self._listener.suspect(record.group, record.id)
 
         def send_answer(reachable: bool) -> None:
-            answer = IndirectProbeAnswer(self._own_name, question.database, reachable)
+            term = self._listener.newest_term(record.group)
+            answer = IndirectProbeAnswer(self._own_name, question.database, reachable, term)
             self._peers.send(answer, [sender])
 
         self.test(record, send_answer)
--- a/src/dewledge/shell/pooler/links/peer_messages.py
+++ b/src/dewledge/shell/pooler/links/peer_messages.py
@@ -27,11 +27,15 @@
 
 
 class IndirectProbeAnswer(msgspec.Struct, frozen=True, array_like=True, tag="say"):
-    """Answers an IndirectProbeQuestion; a process that does not know the database sends none."""
+    """Answers an IndirectProbeQuestion; a process that does not know the database sends none.
+
+    term: newest term of the database's group that the witness knows, 0 for none.
+    """
 
     witness: str
     database: str
     reachable: bool
+    term: int = 0
 
 
 class LeaderNotice(msgspec.Struct, frozen=True, array_like=True, tag="lead"):
--- a/tests/core/pooler/failover/test_newest_term.py
+++ b/tests/core/pooler/failover/test_newest_term.py
@@ -166,6 +166,21 @@
         self.keep_reporting(8.0, p=at(3, 80))
         self.assertEqual(self.promoted(), [])
 
+    def test_term_that_another_process_reports_counts(self) -> None:
+        """Guards against a holder that alone has had no answer of the database it promoted."""
+        self.promote_r1()
+        self.effects.clear()
+        self.register_database("r1", "primary")
+        self.handle(Ticked())
+        self.advance(1.0)
+        self.handle(PrimarySuspected("r1"))
+        self.handle(ReachTested("r1", False))
+        self.handle(IndirectProbeReported("b", "r1", False, 4))
+        self.handle(IndirectProbeReported("c", "r1", False))
+        self.handle(StatusRead("p", at(3, 80)))
+        self.keep_reporting(8.0, p=at(3, 80))
+        self.assertEqual(self.promoted(), [])
+
     def test_claim_names_the_new_term_at_the_end_of_the_failover(self) -> None:
         """Guards against a second in which a process that starts cannot know the new term."""
         self.promote_r1()
--- a/tests/platform/test_peer_messages.py
+++ b/tests/platform/test_peer_messages.py
@@ -23,7 +23,7 @@
 
 MESSAGES: tuple[PeerMessage, ...] = (
     IndirectProbeQuestion("a", "db"),
-    IndirectProbeAnswer("b", "db", True),
+    IndirectProbeAnswer("b", "db", True, 3),
     LeaderNotice("a", "db"),
     QuotaQuestion("a", 1, Slot(2, 1), True, None, (TokenWant("north", 1),)),
     QuotaQuestion("a", 2, Slot(2, 1), False, 17.25),
--- a/tests/unfenced/model_process.py
+++ b/tests/unfenced/model_process.py
@@ -284,7 +284,8 @@
             other.opener.test(database_id, lambda reached: answer(other, reached))
 
         def answer(other: "ModelProcess", reached: bool) -> None:
-            word = IndirectProbeAnswer(other.name, database_id, reached)
+            term = other.driver.newest_term(GROUP)
+            word = IndirectProbeAnswer(other.name, database_id, reached, term)
             other.to(self.name, lambda asker: asker.driver.on_probe_answer(word))
 
         self.to(address, asked)
