--- a/tests/unfenced/test_synchronous_days.py
+++ b/tests/unfenced/test_synchronous_days.py
@@ -21,6 +21,11 @@
 while claim holders forgot the term in which their last candidate led."""
 
 
+TERMS_SHOWN_TO_NOBODY = (428,)
+"""Days on which a new primary was lost before it had answered any process, so that one of an older
+term was promoted with commits beyond the start of the lost term."""
+
+
 class SynchronousDaysTest(unittest.TestCase):
     def test_no_promotion_loses_an_answered_commit(self) -> None:
         for kind in (SynchronousDay, FencedSynchronousDay):
@@ -43,6 +48,12 @@
             with self.subTest(seed=seed):
                 self.assertEqual(FencedSynchronousDay(seed).play(SECONDS).lost(), [])
 
+    def test_nothing_is_broken_if_a_new_primary_is_lost_before_it_answers(self) -> None:
+        for seed in TERMS_SHOWN_TO_NOBODY:
+            with self.subTest(seed=seed):
+                day = SynchronousDay(seed).play(SECONDS)
+                self.assertEqual([*day.lost(), *day.violations()], [])
+
     def test_without_the_proof_commits_are_lost(self) -> None:
         unaware = mock.patch.object(RouteTable, "synchronous_replicas", lambda *_: 0)
         for kind, seeds in LOSSES_WITHOUT_PROOF:
