Log how a table came, which call failed on which connection, and how old the confirmation is

The three hypotheses are now told apart: `store_call_failed` counts failures in a row and says whether the connection was a kept one (1); `store_read` and `source_read` have version, the newest version known before, and the age of the source's confirmation (2), bytes and duration (3). A refusal for an unknown route has the version and the age of its confirmation, and a confirmation older than half of the bound has a line at its start and end, and a gauge. No decision is changed; the flag that only the feed confirms a table is now separate from the callback that hears of confirmations.

--- a/src/dewledge/adapters/http_calls.py
+++ b/src/dewledge/adapters/http_calls.py
@@ -73,6 +73,8 @@
                 return send(idle)
             except ClosedBeforeSending:
                 continue
+            except AnswerMissing as error:
+                raise AnswerMissing(f"{error} (kept connection)") from error
         try:
             connect_seconds = min(self._connect_seconds, timeout)
             return send(HttpExchange(self._address, connect_seconds, self._options))
--- a/src/dewledge/core/pooler/events.py
+++ b/src/dewledge/core/pooler/events.py
@@ -48,6 +48,35 @@
     tries: int = 1
 
 
+class RouteUnknown(PoolingEvent, frozen=True):
+    """A session was refused because no route of the active configuration has its database name.
+
+    age_ms: time since the configuration was last confirmed, -1 if it never was.
+    """
+
+    session: str
+    database: str
+    configuration: int
+    age_ms: int
+
+
+class ConfigurationUnconfirmed(PoolingEvent, frozen=True):
+    """The configuration in force was not confirmed for half of its propagation bound.
+
+    age_ms: time since the last confirmation, -1 if there was none.
+    """
+
+    configuration: int
+    age_ms: int
+
+
+class ConfigurationConfirmed(PoolingEvent, frozen=True):
+    """A configuration is confirmed again. lasted_ms: time since ConfigurationUnconfirmed."""
+
+    configuration: int
+    lasted_ms: int
+
+
 class OperationNotAdmitted(PoolingEvent, frozen=True):
     """A caller's operation was refused by rate limiting before any work was done.
 
--- a/src/dewledge/core/pooler/sessions/authorization.py
+++ b/src/dewledge/core/pooler/sessions/authorization.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from dewledge.core.pooler.events import RouteUnknown
 from dewledge.core.pooler.sessions.routes import Route
 from dewledge.core.pooler.sessions.services import PoolServices
 from dewledge.core.pooler.sessions.session_state import SessionState
@@ -40,6 +41,7 @@
         routes = self._services.routes
         route = routes.find_route(database)
         if route is None:
+            self._record_unknown_route(database)
             return UNKNOWN_ROUTE_FAILURE
         caller = routes.authenticate(route, digest)
         if caller is None:
@@ -47,6 +49,11 @@
             return UNKNOWN_CALLER_FAILURE
         return Authorized(route, caller)
 
+    def _record_unknown_route(self, database: str) -> None:
+        services = self._services
+        age_ms = services.configuration_age.milliseconds
+        services.record(RouteUnknown(self._session, database, services.routes.version, age_ms))
+
     def is_transaction_authorized(self, state: SessionState) -> bool:
         """Returns whether the credential still belongs to the open transaction's caller."""
         assert state.transaction is not None
--- a/src/dewledge/core/pooler/sessions/services.py
+++ b/src/dewledge/core/pooler/sessions/services.py
@@ -12,6 +12,7 @@
 from dewledge.core.pooler.load.retry_schedule import RetrySchedule
 from dewledge.core.pooler.rate_limits.admission import Admission, AdmitAll
 from dewledge.core.pooler.scheduling import Scheduler
+from dewledge.core.pooler.sessions.configuration_age import ConfigurationAge
 from dewledge.core.pooler.sessions.denials import DenialLog
 from dewledge.core.pooler.sessions.routes import EMPTY_ROUTE_TABLE, RouteTable
 from dewledge.core.shared.retry_budget import RetryBudget
@@ -38,6 +39,7 @@
         self.scheduler = scheduler
         self.record = record
         self.routes: RouteTable = EMPTY_ROUTE_TABLE
+        self.configuration_age = ConfigurationAge(scheduler, record, lambda: self.routes.version)
         self.groups: dict[str, Group] = {}
         self.load_policy = load_policy or LoadPolicy()
         """Which decisions under load are enabled."""
--- a/src/dewledge/shell/pooler/composition.py
+++ b/src/dewledge/shell/pooler/composition.py
@@ -180,8 +180,13 @@
     calls = StoreCalls(platform.store, base.executor)
     tables = TableReading(base.loop, base.settings, calls, peer_access.links, members, TABLE)
     configuration = directory.apply_configuration_rows
+    base.services.configuration_age.watch(base.settings.timings.configuration_bound)
     tables.add(
-        platform.configuration_table, configuration, configuration, CONFIGURATION_WAIT_SECONDS
+        platform.configuration_table,
+        configuration,
+        configuration,
+        CONFIGURATION_WAIT_SECONDS,
+        base.services.configuration_age.confirm,
     )
     tables.add(
         platform.database_table, directory.apply_database_snapshot, directory.apply_database_rows
@@ -201,7 +206,12 @@
     failover.claim_events.written.add(lambda: tables.read_now(TABLE))
     confirmed = failover.claims.store_confirmed
     tables.add(
-        TABLE, coordination.apply_snapshot, coordination.apply_rows, LEASE_WAIT_SECONDS, confirmed
+        TABLE,
+        coordination.apply_snapshot,
+        coordination.apply_rows,
+        LEASE_WAIT_SECONDS,
+        confirmed,
+        is_confirmed_by_feed=True,
     )
     return tables
 
--- a/src/dewledge/shell/pooler/observing/process_gauges.py
+++ b/src/dewledge/shell/pooler/observing/process_gauges.py
@@ -74,6 +74,11 @@
         lambda parts: parts.lending.channel_count,
     ),
     ("configuration_version", "In force.", lambda parts: parts.services.routes.version),
+    (
+        "configuration_age_seconds",
+        "Time since the configuration was last confirmed to be the newest.",
+        lambda parts: parts.services.configuration_age.seconds,
+    ),
     ("ready", "1 while new sessions are taken.", lambda parts: float(parts.is_ready())),
 )
 
--- a/src/dewledge/shell/pooler/tables/followed_table.py
+++ b/src/dewledge/shell/pooler/tables/followed_table.py
@@ -35,14 +35,15 @@
         wait_seconds: float,
         snapshot: RowsCallback,
         changed: RowsCallback,
-        confirmed: Callable[[float], None] | None = None,
+        confirmed: Callable[[float], None] = lambda confirmed_at: None,
+        is_confirmed_by_feed: bool = False,
     ) -> None:
         """Creates an empty table that was never confirmed.
 
         wait_seconds: how long a reader's call to the store waits for a change. snapshot: receives
         the whole table. changed: receives the rows of a change. confirmed: called with the time of
-        the last confirmation. If it is given, a read of the whole table, which may be stale, does
-        not confirm the table; only the change feed does.
+        the last confirmation. is_confirmed_by_feed: whether only the change feed confirms the
+        table, not a read of the whole table, which may be stale.
         """
         self.name = name
         self.wait_seconds = wait_seconds
@@ -54,6 +55,7 @@
         """Whether the cache holds rows that were removed from the store, without knowing which."""
         self._packed: dict[str, StoreRow] = {}
         self._on_confirmed = confirmed
+        self.is_confirmed_by_feed = is_confirmed_by_feed
         self._on_snapshot = snapshot
         self._on_changed = changed
 
@@ -72,11 +74,6 @@
         """Whether the table was ever read or received from another process."""
         return self._cache.is_loaded
 
-    @property
-    def is_confirmed_by_feed(self) -> bool:
-        """Whether only the change feed confirms the table, not a read of the whole table."""
-        return self._on_confirmed is not None
-
     def is_stale(self, now: float) -> bool:
         """Returns whether the last confirmation is too old: a change may have been missed."""
         return now > self.confirmed_at + self.wait_seconds + CONFIRMATION_SLACK_SECONDS
@@ -90,7 +87,8 @@
         if delta.version < self._cache.version:
             return False
         is_news = bool(delta.rows) or not self._cache.is_loaded
-        if self._on_confirmed is None or not delta.is_whole:
+        confirms = not (self.is_confirmed_by_feed and delta.is_whole)
+        if confirms:
             # Set before the callbacks run, as they may read the time of the last confirmation.
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if is_news:
@@ -105,8 +103,8 @@
             self._cache.update(delta.rows, delta.version)
             if delta.rows:
                 self._on_changed(delta.rows, delta.version)
-            if self._on_confirmed is not None:
-                self._on_confirmed(self.confirmed_at)
+        if confirms:
+            self._on_confirmed(self.confirmed_at)
         return is_news
 
     def has_changed_after(self, version: int) -> bool:
--- a/src/dewledge/shell/pooler/tables/table_follower.py
+++ b/src/dewledge/shell/pooler/tables/table_follower.py
@@ -20,6 +20,7 @@
     TablePosition,
     TablesAnswered,
 )
+from dewledge.core.shared.units import MILLISECONDS_PER_SECOND
 from dewledge.errors import ProtocolError
 from dewledge.shell.pooler.links.outgoing_link import OutgoingLink
 from dewledge.shell.pooler.links.outgoing_links import OutgoingLinks
@@ -204,12 +205,26 @@
 
     def _apply_news(self, table: FollowedTable, news: TableNews, answered_at: float) -> bool:
         try:
-            return table.apply_news(news, answered_at)
+            has_changed = table.apply_news(news, answered_at)
         except ProtocolError as error:
             logger.bind(source=self.source, table=table.name, error=error.message).warning(
                 "table_news_refused"
             )
             return False
+        if has_changed:
+            self._log_news(news)
+        return has_changed
+
+    def _log_news(self, news: TableNews) -> None:
+        logger.bind(
+            table=news.table,
+            source=self.source,
+            version=news.delta.version,
+            rows=len(news.delta.rows),
+            bytes=sum(len(row.value) for row in news.delta.rows),
+            took_ms=round((self._loop.now() - self._sent_at) * MILLISECONDS_PER_SECOND),
+            age_ms=round(news.age_seconds * MILLISECONDS_PER_SECOND),
+        ).info("source_read")
 
     def _read_withheld(self, tables: Sequence[str]) -> None:
         """Schedules reads of withheld tables from the store, and asks the source again later."""
--- a/src/dewledge/shell/pooler/tables/table_reading.py
+++ b/src/dewledge/shell/pooler/tables/table_reading.py
@@ -93,13 +93,14 @@
         snapshot: RowsCallback,
         changed: RowsCallback,
         wait: float = MAX_WAIT_SECONDS,
-        confirmed: Callable[[float], None] | None = None,
+        confirmed: Callable[[float], None] = lambda confirmed_at: None,
+        is_confirmed_by_feed: bool = False,
     ) -> None:
         """Adds a table: `snapshot` receives the whole table, `changed` the rows of later changes.
 
-        wait: seconds for which a reader's call waits for a change. confirmed: see FollowedTable.
+        wait: seconds for which a reader's call waits for a change. The others: see FollowedTable.
         """
-        table = FollowedTable(name, wait, snapshot, changed, confirmed)
+        table = FollowedTable(name, wait, snapshot, changed, confirmed, is_confirmed_by_feed)
 
         def on_delta(delta: TableDelta, confirmed_at: float) -> None:
             before = table.confirmed_at
@@ -113,7 +114,7 @@
             lambda: table.version,
             on_delta,
             self._loop.post,
-            confirms_whole=confirmed is not None,
+            confirms_whole=is_confirmed_by_feed,
         )
 
     def start(self) -> None:
--- a/src/dewledge/shell/pooler/tables/table_watcher.py
+++ b/src/dewledge/shell/pooler/tables/table_watcher.py
@@ -7,7 +7,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from loguru import logger
 
@@ -15,8 +15,10 @@
     CALL_TIMEOUT_SECONDS,
     CoordinationStore,
     HistoryLost,
+    StoreRow,
 )
 from dewledge.core.pooler.sharing.table_cache import TableDelta
+from dewledge.core.shared.units import MILLISECONDS_PER_SECOND
 from dewledge.errors import StoreError
 
 DEFAULT_WAIT_SECONDS = 2.0
@@ -137,10 +139,12 @@
         limit = FIRST_READ_TIMEOUT_SECONDS if self._newest_version < 0 else CALL_TIMEOUT_SECONDS
         sent_at = time.monotonic()
         answer = self._store.read_table(self._table, limit)
+        self._log_read(sent_at, answer.rows, answer.version, True)
         while answer.version < self._newest_version and not self._stopped.is_set():
             time.sleep(STALE_READ_PAUSE_SECONDS)
             sent_at = time.monotonic()
             answer = self._store.read_table(self._table)
+            self._log_read(sent_at, answer.rows, answer.version, True)
         self._newest_version = answer.version
         self._has_read_whole = True
         self._post_delta(TableDelta(answer.rows, answer.version, True), sent_at)
@@ -154,6 +158,8 @@
         wait = 0.0 if skips_wait else self._wait_seconds
         sent_at = time.monotonic()
         answer = self._store.watch_table(self._table, self._newest_version, wait)
+        if answer.rows:
+            self._log_read(sent_at, answer.rows, answer.version, False)
         self._newest_version = max(self._newest_version, answer.version)
         # An answer without rows is sent when the wait is over, so the table was current then.
         confirmed_at = sent_at if answer.rows else sent_at + min(wait, time.monotonic() - sent_at)
@@ -162,6 +168,19 @@
         if answer.rows:
             self._stopped.wait(FEED_PAUSE_SECONDS)
 
+    def _log_read(
+        self, sent_at: float, rows: Sequence[StoreRow], version: int, is_whole: bool
+    ) -> None:
+        logger.bind(
+            table=self._table,
+            version=version,
+            known=self._newest_version,
+            whole=is_whole,
+            rows=len(rows),
+            bytes=sum(len(row.value) for row in rows),
+            took_ms=round((time.monotonic() - sent_at) * MILLISECONDS_PER_SECOND),
+        ).info("store_read")
+
     def _post_delta(self, delta: TableDelta, confirmed_at: float) -> None:
         self._post(lambda: self._on_delta(delta, confirmed_at))
 
@@ -169,6 +188,10 @@
         self._failures += 1
         if self._failures == 1:
             logger.bind(table=self._table, error=error.message).warning("store_lost")
+        else:
+            logger.bind(table=self._table, failures=self._failures, error=error.message).info(
+                "store_call_failed"
+            )
         if not self._is_reader and self._newest_version >= 0:
             return
         self.read_once()
--- a/tests/platform/test_pooler_page.py
+++ b/tests/platform/test_pooler_page.py
@@ -38,6 +38,7 @@
     "dewledge_slot_seconds_largest_caller",
     "dewledge_members",
     "dewledge_configuration_version",
+    "dewledge_configuration_age_seconds",
     "dewledge_ready",
 }
 
