--- a/src/dewledge/core/pooler/sessions/configuration_age.py
+++ b/src/dewledge/core/pooler/sessions/configuration_age.py
@@ -51,7 +51,7 @@
     @property
     def is_recent(self) -> bool:
         """Whether the last confirmation is recent; see `watch`."""
-        return self.seconds <= self._max_age
+        return self.seconds < self._max_age
 
     def watch(self, bound: float) -> None:
         """Records an event whenever the confirmation stops to be recent, and when it is again.
