--- a/tests/processes/relay.py
+++ b/tests/processes/relay.py
@@ -23,6 +23,7 @@
         self._is_cut = False
         self._cut_after: int | None = None
         self._links: set[socket.socket] = set()
+        self._silent: set[socket.socket] = set()
         self.reset_counts()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self._listener.getsockname())
@@ -51,6 +52,11 @@
         for link in links:
             _end(link)
 
+    def silence_open_links(self) -> None:
+        """Passes nothing more on the links that are open, without ending them; new ones work."""
+        with self._lock:
+            self._silent |= self._links
+
     def mend(self) -> None:
         """Ends every fault; answers that were held come now."""
         with self._lock:
@@ -97,12 +103,15 @@
     def _pass_requests(self, near: socket.socket, far: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while data := near.recv(CHUNK_BYTES):
-                far.sendall(data)
+                if near not in self._silent:
+                    far.sendall(data)
         _end(far)
 
     def _pass_answers(self, far: socket.socket, near: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while data := far.recv(CHUNK_BYTES):
+                if far in self._silent:
+                    continue
                 if not self._flowing.is_set():
                     self.held += 1
                     self._flowing.wait()
