Close the kept connections to a server when one of them gives no answer

Callers saw a configuration older than its bound after all open connections had gone silent. Cause: HttpCalls judged each kept connection by itself, so a process paid a timeout of 1 s, and a longer pause, for each of them in turn, though the first had shown all that there was to know. A call without an answer on a kept connection now closes those that had their last answer before it was sent; one that has answered since is kept. The next call connects anew.

Ruled out as enough: TCP keep-alive, which this client sets; it finds an idle connection after 3 s, and only where the network, not the other end, is silent.

--- a/src/dewledge/adapters/http_calls.py
+++ b/src/dewledge/adapters/http_calls.py
@@ -6,8 +6,11 @@
 
 import math
 import threading
+import time
 from collections.abc import Mapping, Sequence
 
+import msgspec
+
 from dewledge.adapters.http_exchange import (
     AnswerMissing,
     ClosedBeforeSending,
@@ -24,8 +27,19 @@
     """No connection could be made, so nothing of the call was sent."""
 
 
+class KeptConnection(msgspec.Struct, frozen=True):
+    """An idle connection and when its last answer was whole (monotonic clock, seconds)."""
+
+    exchange: HttpExchange
+    answered_at: float
+
+
 class HttpCalls:
-    """The kept connections to one address. Methods may be called from any thread."""
+    """The kept connections to one address. Methods may be called from any thread.
+
+    A call that gets no answer on a kept connection closes the others that had their last answer
+    before it was sent: what silenced one has probably silenced all.
+    """
 
     def __init__(
         self, address: str, connect_seconds: float, options: Sequence[SocketOption] = ()
@@ -34,7 +48,7 @@
         self._connect_seconds = connect_seconds
         self._options = options
         self._lock = threading.Lock()
-        self._idle: list[HttpExchange] = []
+        self._idle: list[KeptConnection] = []
         self._address = address
 
     def change_address(self, address: str) -> None:
@@ -42,8 +56,8 @@
         with self._lock:
             left, self._idle = self._idle, []
             self._address = address
-        for exchange in left:
-            exchange.close()
+        for kept in left:
+            kept.exchange.close()
 
     def call(
         self,
@@ -68,12 +82,14 @@
             self._keep(exchange)
             return answer
 
-        while (idle := self._take_idle()) is not None:
+        while (kept := self._take_idle()) is not None:
+            sent_at = time.monotonic()
             try:
-                return send(idle)
+                return send(kept.exchange)
             except ClosedBeforeSending:
                 continue
             except AnswerMissing as error:
+                self._close_unanswered_since(sent_at)
                 raise AnswerMissing(f"{error} (kept connection)") from error
         try:
             connect_seconds = min(self._connect_seconds, timeout)
@@ -81,14 +97,21 @@
         except (OSError, ClosedBeforeSending) as error:
             raise ServerUnreachable(f"{type(error).__name__}: {error}") from error
 
-    def _take_idle(self) -> HttpExchange | None:
+    def _take_idle(self) -> KeptConnection | None:
         with self._lock:
             return self._idle.pop() if self._idle else None
 
+    def _close_unanswered_since(self, moment: float) -> None:
+        with self._lock:
+            unanswered = [kept for kept in self._idle if kept.answered_at < moment]
+            self._idle = [kept for kept in self._idle if kept.answered_at >= moment]
+        for kept in unanswered:
+            kept.exchange.close()
+
     def _keep(self, exchange: HttpExchange) -> None:
         with self._lock:
             if not exchange.closed and len(self._idle) < MOST_KEPT:
-                self._idle.append(exchange)
+                self._idle.append(KeptConnection(exchange, time.monotonic()))
                 return
         exchange.close()
 
--- a/tests/adapters/test_http_calls.py
+++ b/tests/adapters/test_http_calls.py
@@ -1,12 +1,15 @@
 """Calls over kept connections: reuse, what a closed one costs, and what each failure says."""
 
+import contextlib
 import socket
 import threading
+import time
 import unittest
 
 from dewledge.adapters.http_calls import HttpCalls, ServerUnreachable
-from dewledge.adapters.http_exchange import AnswerMissing, HttpAnswer
+from dewledge.adapters.http_exchange import AnswerMissing, HttpAnswer, HttpExchange
 from dewledge.shell.shared.sockets import bound_address
+from tests.processes.relay import Relay
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 TIMEOUT = 5.0
@@ -74,6 +77,46 @@
         self.assertEqual(self.call(calls).status, 200)
         self.assertEqual((server.connections, len(server.requests)), (2, 2))
 
+    # Guards against one timeout for each kept connection after all of them fell silent.
+    def test_a_kept_connection_without_an_answer_closes_the_others(self) -> None:
+        server = self.server()
+        relay = Relay(server.address)
+        self.addCleanup(relay.close)
+        calls = HttpCalls(relay.address, TIMEOUT)
+        self.keep(calls, 4)
+        relay.silence_open_links()
+        with self.assertRaises(AnswerMissing):
+            calls.call("GET", "/x", b"", 0.2, {})
+        self.assertEqual(calls.call("GET", "/x", b"", TIMEOUT, {}).status, 200)
+        self.assertEqual(server.connections, 5)
+
+    def test_a_connection_that_answered_meanwhile_is_kept(self) -> None:
+        server = self.server()
+        relay = Relay(server.address)
+        self.addCleanup(relay.close)
+        calls = HttpCalls(relay.address, TIMEOUT)
+        self.keep(calls, 1)
+        relay.silence_open_links()
+        silent = threading.Thread(target=self.call_in_vain, args=(calls,))
+        silent.start()
+        time.sleep(0.1)
+        self.call(calls)
+        silent.join()
+        self.call(calls)
+        self.assertEqual(server.connections, 2)
+
+    def keep(self, calls: HttpCalls, count: int) -> None:
+        """Gives `calls` this many connections that have each answered a call."""
+        exchanges = [HttpExchange(calls._address, TIMEOUT) for _ in range(count)]
+        for exchange in exchanges:
+            exchange.request("GET", "/x", b"", TIMEOUT)
+            calls._keep(exchange)
+
+    @staticmethod
+    def call_in_vain(calls: HttpCalls) -> None:
+        with contextlib.suppress(AnswerMissing):
+            calls.call("GET", "/x", b"", 0.5, {})
+
     def test_a_call_whose_answer_is_lost_is_not_sent_again(self) -> None:
         server = self.server(answers_each=0)
         with self.assertRaises(AnswerMissing):
