Verify the link to a source that has not answered, and replace it if it is silent

What callers saw: an older configuration after all open connections fell silent. A follower asked its sources in turn over links that were dead: nothing but statements judges a link, and a source may carry none. Each turn cost 1.4 s, until the system gave the connection up (4 s, and only where the network is silent); until then each process read the store by itself. Now a request without an answer pings the other end. Without a sign of life the link is lost after 1.2 s, by the rule that holds for statements, and dialled anew.

test_a_silent_link_to_the_only_source_is_replaced failed before (no further question reached the source within 5 s), and passes.

--- a/src/dewledge/core/pooler/load/holder_health.py
+++ b/src/dewledge/core/pooler/load/holder_health.py
@@ -214,6 +214,16 @@
             return None
         return self._schedule_check(now, self._rules.ping_after)
 
+    def on_ping(self, now: float) -> float | None:
+        """Records a ping sent without an outstanding reply.
+
+        Returns the delay until its check, None if a ping or dial is unanswered already.
+        """
+        if self._probe_sent_at is not None:
+            return None
+        self._probe_sent_at = now
+        return self._schedule_check(now, self.probe_timeout)
+
     def on_replies(self, count: int = 1) -> None:
         """Records replies that arrived or are no longer awaited."""
         self.outstanding_replies = max(self.outstanding_replies - count, 0)
--- a/src/dewledge/shell/pooler/links/outgoing_link.py
+++ b/src/dewledge/shell/pooler/links/outgoing_link.py
@@ -126,6 +126,18 @@
         """Records replies that arrived or are no longer awaited."""
         self.health.on_replies(count)
 
+    def verify(self) -> None:
+        """Pings the other end; if no sign of life follows, the link is closed as lost.
+
+        For users whose answers may come late and are therefore not recorded as requests.
+        """
+        if self._stream is None:
+            return
+        delay = self.health.on_ping(self._loop.now())
+        if delay is not None:
+            self._stream.send(Ping())
+            self._schedule_check(delay)
+
     def close(self) -> None:
         """Closes the link without calling `lost`."""
         if self._connecting is not None:
--- a/src/dewledge/shell/pooler/tables/table_follower.py
+++ b/src/dewledge/shell/pooler/tables/table_follower.py
@@ -248,6 +248,8 @@
                 MAX_ANSWER_GAP_SECONDS / 2, self._on_answer_timeout
             )
             return
+        if link is not None and not is_receiving:
+            link.verify()
         self._abandon_request("silent")
 
     def _abandon_request(self, reason: str) -> None:
--- a/tests/shell/test_table_follower.py
+++ b/tests/shell/test_table_follower.py
@@ -16,6 +16,7 @@
 from dewledge.shell.pooler.tables.table_follower import TableFollower
 from dewledge.shell.shared.event_loop import READABLE, EventLoop
 from dewledge.shell.shared.sockets import bound_address, listen_tcp
+from tests.processes.relay import Relay
 
 PATIENCE_SECONDS = 6.0
 """Above the longest pause between connection attempts to an unreachable peer, 2.5 s."""
@@ -87,6 +88,20 @@
             self.loop.call_later(0.005, lambda: None)
             self.loop.run_once()
 
+    # Guards against a silent link to a source that is neither closed nor dialled again.
+    def test_a_silent_link_to_the_only_source_is_replaced(self) -> None:
+        source = Source(self.loop, self.addresses[0])
+        self.addCleanup(source.close)
+        relay = Relay(self.addresses[0])
+        self.addCleanup(relay.close)
+        self.follower.follow([relay.address])
+        self.run_for(1.0)
+        relay.silence_open_links()
+        self.run_for(4.0)
+        asked = source.questions
+        self.run_for(1.0)
+        self.assertGreater(source.questions, asked)
+
     def test_follower_stops_reading_the_store_once_sources_are_reachable(self) -> None:
         self.follower.follow(self.addresses)
         self.run_for(2.5)
