Read the store again after the first failure also in a process that follows others

What callers saw: an older configuration after all open connections fell silent. A follower reads the store only when its copy is too old; a read that a silent kept connection swallowed was not repeated before the next round (0.85 s and more at 85 processes, on top of its timeout of 1 s). The first failure of a row is now followed by one more call, after 0.2 to 0.4 s, on a new connection; further ones wait for the next round as before, so a store that is away gets at most one more call a round.

test_one_that_is_no_reader_reads_again_after_a_silent_connection failed before (the change was never read).

--- a/src/dewledge/shell/pooler/tables/table_watcher.py
+++ b/src/dewledge/shell/pooler/tables/table_watcher.py
@@ -192,7 +192,9 @@
             logger.bind(table=self._table, failures=self._failures, error=error.message).info(
                 "store_call_failed"
             )
-        if not self._is_reader and self._newest_version >= 0:
+        # The first failure may be that of a kept connection; the next call has a new one.
+        is_repeated = self._is_reader or self._newest_version < 0 or self._failures == 1
+        if not is_repeated:
             return
         self.read_once()
         max_pause = min(RETRY_PAUSE_SECONDS * self._failures, MAX_RETRY_PAUSE_SECONDS)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -21,6 +21,7 @@
 from dewledge.shell.pooler.tables.table_watcher import TableWatcher
 from tests.platform.table_store import TableStore
 from tests.platform.wire_databases import wait_until
+from tests.processes.relay import Relay
 
 
 class StoreCase(unittest.TestCase):
@@ -213,6 +214,21 @@
         self.watcher.set_reader(True)
         self.wait_for(lambda: self.seen["config"] == b"3")
 
+    # Guards against a single read that a silent kept connection swallows until the next request.
+    def test_one_that_is_no_reader_reads_again_after_a_silent_connection(self) -> None:
+        relay = Relay(self.stand_in.address)
+        self.addCleanup(relay.close)
+        self.watcher.set_reader(False)
+        threading.Event().wait(2.5)
+        self.store.change_address(relay.address)
+        before = time.monotonic()
+        self.watcher.read_once()
+        self.wait_for(lambda: self.table.confirmed_at >= before)
+        relay.silence_open_links()
+        self.stand_in.put("op", "config", b"2")
+        self.watcher.read_once()
+        self.wait_for(lambda: self.seen["config"] == b"2")
+
     def test_one_that_is_no_reader_any_more_makes_no_call_after_the_one_at_hand(self) -> None:
         self.watcher.set_wait(1.0)
         self.wait_for(lambda: self.stand_in.calls > self.calls_of_start)
