Reproduce the late configuration after the store came back from an older copy

Callers see the configuration from before the restore for as long as the store needs to give out again the versions that were lost. The stand-in store now comes back from a copy: versions are given out again, a feed after a version that it does not have gets 410, and answers carry the era. On today's sources, with 50 writes lost, a configuration acknowledged 1 s after the restore is in force on none of the four processes when the test gives up after 20 s; bound 5 s. Unlike the silent connections it hits all processes at once, so it fits a report of a whole deployment better; the report itself does not tell.

--- a/tests/platform/table_store.py
+++ b/tests/platform/table_store.py
@@ -32,6 +32,14 @@
         }
 
 
+@dataclass
+class StoreCopy:
+    """The rows of a store at one version."""
+
+    rows: dict[tuple[str, str], Row]
+    version: int
+
+
 class TableStore:
     """Rows with one version counter, a feed with history, and promotions under fences."""
 
@@ -40,6 +48,7 @@
         self.version = 0
         self.rows: dict[tuple[str, str], Row] = {}
         self.history_from = 0
+        self.era = 0
         self.refuse_status = 0
         self.lose_answers = False
         self.silent = False
@@ -89,6 +98,18 @@
             self.rows[table, key] = Row(table, "", key, b"", self.version, gone=True)
             self.changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Returns what the store holds now, for `restore`."""
+        with self.changed:
+            return StoreCopy(dict(self.rows), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Comes back from an older copy: its versions are given out again, in a new era."""
+        with self.changed:
+            self.rows, self.version = dict(copy.rows), copy.version
+            self.era += 1
+            self.changed.notify_all()
+
     def drop_history(self) -> None:
         with self.changed:
             self.history_from = self.version + 1
@@ -146,7 +167,7 @@
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
         with self.changed:
             while True:
-                if after + 1 < self.history_from:
+                if after + 1 < self.history_from or after > self.version:
                     return 410, {}
                 rows = sorted(
                     (
@@ -203,6 +224,8 @@
         with contextlib.suppress(OSError):
             handler.send_response(status)
             handler.send_header("Content-Type", "application/json")
+            if self.era:
+                handler.send_header("Store-Era", str(self.era))
             handler.send_header("Content-Length", str(len(data)))
             handler.end_headers()
             handler.wfile.write(data)
--- a/tests/platform/test_configuration_in_time.py
+++ b/tests/platform/test_configuration_in_time.py
@@ -17,6 +17,8 @@
 BOUND_SECONDS = 5.0
 """Within which an acknowledged configuration must be in force."""
 GIVE_UP_SECONDS = 20.0
+WRITES_LOST = 50
+"""Versions that the store gave out after the copy from which it comes back."""
 KEPT_CONNECTIONS = 8
 """Connections to the store that a process has after all its threads have called at once."""
 
@@ -45,6 +47,17 @@
         delays = self.seconds_until_in_force()
         self.assertLess(max(delays), BOUND_SECONDS, delays)
 
+    # Guards against a configuration that is ignored as old after versions were given out again.
+    def test_after_the_store_came_back_from_an_older_copy(self) -> None:
+        copy = self.store.copy()
+        for number in range(WRITES_LOST):
+            self.store.put("status", f"key-{number}", b"x")
+        time.sleep(CHANGE_AFTER_SECONDS)
+        self.store.restore(copy)
+        time.sleep(CHANGE_AFTER_SECONDS)
+        delays = self.seconds_until_in_force()
+        self.assertLess(max(delays), BOUND_SECONDS, delays)
+
     def use_all_store_connections(self, process: PoolerProcess) -> None:
         """Has as many calls to the store at once as the process has threads for them."""
         start = threading.Barrier(KEPT_CONNECTIONS)
