Order versions of the configuration and the databases over restores of the store

Callers saw the configuration from before a restore of the store, on every process, until the store had given out again the versions that were lost. Cause: a version was taken for a number that only rises. After the restore each row had a lower one than its copy, so the change feed was asked after a version that the store did not have, the whole table was read again and again because it looked stale, and every row was ignored as old.

A version is now an era and a number, compared as one. The platform's client puts the era of an answer's header into its versions; an answer of another era than the one asked after counts as lost history, also where the number has been given out again. A whole table of a later era is newer. The databases' rows are read again 3 s after the restore, in which their owners write them: the copy may name databases that have left. The configuration needs no wait: an older one is not taken, by the operator's own version.

Also new, and failing before by construction: versions over a restore, a restore between two pages, rows of the copy in the time of writing again.

A process that starts between restore and rewriting takes the older configuration.

--- a/src/dewledge/adapters/http_exchange.py
+++ b/src/dewledge/adapters/http_exchange.py
@@ -26,10 +26,11 @@
 
 
 class HttpAnswer(msgspec.Struct, frozen=True):
-    """Status and body of an answer."""
+    """Status, body and headers of an answer; the names of headers are in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = NO_HEADERS
 
 
 class ClosedBeforeSending(Exception):
@@ -151,6 +152,7 @@
     def __init__(self) -> None:
         self.complete = False
         self.last = False
+        self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._size = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -166,7 +168,11 @@
 
     def answer(self) -> HttpAnswer:
         """Returns the whole answer."""
-        return HttpAnswer(self._parser.get_status_code(), b"".join(self._body))
+        return HttpAnswer(self._parser.get_status_code(), b"".join(self._body), self._headers)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by httptools for each header."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools with a piece of the body."""
--- a/src/dewledge/platform/adapter.py
+++ b/src/dewledge/platform/adapter.py
@@ -15,19 +15,24 @@
 from dewledge.shell.pooler.platform_adapter import PlatformAdapter
 
 CONFIGURATION_TABLE = "op"
+DATABASE_TABLE = "servers"
 
 
 def build_adapter(settings: PoolerSettings) -> PlatformAdapter:
     """Returns an adapter that calls the addresses in the settings."""
     return PlatformAdapter(
-        store=PlatformStore(settings.store_address, {CONFIGURATION_TABLE: hash_api_keys}),
+        store=PlatformStore(
+            settings.store_address,
+            {CONFIGURATION_TABLE: hash_api_keys},
+            (CONFIGURATION_TABLE, DATABASE_TABLE),
+        ),
         promotions=PlatformPromotions(settings.duty_address) if settings.duty_address else None,
         parse_status=parse_status,
         new_client_codec=WireClientCodec,
         new_database_codec=WireDatabaseCodec,
         configuration_table=CONFIGURATION_TABLE,
         configuration_key="config",
-        database_table="servers",
+        database_table=DATABASE_TABLE,
         parse_configuration=parse_configuration,
         parse_database=parse_database,
     )
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -9,7 +9,7 @@
 import math
 import socket
 import struct
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from urllib.parse import urlencode
 
 import msgspec
@@ -28,6 +28,7 @@
     StoreWrite,
     TableRows,
 )
+from dewledge.core.pooler.store_versions import combine, era_of, number_of
 from dewledge.errors import (
     ProtocolError,
     StoreConditionFailed,
@@ -47,6 +48,8 @@
 """Rows of a table requested per call."""
 ACCEPTED_STATUS = 200
 FENCED_STATUS = 409
+ERA_HEADER = "store-era"
+"""Rises by one each time the store comes back from an older copy."""
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _KEEPALIVE_OPTIONS: list[SocketOption] = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -75,13 +78,27 @@
     has_more: bool = False
 
 
+class _EraAnswer(msgspec.Struct, frozen=True):
+    """The body of an answer, and the era from its header."""
+
+    body: _Answer
+    era: int
+
+
 class PlatformStore:
     """Client of the store at one address, with the operations of `CoordinationStore`."""
 
     def __init__(
-        self, address: str, sanitizers: Mapping[str, Callable[[bytes], bytes]] | None = None
+        self,
+        address: str,
+        sanitizers: Mapping[str, Callable[[bytes], bytes]] | None = None,
+        tables_with_era: Collection[str] = (),
     ) -> None:
-        """`sanitizers`: by table, a function that removes secrets from each value read."""
+        """`sanitizers`: by table, a function that removes secrets from each value read.
+
+        tables_with_era: tables whose versions include the store's era; see `store_versions`.
+        """
+        self._tables_with_era = tables_with_era
         self._calls = HttpCalls(address, CONNECT_TIMEOUT_SECONDS, _KEEPALIVE_OPTIONS)
         self._sanitizers = sanitizers or {}
 
@@ -95,15 +112,16 @@
         limit: timeout in seconds of each page's call. Each page is of another moment, so the result
         has the version of the first one: a watch from there returns what changed between the pages.
         """
-        page = self._read_page(table, "", limit)
-        version, store_time = page.ver, page.now_ms / 1000
-        rows = [self._store_row(table, row) for row in page.rows]
-        while page.has_more and page.rows:
-            page = self._read_page(table, page.rows[-1].tls_key + "\0", limit)
-            rows += [self._store_row(table, row) for row in page.rows]
-        return TableRows(tuple(rows), version, store_time)
-
-    def _read_page(self, table: str, start: str, limit: float) -> _Answer:
+        page = first = self._read_page(table, "", limit)
+        rows = self._store_rows(table, page)
+        while page.body.has_more and page.body.rows:
+            page = self._read_page(table, page.body.rows[-1].tls_key + "\0", limit)
+            if page.era != first.era:
+                raise HistoryLost("the store was restored between two pages")
+            rows += self._store_rows(table, page)
+        return TableRows(tuple(rows), self._version(table, first), first.body.now_ms / 1000)
+
+    def _read_page(self, table: str, start: str, limit: float) -> _EraAnswer:
         query = {"table": table, "part": "", "startRev": start, "limit": str(PAGE_ROWS)}
         return self._get("/dewledge/rows-get", query, limit)
 
@@ -118,14 +136,17 @@
             "limit": "1",
         }
         answer = self._get("/dewledge/rows-get", query, CALL_TIMEOUT_SECONDS)
-        rows = [self._store_row(table, row) for row in answer.rows if row.tls_key == key]
+        rows = [row for row in self._store_rows(table, answer) if row.key == key]
         return rows[0] if rows else None
 
     def watch_table(self, table: str, after: int, wait: float) -> FeedAnswer:
         """Returns the rows that changed after a version, waiting up to `wait` seconds for one."""
-        query = {"table": table, "after": str(after), "waitMs": str(int(wait * 1000))}
+        number = str(number_of(after))
+        query = {"table": table, "after": number, "waitMs": str(int(wait * 1000))}
         answer = self._get("/dewledge/rows-feed", query, wait + CALL_TIMEOUT_SECONDS)
-        return FeedAnswer(tuple(self._store_row(table, row) for row in answer.rows), answer.ver)
+        if table in self._tables_with_era and answer.era != era_of(after):
+            raise HistoryLost("the store was restored after this version")
+        return FeedAnswer(tuple(self._store_rows(table, answer)), self._version(table, answer))
 
     def write(self, write: StoreWrite) -> int:
         """Writes one row if it still has the expected version; returns the new version.
@@ -139,21 +160,31 @@
             "put": [{**address, "value": value}],
             "remove": [],
         }
-        return self._request("POST", "/dewledge/rows-tx", {}, CALL_TIMEOUT_SECONDS, body).ver
+        return self._request("POST", "/dewledge/rows-tx", {}, CALL_TIMEOUT_SECONDS, body).body.ver
+
+    def _version(self, table: str, answer: _EraAnswer) -> int:
+        return combine(self._era(table, answer), answer.body.ver)
+
+    def _era(self, table: str, answer: _EraAnswer) -> int:
+        return answer.era if table in self._tables_with_era else 0
+
+    def _store_rows(self, table: str, answer: _EraAnswer) -> list[StoreRow]:
+        era = self._era(table, answer)
+        return [self._store_row(table, row, era) for row in answer.body.rows]
 
-    def _store_row(self, table: str, row: _Row) -> StoreRow:
+    def _store_row(self, table: str, row: _Row, era: int) -> StoreRow:
         value = base64.b64decode(row.value or "")
         sanitize = self._sanitizers.get(table)
         if sanitize is not None and not row.gone:
             value = sanitize(value)
-        return StoreRow(row.tls_key, value, row.ver, row.gone)
+        return StoreRow(row.tls_key, value, combine(era, row.ver), row.gone)
 
-    def _get(self, path: str, query: dict[str, str], timeout: float) -> _Answer:
+    def _get(self, path: str, query: dict[str, str], timeout: float) -> _EraAnswer:
         return self._request("GET", path, query, timeout, None)
 
     def _request(
         self, method: str, path: str, query: dict[str, str], timeout: float, body: object | None
-    ) -> _Answer:
+    ) -> _EraAnswer:
         target = f"{path}?{urlencode(query)}" if query else path
         content = b"" if body is None else json.dumps(body).encode()
         try:
@@ -165,8 +196,9 @@
             raise StoreOutcomeUnknown(f"no answer: {error}") from error
         _raise_for_status(answer.status)
         try:
-            return msgspec.json.decode(answer.body, type=_Answer)
-        except msgspec.DecodeError as error:
+            body = msgspec.json.decode(answer.body, type=_Answer)
+            return _EraAnswer(body, int(answer.headers.get(ERA_HEADER, "0")))
+        except (msgspec.DecodeError, ValueError) as error:
             raise StoreOutcomeUnknown(f"unreadable answer: {error}") from error
 
 
--- a/src/dewledge/shell/pooler/composition.py
+++ b/src/dewledge/shell/pooler/composition.py
@@ -38,6 +38,7 @@
 from dewledge.shell.pooler.tables.member_table import MemberTable
 from dewledge.shell.pooler.tables.table_reading import (
     CONFIGURATION_WAIT_SECONDS,
+    DATABASES_RESTORE_WAIT_SECONDS,
     LEASE_WAIT_SECONDS,
     StoreCalls,
     TableReading,
@@ -189,7 +190,10 @@
         base.services.configuration_age.confirm,
     )
     tables.add(
-        platform.database_table, directory.apply_database_snapshot, directory.apply_database_rows
+        platform.database_table,
+        directory.apply_database_snapshot,
+        directory.apply_database_rows,
+        restore_wait=DATABASES_RESTORE_WAIT_SECONDS,
     )
     coordination = CoordinationTable(
         members,
--- a/src/dewledge/shell/pooler/tables/table_reading.py
+++ b/src/dewledge/shell/pooler/tables/table_reading.py
@@ -42,6 +42,9 @@
 """Time in which processes that start together are expected to register. Until then a process in a
 small cluster watches only the members table and reads the other tables once, since it may turn out
 to be a follower."""
+DATABASES_RESTORE_WAIT_SECONDS = 3.0
+"""Time after a restore of the store in which the databases write their rows again. Until then the
+known rows stay: the copy may hold databases that have left, and former primaries."""
 LEASE_WAIT_SECONDS = 0.9
 """Wait for a change of the table whose confirmations primary leases depend on."""
 
@@ -95,10 +98,12 @@
         wait: float = MAX_WAIT_SECONDS,
         confirmed: Callable[[float], None] = lambda confirmed_at: None,
         is_confirmed_by_feed: bool = False,
+        restore_wait: float = 0.0,
     ) -> None:
         """Adds a table: `snapshot` receives the whole table, `changed` the rows of later changes.
 
-        wait: seconds for which a reader's call waits for a change. The others: see FollowedTable.
+        wait: seconds for which a reader's call waits for a change. restore_wait: see TableWatcher.
+        The others: see FollowedTable.
         """
         table = FollowedTable(name, wait, snapshot, changed, confirmed, is_confirmed_by_feed)
 
@@ -115,6 +120,7 @@
             on_delta,
             self._loop.post,
             confirms_whole=is_confirmed_by_feed,
+            restore_wait=restore_wait,
         )
 
     def start(self) -> None:
--- a/src/dewledge/shell/pooler/tables/table_watcher.py
+++ b/src/dewledge/shell/pooler/tables/table_watcher.py
@@ -18,6 +18,7 @@
     StoreRow,
 )
 from dewledge.core.pooler.sharing.table_cache import TableDelta
+from dewledge.core.pooler.store_versions import era_of
 from dewledge.core.shared.units import MILLISECONDS_PER_SECOND
 from dewledge.errors import StoreError
 
@@ -56,15 +57,18 @@
         on_delta: DeltaCallback,
         post: Callable[[Callable[[], None]], None],
         confirms_whole: bool = False,
+        restore_wait: float = 0.0,
     ) -> None:
         """Requests a first read; `run` makes it.
 
         known_version: returns the cached version, read here or received from a source; -1 for
         none. post: runs a callback on the loop's thread. confirms_whole: whether the change feed
-        is queried without a wait after a read of the whole table, to confirm it.
+        is queried without a wait after a read of the whole table, to confirm it. restore_wait:
+        seconds after a restore of the store in which the owners of the rows write them again.
         """
         self._wait_seconds = DEFAULT_WAIT_SECONDS
         self._confirms_whole = confirms_whole
+        self._restore_wait = restore_wait
         self._store = store
         self._table = table
         self._known_version = known_version
@@ -140,6 +144,12 @@
         sent_at = time.monotonic()
         answer = self._store.read_table(self._table, limit)
         self._log_read(sent_at, answer.rows, answer.version, True)
+        if self._newest_version >= 0 and era_of(self._newest_version) < era_of(answer.version):
+            self._log_restore(answer.version)
+            if self._stopped.wait(self._restore_wait):
+                return
+            sent_at = time.monotonic()
+            answer = self._store.read_table(self._table)
         while answer.version < self._newest_version and not self._stopped.is_set():
             time.sleep(STALE_READ_PAUSE_SECONDS)
             sent_at = time.monotonic()
@@ -168,6 +178,15 @@
         if answer.rows:
             self._stopped.wait(FEED_PAUSE_SECONDS)
 
+    def _log_restore(self, version: int) -> None:
+        logger.bind(
+            table=self._table,
+            era=era_of(version),
+            version=version,
+            known=self._newest_version,
+            wait_ms=round(self._restore_wait * MILLISECONDS_PER_SECOND),
+        ).warning("store_restored")
+
     def _log_read(
         self, sent_at: float, rows: Sequence[StoreRow], version: int, is_whole: bool
     ) -> None:
--- a/tests/platform/table_store.py
+++ b/tests/platform/table_store.py
@@ -130,9 +130,10 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/dewledge/rows-get":
             status, page = self._get(query)
+            era = self.era
             if page["hasMore"]:
                 self.between_pages()
-            self._answer(handler, status, page)
+            self._answer(handler, status, page, era)
         elif url.path == "/dewledge/rows-feed":
             self._answer(handler, *self._feed(query))
         elif url.path == "/dewledge/rows-tx":
@@ -215,7 +216,14 @@
             "now_ms": time.monotonic() * 1000,
         }
 
-    def _answer(self, handler: BaseHTTPRequestHandler, status: int, body: dict[str, Any]) -> None:
+    def _answer(
+        self,
+        handler: BaseHTTPRequestHandler,
+        status: int,
+        body: dict[str, Any],
+        era: int | None = None,
+    ) -> None:
+        era = self.era if era is None else era
         if self.lose_answers:
             handler.close_connection = True
             return
@@ -224,8 +232,8 @@
         with contextlib.suppress(OSError):
             handler.send_response(status)
             handler.send_header("Content-Type", "application/json")
-            if self.era:
-                handler.send_header("Store-Era", str(self.era))
+            if era:
+                handler.send_header("Store-Era", str(era))
             handler.send_header("Content-Length", str(len(data)))
             handler.end_headers()
             handler.wfile.write(data)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -105,6 +105,36 @@
         with self.assertRaises(StoreOutcomeUnknown):
             self.store.read_table("op")
 
+    def test_versions_rise_over_a_restore(self) -> None:
+        """Guards against rows that are ignored because their version was given out before."""
+        store = PlatformStore(self.stand_in.address, tables_with_era=("op",))
+        self.stand_in.put("op", "config", b"1")
+        copy = self.stand_in.copy()
+        for number in range(5):
+            self.stand_in.put("op", f"k{number}", b"x")
+        before = store.read_table("op").version
+        self.stand_in.restore(copy)
+        with self.subTest("the copy lacks the version"), self.assertRaises(HistoryLost):
+            store.watch_table("op", before, 0.0)
+        after = store.read_table("op").version
+        self.assertGreater(after, before)
+        for number in range(9):
+            self.stand_in.put("op", f"k{number}", b"y")
+        with self.subTest("the version was given out again"), self.assertRaises(HistoryLost):
+            store.watch_table("op", before, 0.0)
+        changes = store.watch_table("op", after, 0.0)
+        self.assertEqual(len(changes.rows), 9)
+        self.assertGreater(min(row.version for row in changes.rows), after)
+
+    def test_a_restore_between_two_pages_is_told(self) -> None:
+        store = PlatformStore(self.stand_in.address, tables_with_era=("op",))
+        for number in range(600):
+            self.stand_in.put("op", f"k{number:05}", b"x")
+        copy = self.stand_in.copy()
+        self.stand_in.between_pages = lambda: self.stand_in.restore(copy)
+        with self.assertRaises(HistoryLost):
+            store.read_table("op")
+
     def test_duty_calls(self) -> None:
         duties = PlatformPromotions(self.stand_in.address)
         self.assertTrue(duties.promote("menus", "i-1", "node-a", 7))
@@ -246,6 +276,22 @@
         self.wait_for(lambda: self.table.confirmed_at >= before)
         self.assertLessEqual(self.table.confirmed_at, time.monotonic())
 
+    def test_after_a_restore_rows_are_read_once_their_owners_had_time_to_write_them(self) -> None:
+        """Guards against rows of the copy that replace newer ones which are known."""
+        self.watcher._restore_wait = 1.0
+        self.watcher._store = PlatformStore(self.stand_in.address, tables_with_era=("op",))
+        copy = self.stand_in.copy()
+        self.stand_in.put("op", "config", b"2")
+        self.wait_for(lambda: self.seen["config"] == b"2")
+        self.stand_in.restore(copy)
+        values = set()
+        end = time.monotonic() + 0.8
+        while time.monotonic() < end:
+            values.add(self.seen["config"])
+        self.assertEqual(values, {b"2"})
+        self.stand_in.put("op", "config", b"2 again")
+        self.wait_for(lambda: self.seen["config"] == b"2 again")
+
     def test_after_lost_history_the_table_is_read_anew_and_never_an_older_one(self) -> None:
         self.stand_in.stale_by = 2
         self.stand_in.put("op", "config", b"2")
