Refuse a route as unknown only by a configuration that was confirmed recently

Callers saw a route that had been added refused as unknown. Whatever kept the configuration from a process, it went on to refuse by its copy, without regard to how long nothing had confirmed it. A session for an unknown route now waits for a confirmation, up to the 1.6 s of any startup, if the last one is older than half of the configuration's bound; the process asks the store at once. Then it is accepted, refused as unknown, or, without a confirmation, refused as not run with a time to come back. With a recent confirmation it is refused at once as before; known routes are served as before, also for hours without the store.

test_an_added_route_is_accepted_once_the_process_learns_of_it and test_without_a_confirmation_it_is_refused_with_a_retry_time failed before; so did test_an_added_route_is_not_refused_as_unknown_without_a_confirmation on real processes (refused as unknown).

--- a/src/dewledge/core/pooler/sessions/configuration_age.py
+++ b/src/dewledge/core/pooler/sessions/configuration_age.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Callable
 
 from dewledge.core.pooler.events import (
@@ -36,6 +37,10 @@
         self._confirmed_at = -math.inf
         self._max_age = math.inf
         self._unconfirmed_since: float | None = None
+        self._waiters: deque[tuple[float, Callable[[], None]]] = deque()
+        """Callbacks, each with the time until which it waits, in the order of these times."""
+        self.request_confirmation: Callable[[], None] = lambda: None
+        """Called when a decision needs a recent confirmation; returns before there is one."""
 
     @property
     def seconds(self) -> float:
@@ -50,8 +55,8 @@
 
     @property
     def is_recent(self) -> bool:
-        """Whether the last confirmation is recent; see `watch`."""
-        return self.seconds < self._max_age
+        """Whether the last confirmation is recent; without a bound (see `watch`) always."""
+        return math.isinf(self._max_age) or self.seconds < self._max_age
 
     def watch(self, bound: float) -> None:
         """Records an event whenever the confirmation stops to be recent, and when it is again.
@@ -61,10 +66,29 @@
         self._max_age = bound * MAX_AGE_TO_BOUND_RATIO
         self._schedule_check()
 
+    def call_when_recent(self, callback: Callable[[], None], seconds: float) -> None:
+        """Requests a confirmation; `callback` is called once if one comes within `seconds`.
+
+        All callers wait equally long.
+        """
+        now = self._scheduler.now()
+        while self._waiters and self._waiters[0][0] < now:
+            self._waiters.popleft()
+        self._waiters.append((now + seconds, callback))
+        self.request_confirmation()
+
     def confirm(self, confirmed_at: float) -> None:
         """Records that the configuration in force was the newest at this time."""
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
-        if self._unconfirmed_since is not None and self.is_recent:
+        if not self.is_recent:
+            return
+        self._record_confirmed()
+        waiters, self._waiters = self._waiters, deque()
+        for _, callback in waiters:
+            callback()
+
+    def _record_confirmed(self) -> None:
+        if self._unconfirmed_since is not None:
             lasted = self._scheduler.now() - self._unconfirmed_since
             self._unconfirmed_since = None
             lasted_ms = round(lasted * MILLISECONDS_PER_SECOND)
--- a/src/dewledge/core/pooler/sessions/session_start.py
+++ b/src/dewledge/core/pooler/sessions/session_start.py
@@ -1,7 +1,9 @@
 """Accepts or refuses the startup of a session.
 
 While the process has no configuration or knows no database, the startup message waits up to
-STARTUP_WAIT_SECONDS: a process that has just started usually learns both in that time.
+STARTUP_WAIT_SECONDS: a process that has just started usually learns both in that time. So does one
+for a route that is unknown by a configuration without a recent confirmation: the route may have
+been added since.
 """
 
 from collections.abc import Callable
@@ -53,10 +55,12 @@
         if self._is_accepted or self._waiting_startup is not None:
             self._on_refused(Failure(ErrorCode.MALFORMED_REQUEST, "the session stands already"))
         elif not self._services.is_configured:
-            self._waiting_startup = startup
             self._services.call_when_configured(self._begin_waiting)
-            scheduler = self._services.scheduler
-            scheduler.call_later(STARTUP_WAIT_SECONDS, self._refuse_waiting)
+            self._wait(startup)
+        elif self._may_lack_route(startup):
+            age = self._services.configuration_age
+            age.call_when_recent(self._begin_waiting, STARTUP_WAIT_SECONDS)
+            self._wait(startup)
         else:
             self._accept(startup)
 
@@ -64,6 +68,15 @@
         """Drops a waiting startup message: the client's connection is closed."""
         self._waiting_startup = None
 
+    def _may_lack_route(self, startup: Startup) -> bool:
+        """Returns whether the route is unknown by a configuration that may not be the newest."""
+        is_known = self._services.routes.find_route(startup.database) is not None
+        return not is_known and not self._services.configuration_age.is_recent
+
+    def _wait(self, startup: Startup) -> None:
+        self._waiting_startup = startup
+        self._services.scheduler.call_later(STARTUP_WAIT_SECONDS, self._refuse_waiting)
+
     def _accept(self, startup: Startup) -> None:
         digest = credential_digest(startup.token)
         authorized = self._authorization.authorize(startup.database, digest)
--- a/src/dewledge/shell/pooler/composition.py
+++ b/src/dewledge/shell/pooler/composition.py
@@ -181,13 +181,15 @@
     calls = StoreCalls(platform.store, base.executor)
     tables = TableReading(base.loop, base.settings, calls, peer_access.links, members, TABLE)
     configuration = directory.apply_configuration_rows
-    base.services.configuration_age.watch(base.settings.timings.configuration_bound)
+    age = base.services.configuration_age
+    age.watch(base.settings.timings.configuration_bound)
+    age.request_confirmation = lambda: tables.read_now(platform.configuration_table)
     tables.add(
         platform.configuration_table,
         configuration,
         configuration,
         CONFIGURATION_WAIT_SECONDS,
-        base.services.configuration_age.confirm,
+        age.confirm,
     )
     tables.add(
         platform.database_table,
--- a/tests/core/pooler/test_client_session.py
+++ b/tests/core/pooler/test_client_session.py
@@ -13,7 +13,7 @@
     TransactionState,
 )
 from dewledge.errors import ErrorCode
-from tests.core.pooler.harness import PoolerHarness, SessionProbe
+from tests.core.pooler.harness import PoolerHarness, SessionProbe, route
 
 
 class StartupTest(unittest.TestCase):
@@ -45,6 +45,74 @@
         self.assertIsNotNone(probe.client.refused)
 
 
+class UnconfirmedConfigurationTest(unittest.TestCase):
+    """A database name that is unknown by a configuration without a recent confirmation."""
+
+    def setUp(self) -> None:
+        self.harness = PoolerHarness()
+        self.age = self.harness.services.configuration_age
+        self.requests = 0
+        self.age.request_confirmation = self.count_request
+        self.age.watch(5.0)
+        self.age.confirm(self.harness.scheduler.now())
+
+    def count_request(self) -> None:
+        self.requests += 1
+
+    def start_unknown(self, wait: float = 0.0) -> SessionProbe:
+        return SessionProbe(self.harness, "added", wait)
+
+    def confirm(self) -> None:
+        self.age.confirm(self.harness.scheduler.now())
+
+    def test_a_recent_confirmation_refuses_at_once(self) -> None:
+        probe = self.start_unknown()
+        assert probe.client.refused is not None
+        self.assertEqual(probe.client.refused.code, ErrorCode.UNKNOWN_GROUP)
+        self.assertEqual(self.requests, 0)
+
+    # Guards against a route that is refused as unknown though it was added before.
+    def test_an_added_route_is_accepted_once_the_process_learns_of_it(self) -> None:
+        self.harness.scheduler.advance(3.0)
+        probe = self.start_unknown(0.5)
+        self.assertEqual((probe.client.ready, probe.client.refused), (0, None))
+        self.assertEqual(self.requests, 1)
+        added = route(Consistency.PRIMARY, database="added")
+        table = self.harness.services.routes
+        routes = {**table.routes, "added": added}
+        self.harness.services.routes = RouteTable(2, routes, table.groups)
+        self.confirm()
+        self.assertEqual((probe.client.ready, probe.client.refused), (1, None))
+
+    def test_a_route_that_is_still_unknown_is_refused_as_unknown(self) -> None:
+        self.harness.scheduler.advance(3.0)
+        probe = self.start_unknown(0.5)
+        self.confirm()
+        assert probe.client.refused is not None
+        self.assertEqual(probe.client.refused.code, ErrorCode.UNKNOWN_GROUP)
+
+    def test_without_a_confirmation_it_is_refused_with_a_retry_time(self) -> None:
+        self.harness.scheduler.advance(3.0)
+        probe = self.start_unknown(1.7)
+        assert probe.client.refused is not None
+        self.assertEqual(probe.client.refused.code, ErrorCode.OVERLOADED)
+        self.assertIn("come back in", probe.client.refused.message)
+        self.confirm()
+        self.assertEqual(probe.client.ready, 0)
+
+    def test_those_that_were_refused_are_forgotten(self) -> None:
+        self.harness.scheduler.advance(3.0)
+        for _ in range(20):
+            self.start_unknown(1.7)
+        self.assertEqual(len(self.age._waiters), 1)
+
+    def test_known_routes_are_served_meanwhile(self) -> None:
+        self.harness.scheduler.advance(60.0)
+        probe = self.harness.session()
+        self.assertEqual(probe.client.ready, 1)
+        self.assertIsNone(probe.read().failure)
+
+
 class SessionStateTest(unittest.TestCase):
     def setUp(self) -> None:
         self.harness = PoolerHarness(limit=1)
--- a/tests/platform/test_configuration_in_time.py
+++ b/tests/platform/test_configuration_in_time.py
@@ -58,6 +58,20 @@
         delays = self.seconds_until_in_force()
         self.assertLess(max(delays), BOUND_SECONDS, delays)
 
+    # Guards against a new route that is refused as unknown by a process cut off from all news.
+    def test_an_added_route_is_not_refused_as_unknown_without_a_confirmation(self) -> None:
+        assert self.relay is not None
+        self.relay.hold_answers()
+        for process in self.processes:
+            process._loop.post(process._peer_access.links.close)
+        self.assertTrue(
+            wait_until(lambda: all(is_unconfirmed(process) for process in self.processes))
+        )
+        self.put_configuration(("orders", "notes", "lists-2"))
+        threading.Timer(1.0, self.relay.mend).start()
+        greetings = [self.client("lists-2", number).greeting for number in range(4)]
+        self.assertEqual(greetings, ["READY I -"] * 4)
+
     def use_all_store_connections(self, process: PoolerProcess) -> None:
         """Has as many calls to the store at once as the process has threads for them."""
         start = threading.Barrier(KEPT_CONNECTIONS)
@@ -88,6 +102,11 @@
         return [round(delays.get(p, GIVE_UP_SECONDS), 2) for p in self.processes]
 
 
+def is_unconfirmed(process: PoolerProcess) -> bool:
+    """Returns whether nothing has confirmed a process's configuration recently."""
+    return not process._services.configuration_age.is_recent
+
+
 def silence_peer_links(process: PoolerProcess) -> None:
     """Passes nothing more on the links that a process has dialled, without ending them."""
     for link in process._peer_access.links._links.values():
