Close the idle status connections to a database when one of them gives no answer

The cause of the late configuration, looked for elsewhere: the product's own driver keeps four connections for status requests to each database, and a silent one cost a timeout each, in turn, while a primary may be in doubt. A request without an answer on a kept connection now closes the idle ones of that database. test_a_status_connection_without_an_answer_closes_the_others failed before (the second request timed out after 5 s).

Looked at and left: the product's client of its own platform. There urllib3 gives a failed connection's place to a new one, which the next call takes; the same test passed on the unchanged client.

--- a/src/dewledge/adapters/http_database.py
+++ b/src/dewledge/adapters/http_database.py
@@ -156,6 +156,10 @@
                 return self._ask_status(address, kept, deadline)
             except ClosedBeforeSending:
                 continue  # the database closed it while it was idle; the next one may be open
+            except AnswerMissing:
+                # What silenced this connection has probably silenced the idle ones too.
+                self._close_idle(address)
+                raise
         opened = HttpExchange(address, _time_until(deadline))
         return self._ask_status(address, opened, deadline)
 
@@ -184,6 +188,12 @@
             kept = self._idle.get(address)
             return kept.pop() if kept else None
 
+    def _close_idle(self, address: str) -> None:
+        with self._lock:
+            idle = self._idle.pop(address, [])
+        for exchange in idle:
+            exchange.close()
+
     def _keep_idle(self, address: str, exchange: HttpExchange) -> None:
         with self._lock:
             kept = self._idle.setdefault(address, [])
--- a/tests/adapters/test_http_database.py
+++ b/tests/adapters/test_http_database.py
@@ -5,10 +5,13 @@
 from collections.abc import Callable
 from unittest.mock import patch
 
+from dewledge.adapters.database_protocol import STATUS_PATH, encode_body
 from dewledge.adapters.http_database import HttpDatabaseDriver
 from dewledge.adapters.http_exchange import ClosedBeforeSending, HttpExchange
 from dewledge.core.proxy.calls import Access
+from dewledge.core.proxy.database_status import DatabaseRole, DatabaseStatus
 from dewledge.core.proxy.ports import DatabaseConnection
+from dewledge.core.shared.positions import LogPosition
 from dewledge.errors import ConnectionBroken, ConnectionClosed, ConnectRefused, DatabaseError
 from dewledge.standin.group_client import GroupClient
 from dewledge.standin.group_server import GroupServer
@@ -17,8 +20,10 @@
 from dewledge.standin.http_server import ConnectionHandler, HttpReply, HttpRequest, HttpServer
 from tests.adapters import database_contract
 from tests.adapters.database_contract import MAX_CONNECTIONS, SELECT, SLOTS, TIMEOUT
+from tests.processes.relay import Relay
 
 NO_ELECTION_SECONDS = 60.0
+STATUS = DatabaseStatus("a", DatabaseRole.REPLICA, 1, LogPosition(1, 1), LogPosition(1, 1))
 
 
 class HttpDatabaseTest(database_contract.DatabaseContract):
@@ -130,6 +135,21 @@
             with self.assertRaises(ConnectRefused):
                 driver.read_status(address, TIMEOUT)
 
+    # Guards against one timeout for each kept connection after all of them fell silent.
+    def test_a_status_connection_without_an_answer_closes_the_others(self) -> None:
+        relay = Relay(self.serve(self.OPENED, HttpReply(200, encode_body(STATUS))))
+        self.addCleanup(relay.close)
+        driver = HttpDatabaseDriver()
+        self.addCleanup(driver.close)
+        for _ in range(3):
+            exchange = HttpExchange(relay.address, TIMEOUT)
+            exchange.request("GET", STATUS_PATH, b"", TIMEOUT)
+            driver._keep_idle(relay.address, exchange)
+        relay.silence_open_links()
+        with self.assertRaises(ConnectRefused):
+            driver.read_status(relay.address, 0.3)
+        self.assertEqual(driver.read_status(relay.address, TIMEOUT), STATUS)
+
     def test_open(self) -> None:
         for reply in (HttpReply(500), HttpReply(409, b"?")):
             with self.assertRaises(ConnectRefused):
