Split the read of a whole table into its call and the steps around it

Found while the diff was read as a newcomer would: the wait after a restore had made _read_whole four things in one, and one of its three calls was not logged. No behaviour changes but that log line. Two tests share their relay. Measured: the tests of the store's client and of kept calls, 39 passed.

--- a/src/dewledge/shell/pooler/tables/table_watcher.py
+++ b/src/dewledge/shell/pooler/tables/table_watcher.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Sequence
 
+import msgspec
 from loguru import logger
 
 from dewledge.core.pooler.coordination_store import (
@@ -16,6 +17,7 @@
     CoordinationStore,
     HistoryLost,
     StoreRow,
+    TableRows,
 )
 from dewledge.core.pooler.sharing.table_cache import TableDelta
 from dewledge.core.pooler.store_versions import era_of
@@ -42,6 +44,13 @@
 """Receives a delta and a time at which it was known to be current (monotonic clock, seconds)."""
 
 
+class _WholeRead(msgspec.Struct, frozen=True):
+    """A whole table, and when the call for it was sent (monotonic clock, seconds)."""
+
+    table: TableRows
+    sent_at: float
+
+
 class TableWatcher:
     """Calls `on_delta` on the loop with the whole table first, then with later changes.
 
@@ -141,23 +150,29 @@
 
     def _read_whole(self) -> None:
         limit = FIRST_READ_TIMEOUT_SECONDS if self._newest_version < 0 else CALL_TIMEOUT_SECONDS
-        sent_at = time.monotonic()
-        answer = self._store.read_table(self._table, limit)
-        self._log_read(sent_at, answer.rows, answer.version, True)
-        if self._newest_version >= 0 and era_of(self._newest_version) < era_of(answer.version):
-            self._log_restore(answer.version)
+        whole = self._call_for_whole(limit)
+        if self._is_restored(whole.table.version):
+            self._log_restore(whole.table.version)
             if self._stopped.wait(self._restore_wait):
                 return
-            sent_at = time.monotonic()
-            answer = self._store.read_table(self._table)
-        while answer.version < self._newest_version and not self._stopped.is_set():
+            whole = self._call_for_whole()
+        while whole.table.version < self._newest_version and not self._stopped.is_set():
             time.sleep(STALE_READ_PAUSE_SECONDS)
-            sent_at = time.monotonic()
-            answer = self._store.read_table(self._table)
-            self._log_read(sent_at, answer.rows, answer.version, True)
-        self._newest_version = answer.version
+            whole = self._call_for_whole()
+        self._newest_version = whole.table.version
         self._has_read_whole = True
-        self._post_delta(TableDelta(answer.rows, answer.version, True), sent_at)
+        delta = TableDelta(whole.table.rows, whole.table.version, True)
+        self._post_delta(delta, whole.sent_at)
+
+    def _call_for_whole(self, limit: float = CALL_TIMEOUT_SECONDS) -> _WholeRead:
+        sent_at = time.monotonic()
+        answer = self._store.read_table(self._table, limit)
+        self._log_read(sent_at, answer.rows, answer.version, True)
+        return _WholeRead(answer, sent_at)
+
+    def _is_restored(self, version: int) -> bool:
+        """Returns whether the store was restored after the newest known version."""
+        return self._newest_version >= 0 and era_of(self._newest_version) < era_of(version)
 
     def _read_changes(self) -> None:
         # A call that returned rows confirms the table only as of its start, which may be long ago.
--- a/tests/adapters/test_http_calls.py
+++ b/tests/adapters/test_http_calls.py
@@ -79,11 +79,7 @@
 
     # Guards against one timeout for each kept connection after all of them fell silent.
     def test_a_kept_connection_without_an_answer_closes_the_others(self) -> None:
-        server = self.server()
-        relay = Relay(server.address)
-        self.addCleanup(relay.close)
-        calls = HttpCalls(relay.address, TIMEOUT)
-        self.keep(calls, 4)
+        server, relay, calls = self.relayed_calls(4)
         relay.silence_open_links()
         with self.assertRaises(AnswerMissing):
             calls.call("GET", "/x", b"", 0.2, {})
@@ -91,11 +87,7 @@
         self.assertEqual(server.connections, 5)
 
     def test_a_connection_that_answered_meanwhile_is_kept(self) -> None:
-        server = self.server()
-        relay = Relay(server.address)
-        self.addCleanup(relay.close)
-        calls = HttpCalls(relay.address, TIMEOUT)
-        self.keep(calls, 1)
+        server, relay, calls = self.relayed_calls(1)
         relay.silence_open_links()
         silent = threading.Thread(target=self.call_in_vain, args=(calls,))
         silent.start()
@@ -105,6 +97,15 @@
         self.call(calls)
         self.assertEqual(server.connections, 2)
 
+    def relayed_calls(self, kept: int) -> tuple[Server, Relay, HttpCalls]:
+        """Returns calls through a relay, with this many kept connections."""
+        server = self.server()
+        relay = Relay(server.address)
+        self.addCleanup(relay.close)
+        calls = HttpCalls(relay.address, TIMEOUT)
+        self.keep(calls, kept)
+        return server, relay, calls
+
     def keep(self, calls: HttpCalls, count: int) -> None:
         """Gives `calls` this many connections that have each answered a call."""
         exchanges = [HttpExchange(calls._address, TIMEOUT) for _ in range(count)]
