--- a/tests/core/pooler/load/test_holder_health.py
+++ b/tests/core/pooler/load/test_holder_health.py
@@ -44,6 +44,15 @@
         if delay is not None:
             self._check_at = self.now + delay
 
+    def ping(self) -> None:
+        """Pings the other end without an outstanding request."""
+        delay = self.health.on_ping(self.now)
+        if delay is not None:
+            self.pings += 1
+            self._check_at = self.now + delay
+            if self.is_alive:
+                self._pong_at = self.now + self.round_trip
+
     def run(self, seconds: float) -> None:
         end = self.now + seconds
         while True:
@@ -237,5 +246,32 @@
             self.assertFalse(holder.is_lost)
 
 
+class VerifiedLinkTest(unittest.TestCase):
+    """A link that carries no request whose reply is awaited, and is pinged on purpose."""
+
+    def test_a_silent_end_is_lost(self) -> None:
+        for rules in (RULES, WITHOUT_PROBES):
+            with self.subTest(rules):
+                holder = Holder(rules)
+                holder.is_alive = False
+                holder.ping()
+                holder.run(LOST_AFTER_SECONDS + 0.1)
+                self.assertTrue(holder.is_lost)
+
+    def test_an_end_that_answers_stays_usable_without_further_pings(self) -> None:
+        holder = Holder()
+        holder.ping()
+        holder.run(5.0)
+        self.assertEqual((holder.pings, holder.is_lost), (1, False))
+        self.assertIs(holder.health.state, HolderState.USABLE)
+
+    def test_one_ping_is_under_way_at_a_time(self) -> None:
+        holder = Holder()
+        holder.is_alive = False
+        holder.ping()
+        holder.ping()
+        self.assertEqual(holder.pings, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
