Give the stand-in link of the follower's tests the verification, and check it

The stand-in counts the verifications now; a source that goes on sending is not verified, one that says nothing is, once. No assertion is taken away.

--- a/tests/platform/test_table_publisher.py
+++ b/tests/platform/test_table_publisher.py
@@ -27,6 +27,10 @@
 
     def __init__(self) -> None:
         self.sent: list[Any] = []
+        self.verifications = 0
+
+    def verify(self) -> None:
+        self.verifications += 1
 
     def send(self, message: Any) -> None:
         self.sent.append(message)
@@ -118,15 +122,18 @@
     def test_one_that_never_comes_to_an_end_is_left(self) -> None:
         self.wait(MAX_ANSWER_SECONDS + 0.5, hears=True)
         self.assertEqual(self.follower.source, "second")
+        self.assertEqual(self.link.verifications, 0)
 
     def test_one_of_which_nothing_more_comes_is_left_soon(self) -> None:
         self.wait(2.0, hears=True)
         self.wait(MAX_ANSWER_GAP_SECONDS + 0.5, hears=False)
         self.assertEqual(self.follower.source, "second")
+        self.assertEqual(self.link.verifications, 1)
 
     def test_one_that_says_nothing_is_left_as_before(self) -> None:
         self.wait(ANSWER_TIMEOUT_SECONDS + 0.1, hears=False)
         self.assertEqual(self.follower.source, "second")
+        self.assertEqual(self.link.verifications, 1)
 
 
 class PublisherTest(unittest.TestCase):
