--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -502,6 +502,8 @@
         """Of each statement that ran: when, at which database, its id and its text."""
         self.promoted = []
         """Of each promotion that took effect: when, the database, and what its log holds."""
+        self.committed = []
+        """Of each commit: when, at which database, in which term, and the values written."""
         names = ("i-2b60c1d4", "i-5e93f07a", "i-8d17a3b9")
         self.databases = [Database(self, name, zone) for name, zone in zip(names, ZONES)]
         self.databases[0].is_primary = True
@@ -525,6 +527,8 @@
         """Commits at a primary; answers once enough replicas have received it."""
         entry = Entry(database.term, database.received[1] + 1, writes, 0.0)
         database.log.append(entry)
+        values = [data for _, data in writes]
+        self.committed.append((time.monotonic(), database.name, database.term, values))
         while database.is_alive:
             if sum(self._send_log(database, each) for each in self.databases) >= self.sync_replicas:
                 return True
@@ -571,6 +575,7 @@
                 if each is database or not each.is_alive:
                     continue
                 if each in old and not self.is_fenced:
+                    self.later(1.0, lambda each=each: self._end_old_lead(each, database))
                     continue
                 self._follow(each, database)
             held = {data for entry in database.log for _, data in entry.writes}
@@ -581,6 +586,14 @@
             if each.is_alive and each.name in self.store.rows_of("servers"):
                 each.announce()
 
+    def _end_old_lead(self, old, new):
+        """An old primary that nothing fences follows the new one a second after it reaches it."""
+        with self.changed:
+            if old.is_alive and old.is_primary and old.term < new.term:
+                self._follow(old, new)
+                self.changed.notify_all()
+        old.announce()
+
     def _follow(self, database, primary):
         """Makes a database a replica: what the new primary does not have is rolled back."""
         database.is_primary, database.term, database.paused_term = False, primary.term, 0
