--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -200,9 +200,7 @@
                 if after > self.version or era != self.era or self.away:
                     return 410, {}
                 rows = [
-                    (at, row)
-                    for at, row in self._rows.items()
-                    if at[0] == table and row[0] > after
+                    (at, row) for at, row in self._rows.items() if at[0] == table and row[0] > after
                 ]
                 left = until - time.monotonic()
                 if rows or left <= 0:
@@ -258,9 +256,7 @@
             else:
                 status = 200 if self._service.promote(named["id"]) else 409
             self.calls.append((holder, token, named["id"], status))
-        self._record(
-            "platform", f"promote {named['id']} by {holder} with token {token}: {status}"
-        )
+        self._record("platform", f"promote {named['id']} by {holder} with token {token}: {status}")
         handler.answer(status, {})
 
 
@@ -734,9 +730,7 @@
         is_fenced = self.bounds["fencingRequired"]
         self._ports = set()
         self.store = Store(self.record)
-        self.service = Service(
-            self.record, self.store, sync_replicas, promote_seconds, is_fenced
-        )
+        self.service = Service(self.record, self.store, sync_replicas, promote_seconds, is_fenced)
         self.platform = Platform(self.record, self.service, is_fenced)
         self.version = 100
         self.routes = routes or {"lepu270": "primary", "huvo11a": "read_own_writes"}
