--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -7,6 +7,7 @@
 
 import base64
 import contextlib
+import http.client
 import json
 import os
 import random
@@ -708,7 +709,7 @@
             url = f"http://127.0.0.1:{self.ready}/dewledge/ready"
             with urllib.request.urlopen(url, timeout=1) as answer:
                 return answer.status == 200
-        except OSError:
+        except (OSError, http.client.HTTPException):
             return False
 
 
@@ -890,7 +891,7 @@
         watchdog.start()
         deployment.start()
         breaks = play(deployment, has_trouble)
-    except (CaseNotRun, OSError) as error:
+    except Exception as error:
         print(f"not run: {type(error).__name__}: {error}")
         code = NOT_RUN
     else:
