--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -884,6 +884,7 @@
             deployment.close()
         os._exit(NOT_RUN)
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     watchdog = threading.Timer(LIMIT_SECONDS, give_up)
     watchdog.daemon = True
     try:
