--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -1,4 +1,4 @@
-"""ONE: after a restore of the store, a process promotes a second primary beside the first."""
+"""RECOVER: an entry that can't be read hides the others from each process that starts."""
 
 import sys
 import threading
@@ -8,20 +8,20 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins-2"))
 
-from deployment import SERVICE, Database, Deployment, Pooler, is_success, run_case  # noqa: E402
+from deployment import Deployment, is_success, run_case  # noqa: E402
 
-HEARTBEAT_SECONDS = 1.2
-DRAIN_SECONDS = 7.2
-REWRITE_SECONDS = 1.8
-"""Seconds after the store's return until the databases have written their entries again."""
+RECOVER_SECONDS = 12.0
+MEASURED_SECONDS = 10.0
+UNREADABLE = b'{"service": "planning-core", "labels": ' + b"[" * 2000
 
 
-class Writer:
-    """A client that writes one value after another; a new session follows a broken one."""
+class Caller:
+    """A client that writes and reads; each request is a try of its own."""
 
     def __init__(self, deployment, name, pooler):
         self._deployment, self._name, self._pooler = deployment, name, pooler
-        self.acknowledged = {}
+        self.tries = []
+        """Of each request: when it was sent, and whether it was served."""
         self._is_stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -30,122 +30,65 @@
         client, number = None, 0
         while not self._is_stopped.is_set():
             number += 1
-            data = f"{self._name}-{number}"
+            sent_at, lines = time.monotonic(), []
             try:
-                client = client or self._deployment.session(self._name, self._pooler, "lepu270")
-                _, lines = client.ask(f"WRITE case-{number} {data}")
-                if is_success(lines):
-                    self.acknowledged[data] = time.monotonic()
+                client = client or self._open()
+                text = f"WRITE case-1 v{number}" if number % 3 == 0 else "READ case-1"
+                _, lines = client.ask(text)
             except OSError:
                 client = None
-            time.sleep(0.02)
+            self.tries.append((sent_at, is_success(lines)))
+            time.sleep(0.1)
+
+    def _open(self):
+        client = self._deployment.session(self._name, self._pooler, "huvo11a", is_needed=False)
+        if not client.greeting.startswith("READY"):
+            raise ConnectionError(client.greeting)
+        return client
 
     def stop(self):
         self._is_stopped.set()
         self._thread.join(12.0)
 
-
-def build(folder):
-    return Deployment(folder, bounds={"fencingRequired": False}, promote_seconds=0.3)
-
-
-def beat(deployment, is_stopped):
-    """Each database writes its entry; a write raises the counter, though the entry stays."""
-    while not is_stopped.wait(HEARTBEAT_SECONDS / 3):
-        deployment.store.count_transaction()
+    def share_served(self, since, until):
+        served = [is_served for sent_at, is_served in self.tries if since <= sent_at < until]
+        return sum(served) / max(len(served), 1)
 
 
-def start_database(deployment):
-    """A database is added: it has the log before it says that it is there."""
-    service = deployment.service
-    added = Database(service, "i-e4f00c2a", "tamale-hall-c")
-    with service.changed:
-        service.databases.append(added)
-    service.catch_up()
-    added.announce()
-    return added
-
-
-def announce_all(service):
-    for database in service.databases:
-        if database.is_alive:
-            database.announce()
+def build(folder):
+    return Deployment(folder)
 
 
 def play(deployment, has_trouble):
-    store, service = deployment.store, deployment.service
-    is_stopped = threading.Event()
-    threading.Thread(target=beat, args=(deployment, is_stopped), daemon=True).start()
-    writers = [Writer(deployment, f"c{at}", each) for at, each in enumerate(deployment.poolers)]
-    deployment.await_true(lambda: all(each.acknowledged for each in writers), 10, "no writes")
-
-    copy, copied_at = store.copy(), time.monotonic()
-    time.sleep(1.0)
-
-    # Planned work: the primary is replaced by a new database. It drains, serves on, and ends.
-    old = service.databases[0]
-    start_database(deployment)
-    time.sleep(1.0)
-    deployment.record(old.name, "drains")
-    old.state = "draining"
-    old.announce()
-    drains_since = time.monotonic()
-    deployment.await_true(lambda: service.promoted, 6, "the first primary was not replaced")
-    time.sleep(max(drains_since + DRAIN_SECONDS - time.monotonic(), 0.0))
-    old.stop("ends")
-    store.remove("servers", old.name)
-
+    poolers = deployment.poolers
+    callers = [Caller(deployment, f"c{at}", pooler) for at, pooler in enumerate(poolers)]
+    time.sleep(3.0)
     if has_trouble:
-        # The drill: the store is away for a moment and comes back from an older copy.
-        store.away = True
-        time.sleep(0.5)
-        store.restore(copy)
-        store.away = False
-        age = time.monotonic() - copied_at
-        deployment.record("store", f"is back from a copy {age:.1f} s old")
-        deployment.configure_again()
-        service.later(REWRITE_SECONDS, lambda: announce_all(service))
-        service.later(3 * HEARTBEAT_SECONDS, lambda: store.remove("servers", old.name))
-
-    # Planned work: a machine is added.
-    machine = Pooler(deployment, "frontend-accra-hall-a-2", "accra-hall-a")
-    deployment.poolers.append(machine)
-    machine.start()
-    deployment.await_true(lambda: machine.is_ready, 10, "the added machine is not ready")
-    writers.append(Writer(deployment, "c3", machine))
-    time.sleep(10.0)
-    is_stopped.set()
-    for writer in writers:
-        writer.stop()
-    return [*token_breaks(deployment), *lead_breaks(deployment, writers)]
-
-
-def token_breaks(deployment):
-    breaks, newest = [], 0
-    for holder, token, name, _ in deployment.platform.calls:
-        if token < newest:
-            breaks.append(
-                f"ONE: {holder} ordered {name} for {SERVICE} with token {token}, after {newest}"
-            )
-        newest = max(newest, token)
-    return breaks
-
-
-def lead_breaks(deployment, writers):
-    """Commits of an old primary after another had taken the lead, that a client was told of."""
-    told = {data for writer in writers for data in writer.acknowledged}
-    late = []
-    for moment, name, _, values in deployment.service.committed:
-        leaders = [who for at, who, _ in deployment.service.promoted if at < moment]
-        if leaders and leaders[-1] != name:
-            late += [(name, leaders[-1], data) for data in values if data in told]
-    if not late:
-        return []
-    old, new, data = late[0]
-    return [
-        f"ONE: {old} committed {len(late)} acknowledged writes after {new} had taken the lead,"
-        f" the first {data}"
-    ]
+        deployment.store.put("servers", "i-0c41b8e2", UNREADABLE)
+        deployment.record("another writer", f"writes servers/i-0c41b8e2: {UNREADABLE[:60]}...")
+    time.sleep(5.0)
+
+    # The final fault: a configuration is acknowledged, and all processes are killed.
+    began_at = time.monotonic()
+    deployment.configure(0)
+    for pooler in poolers:
+        pooler.kill()
+    time.sleep(0.5)
+    for pooler in poolers:
+        pooler.start()
+    back_at = time.monotonic()
+    time.sleep(RECOVER_SECONDS + MEASURED_SECONDS)
+    ended_at = time.monotonic()
+    for caller in callers:
+        caller.stop()
+
+    before = sum(each.share_served(began_at - 5.0, began_at) for each in callers) / len(callers)
+    since = back_at + RECOVER_SECONDS
+    after = sum(each.share_served(since, ended_at) for each in callers) / len(callers)
+    deployment.record("check", f"served before {before:.3f}, after the recovery {after:.3f}")
+    if before >= 0.25 and after < 0.25:
+        return [f"RECOVER: {before:.2f} was served before the final fault, {after:.2f} after"]
+    return []
 
 
 if __name__ == "__main__":
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -296,6 +296,7 @@
 
     def start(self):
         self.is_alive = True
+        self._born = int(time.time() * 1000)
         self._listener = socket.create_server(("127.0.0.1", self.port), backlog=64)
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
@@ -313,6 +314,10 @@
                 sock.close()
         self.connections.clear()
 
+    def forget(self):
+        """Loses all that it holds and knows; its counts start anew."""
+        self.log, self.term, self.paused_term, self._sequence = [], 0, 0, 0
+
     def entry(self):
         self._sequence += 1
         return {
@@ -325,6 +330,7 @@
             "coldRemainingMs": 0,
             "callSeq": self._sequence,
             "dbRole": "primary" if self.is_primary else "replica",
+            "born": self._born,
         }
 
     def announce(self):
