--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -12,7 +12,8 @@
 
 HEARTBEAT_SECONDS = 1.2
 DRAIN_SECONDS = 7.2
-REWRITE_SECONDS = 1.8
+AWAY_SECONDS = 0.5
+REWRITE_SECONDS = 1.2
 """Seconds after the store's return until the databases have written their entries again."""
 
 
@@ -95,10 +96,14 @@
     old.stop("ends")
     store.remove("servers", old.name)
 
+    # Planned work: a machine is added.
+    machine = Pooler(deployment, "frontend-accra-hall-a-2", "accra-hall-a")
+    deployment.poolers.append(machine)
     if has_trouble:
         # The drill: the store is away for a moment and comes back from an older copy.
         store.away = True
-        time.sleep(0.5)
+        machine.start()
+        time.sleep(AWAY_SECONDS)
         store.restore(copy)
         store.away = False
         age = time.monotonic() - copied_at
@@ -106,11 +111,8 @@
         deployment.configure_again()
         service.later(REWRITE_SECONDS, lambda: announce_all(service))
         service.later(3 * HEARTBEAT_SECONDS, lambda: store.remove("servers", old.name))
-
-    # Planned work: a machine is added.
-    machine = Pooler(deployment, "frontend-accra-hall-a-2", "accra-hall-a")
-    deployment.poolers.append(machine)
-    machine.start()
+    else:
+        machine.start()
     deployment.await_true(lambda: machine.is_ready, 10, "the added machine is not ready")
     writers.append(Writer(deployment, "c3", machine))
     time.sleep(10.0)
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -39,6 +39,20 @@
     """The deployment did not get ready, so that the case says nothing."""
 
 
+_given_ports = set()
+
+
+def free_port():
+    """Returns a port that nobody listens at and that was not given out before."""
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            _given_ports.add(port)
+            return port
+
+
 class Record:
     """The lines of record.txt."""
 
@@ -286,7 +300,7 @@
         """Whether it receives nothing from the primary."""
         self.is_alive = False
         self.connections = set()
-        self.port = 0
+        self.port = free_port()
         self._sequence = 0
         self.start()
 
@@ -298,7 +312,6 @@
         self.is_alive = True
         self._born = int(time.time() * 1000)
         self._listener = socket.create_server(("127.0.0.1", self.port), backlog=64)
-        self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
 
     def stop(self, why):
@@ -675,7 +688,7 @@
     def __init__(self, deployment, name, zone):
         self._deployment = deployment
         self.name, self.zone = name, zone
-        self.client, self.ready, self.peer, self.metrics = deployment.take_ports(4)
+        self.client, self.ready, self.peer, self.metrics = (free_port() for _ in range(4))
         self.process = None
 
     @property
@@ -735,7 +748,6 @@
             **(bounds or {}),
         }
         is_fenced = self.bounds["fencingRequired"]
-        self._ports = set()
         self.store = Store(self.record)
         self.service = Service(self.record, self.store, sync_replicas, promote_seconds, is_fenced)
         self.platform = Platform(self.record, self.service, is_fenced)
@@ -773,17 +785,6 @@
         }
         self.configure_again()
 
-    def take_ports(self, count):
-        ports = []
-        while len(ports) < count:
-            port = random.randrange(FIRST_PORT, LAST_PORT)
-            if port in self._ports:
-                continue
-            with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-                self._ports.add(port)
-                ports.append(port)
-        return ports
-
     def settings_of(self, pooler):
         """Fills the project's template from the fields of a small deployment."""
         fields = {
