Write claims again after a restore of the store, and act under none of a copy

Cause: the bare version of a row as fencing token; the copy's claim taken for the newest; answers with a higher token of another holder counted as acknowledgements; a failover on entries that only the copy had.

Why this works: a claim names the era in which it was written, and the token is made of that era and the row's number, so a row of a copy keeps its old token and is not applied. A claim stands in a new era once a process that knows it has asked a majority of its voters, who acknowledge no claim of a former era from then on; if no majority remembers, a claim that allows no primary is written after 5 s and takes effect as any other. Until then: no lease by the store's word, no failover where the processes fence. Conditional writes carry a second condition that a row of a later era breaks.

tests.core.pooler.failover.test_release and test_commit_proof name the holder in an acknowledgement, as processes do now; an acknowledgement without it counts for its exact token only, which is stricter.

--- a/src/dewledge/core/pooler/coordination_store.py
+++ b/src/dewledge/core/pooler/coordination_store.py
@@ -45,7 +45,11 @@
 
 
 class StoreWrite(msgspec.Struct, frozen=True):
-    """A write of a row on condition that its version is `expected`; 0 if it must not exist."""
+    """A write of a row on condition that its version is `expected`.
+
+    A version includes the store's era (`store_versions`); its number is 0 if no row must exist. The
+    version 0 itself stands for "no row, in the store's newest known era".
+    """
 
     table: str
     key: str
--- a/src/dewledge/core/pooler/databases/group_view.py
+++ b/src/dewledge/core/pooler/databases/group_view.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from dewledge.core.pooler.store_versions import era_of
+
 LONG_AGO = -1e9
 """Seconds of the steady clock; earlier than any time in the life of the process."""
 
@@ -76,21 +78,24 @@
             return self
         claims = dict(self.claims)
         if record.role is DatabaseRole.PRIMARY:
-            claims.setdefault(record.id, record.revision)
+            # Revisions of two eras of the store do not tell which database became primary later.
+            since = claims.get(record.id, -1)
+            if era_of(since) < era_of(record.revision) or since < 0:
+                claims[record.id] = record.revision
         else:
             claims.pop(record.id, None)
-        since = dict(self.draining_since)
+        draining_since = dict(self.draining_since)
         if record.draining:
-            since.setdefault(record.id, now if previous is not None else LONG_AGO)
+            draining_since.setdefault(record.id, now if previous is not None else LONG_AGO)
         else:
-            since.pop(record.id, None)
+            draining_since.pop(record.id, None)
         databases = {**self.databases, record.id: record}
         departed = {name: at for name, at in self.departed_since.items() if name != record.id}
         return msgspec.structs.replace(
             self,
             databases=databases,
             claims=claims,
-            draining_since=since,
+            draining_since=draining_since,
             departed_since=departed,
         )
 
--- a/src/dewledge/core/pooler/failover/claim_maintenance.py
+++ b/src/dewledge/core/pooler/failover/claim_maintenance.py
@@ -47,9 +47,8 @@
 
     def on_acknowledgement(self, event: ClaimAcknowledged, now: float) -> None:
         """Records that a process acknowledged a claim."""
-        current = self._acknowledgements
-        if current is not None and event.fencing_token >= current.claim.fencing_token:
-            current.add(event.process, now)
+        if self._acknowledgements is not None:
+            self._acknowledgements.apply(event, now)
 
     def maintain(self, situation: Situation) -> Sequence[FailoverEffect]:
         """Returns the claim to write or send now, if any; called while the primary is healthy."""
@@ -87,7 +86,8 @@
             return []
         if claim is None or set(claim.voters) != set(judges):
             return self._write(situation, False)
-        if all(set(voters) == set(claim.voters) for voters in claim.quorums):
+        has_earlier_voters = any(set(voters) != set(claim.voters) for voters in claim.quorums)
+        if not has_earlier_voters and claim.restates is None:
             return []
         return self._drop_earlier_voters(claim, situation)
 
--- a/src/dewledge/core/pooler/failover/claim_writing.py
+++ b/src/dewledge/core/pooler/failover/claim_writing.py
@@ -54,6 +54,43 @@
     return _next_claim(lease, voters, "", primary, primary)
 
 
+def restated_claim(
+    lease: PrimaryLease, voters: Sequence[str], claim: Claim, term: int = 0
+) -> WriteClaim:
+    """Returns the first claim of the store's era, which repeats `claim`.
+
+    claim: the newest claim of the former eras. term: newest term known of the group.
+    """
+    if lease.fencing is Fencing.PLATFORM:
+        return _with_term(WriteClaim("", lease.expected_version, term=claim.term), term)
+    quorums = _merge_quorums(lease.claim, claim)
+    write = WriteClaim(
+        "",
+        lease.expected_version,
+        claim.leader,
+        tuple(voters),
+        quorums,
+        claim.ordered,
+        claim.term,
+        claim.fencing_token,
+    )
+    return _with_term(write, term)
+
+
+def unwitnessed_claim(
+    lease: PrimaryLease, voters: Sequence[str], claim: Claim | None, term: int = 0
+) -> WriteClaim:
+    """Returns the first claim of the store's era if a newer one than `claim` may be lost.
+
+    It allows no primary, so that none is used before the claim has taken effect. claim: the newest
+    one that is left, None if there is none; then the group counts as new.
+    """
+    if claim is None:
+        return WriteClaim("", lease.expected_version, None, tuple(voters), restates=0)
+    write = restated_claim(lease, voters, claim, term)
+    return msgspec.structs.replace(write, leader=NO_LEADER, ordered="")
+
+
 def last_order(lease: PrimaryLease, replaced: str) -> str:
     """Returns the database whose promotion was ordered last.
 
@@ -72,14 +109,20 @@
     drops_earlier_voters: bool = False,
 ) -> WriteClaim:
     claim = lease.claim
-    expected = 0 if claim is None else claim.fencing_token
+    expected = lease.expected_version
     term = 0 if claim is None else claim.term
     if lease.fencing is Fencing.PLATFORM:
         return WriteClaim(replaced, expected, term=term)
     if ordered is None:
         ordered = last_order(lease, replaced)
     quorums = _earlier_quorums(claim, drops_earlier_voters)
-    return WriteClaim(replaced, expected, leader, tuple(voters), quorums, ordered, term)
+    restates = None if claim is None or drops_earlier_voters else claim.restates
+    return WriteClaim(replaced, expected, leader, tuple(voters), quorums, ordered, term, restates)
+
+
+def _merge_quorums(*claims: Claim | None) -> tuple[tuple[str, ...], ...]:
+    sets = [names for claim in claims for names in _earlier_quorums(claim, False)]
+    return tuple(dict.fromkeys(sets))
 
 
 def _with_term(claim: WriteClaim, term: int) -> WriteClaim:
--- a/src/dewledge/core/pooler/failover/group_failover.py
+++ b/src/dewledge/core/pooler/failover/group_failover.py
@@ -15,6 +15,7 @@
 from dewledge.core.pooler.databases.group_view import GroupView
 from dewledge.core.pooler.failover.candidate_check import CandidateCheck, candidates_checked
 from dewledge.core.pooler.failover.claim_maintenance import ClaimMaintenance
+from dewledge.core.pooler.failover.claim_restatement import ClaimRestatement
 from dewledge.core.pooler.failover.claim_turn import CLAIM_HOLDER_TIMEOUT_SECONDS, ClaimTurn
 from dewledge.core.pooler.failover.loss_watch import Loss, LossWatch
 from dewledge.core.pooler.failover.messages import (
@@ -83,6 +84,7 @@
         self._reach_check = ReachCheck()
         self._claim_turn = ClaimTurn(local_name, self._lease)
         self._claim_maintenance = ClaimMaintenance(local_name, self._lease)
+        self._claim_restatement = ClaimRestatement(group, local_name, self._lease)
         self.phase = Phase.STEADY
         self._loss = _NO_LOSS
         self._replacement = PrimaryReplacement(local_name, self._lease, _NO_LOSS, 0.0)
@@ -178,6 +180,10 @@
     # Advancing.
 
     def _advance(self, situation: Situation) -> Sequence[FailoverEffect]:
+        if self._is_unfenced and self._lease.needs_restatement and self.phase is not Phase.STEADY:
+            undone = self._replacement.undo()
+            self._end_phase(PhaseEnd.STORE_RESTORED, situation.now)
+            return [*undone, *self._watch_primary(situation)]
         if self._is_finished(situation.view):
             term_request = self._request_term()
             self._reach_check.clear_suspicion()
@@ -213,8 +219,9 @@
 
     def _watch_primary(self, situation: Situation) -> Sequence[FailoverEffect]:
         view, now = situation.view, situation.now
-        if situation.log.synchronous_replicas is None:
-            return []
+        restated = self._claim_restatement.step(situation)
+        if restated or not self._may_judge(situation):
+            return restated
         loss = self._loss_watch.find_loss(view, now)
         if loss is not None:
             self._prepare_replacement(loss, now)
@@ -230,6 +237,12 @@
             return self._start_check(primary.id, now)
         return self._claim_maintenance.maintain(situation)
 
+    def _may_judge(self, situation: Situation) -> bool:
+        """Returns whether this process knows enough to decide that the primary is lost."""
+        if situation.log.synchronous_replicas is None or situation.log.may_be_copy:
+            return False
+        return not (self._is_unfenced and self._lease.needs_restatement)
+
     def _prepare_replacement(self, loss: Loss, now: float) -> None:
         self._loss = loss
         self._started_at = now
@@ -244,9 +257,7 @@
         primary, now = situation.view.primary, situation.now
         if self.phase is not Phase.STEADY or primary is None or primary.id != database:
             return []
-        if situation.log.synchronous_replicas is None:
-            return []
-        if not self._reach_check.may_start(now):
+        if not self._may_judge(situation) or not self._reach_check.may_start(now):
             return []
         return self._start_check(database, now)
 
--- a/src/dewledge/core/pooler/failover/lease_release.py
+++ b/src/dewledge/core/pooler/failover/lease_release.py
@@ -81,8 +81,8 @@
                 self.final_status = event.status
             return
         for pending in (self._claim_acknowledgements, self._ban_acknowledgements):
-            if pending is not None and event.fencing_token >= pending.claim.fencing_token:
-                pending.add(event.process, now)
+            if pending is not None:
+                pending.apply(event, now)
 
     def claims_to_send(self, registered: RegisteredProcesses, now: float) -> Sequence[SendClaim]:
         """Returns the claim to send now, if any, to all processes that have not acknowledged it."""
--- a/src/dewledge/core/pooler/failover/messages.py
+++ b/src/dewledge/core/pooler/failover/messages.py
@@ -36,6 +36,8 @@
     quorums: sets of voters of earlier claims that may still confirm those claims.
     ordered: the database whose promotion was ordered last; it leads, or may start to at any time.
     term: a term in which a database of the group has led, 0 if the writer knew none.
+    restates: after a restore of the store, the fencing token of the claim that this one repeats;
+    None once no process can hold a lease under a claim of a former era.
     """
 
     holder: str
@@ -46,6 +48,7 @@
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
     term: int = 0
+    restates: int | None = None
 
     def allows(self, database_id: str) -> bool:
         """Returns whether a database may be used as primary."""
@@ -120,10 +123,14 @@
 
 
 class ClaimAcknowledged(msgspec.Struct, frozen=True):
-    """A process acknowledged a claim: it uses only databases that the claim allows as primary."""
+    """A process acknowledged a claim: it uses only databases that the claim allows as primary.
+
+    holder: holder of the acknowledged claim; empty if an earlier release sent the message.
+    """
 
     process: str
     fencing_token: int
+    holder: str = ""
 
 
 class PromotionAnswered(msgspec.Struct, frozen=True):
@@ -169,7 +176,10 @@
 
 
 class WriteClaim(msgspec.Struct, frozen=True):
-    """Write the claim row if its version is still `expected`. The other fields are Claim's."""
+    """Write the claim row if its version is still `expected`. The other fields are Claim's.
+
+    expected: a version with its era, in which the claim is written; number 0 if no row exists.
+    """
 
     replaced: str
     expected: int
@@ -178,6 +188,7 @@
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
     term: int = 0
+    restates: int | None = None
 
 
 class SendClaim(msgspec.Struct, frozen=True):
--- a/src/dewledge/core/pooler/failover/phases.py
+++ b/src/dewledge/core/pooler/failover/phases.py
@@ -75,6 +75,8 @@
     """The claim of another process timed out without a new primary."""
     NEW_PRIMARY = auto()
     """The group has a primary that needs no replacement."""
+    STORE_RESTORED = auto()
+    """The store came back from an older copy, and the processes fence: claims are written again."""
 
 
 class Transition(msgspec.Struct, frozen=True):
@@ -129,6 +131,7 @@
     ),
     PhaseEnd.HOLDER_WITHOUT_EFFECT: Transition(_FOLLOWING, Phase.STEADY, "holder_without_effect"),
     PhaseEnd.NEW_PRIMARY: Transition(NOT_STEADY, Phase.STEADY, "new_primary"),
+    PhaseEnd.STORE_RESTORED: Transition(NOT_STEADY, Phase.STEADY, "store_restored"),
 }
 
 EFFECTS: Mapping[Phase, tuple[type[FailoverEffect], ...]] = {
--- a/src/dewledge/core/pooler/failover/primary_lease.py
+++ b/src/dewledge/core/pooler/failover/primary_lease.py
@@ -15,6 +15,8 @@
 from enum import StrEnum
 
 from dewledge.core.pooler.failover.messages import Claim
+from dewledge.core.pooler.failover.store_eras import StoreEras
+from dewledge.core.pooler.store_versions import combine, era_of
 
 LEASE_SECONDS = 1.75
 """Seconds for which a confirmation is valid. Voters are asked for a new one after
@@ -37,10 +39,19 @@
 class PrimaryLease:
     """Lease of this process on a group's primary."""
 
-    def __init__(self, fencing: Fencing) -> None:
+    def __init__(self, fencing: Fencing, eras: StoreEras | None = None) -> None:
+        """eras: shared by the leases of a process; the default is a store without restores."""
         self.fencing = fencing
+        self.eras = eras or StoreEras()
         self.claim: Claim | None = None
         """Newest claim known to this process, None for none."""
+        self.copied_claim: Claim | None = None
+        """Claim of a former era that the store holds, None for none. It may not be the newest."""
+        self.overlooked_claim: Claim | None = None
+        """Claim of a former era that is newer than the one that the known claim restates."""
+        self.confirmed_era = 0
+        """Newest era in which a majority of voters knew no newer claim than the known one."""
+        self._row_version = 0
         self.confirmed_at = LONG_AGO
         """Last time at which no newer claim than the known one existed (steady clock, seconds)."""
         self._proven_leader = ("", -1)
@@ -50,17 +61,78 @@
         """Fencing token of the newest known claim, 0 without a claim."""
         return 0 if self.claim is None else self.claim.fencing_token
 
+    @property
+    def needs_restatement(self) -> bool:
+        """Whether the store was restored and no claim of its new era is known yet."""
+        return self.eras.is_former(self.claim)
+
+    @property
+    def may_acknowledge(self) -> bool:
+        """Whether this process may acknowledge the known claim to its holder.
+
+        A claim of a former era can then no longer take effect, once a majority of its voters knows
+        of the new era.
+        """
+        return self.fencing is Fencing.PLATFORM or not self.needs_restatement
+
+    @property
+    def expected_version(self) -> int:
+        """Version that the claim's row in the store must have for the next write of it."""
+        era = self.eras.newest
+        known = (self._row_version, self.fencing_token, combine(era, 0))
+        return max(version for version in known if era_of(version) == era)
+
+    def record_row(self, version: int, claim: Claim) -> bool:
+        """Records the claim's row in the store; returns whether the claim is of the row's era."""
+        self._row_version = max(self._row_version, version)
+        if era_of(claim.fencing_token) == era_of(version):
+            return True
+        self.copied_claim = claim
+        return False
+
+    def accepts(self, claim: Claim) -> bool:
+        """Returns whether `claim` is newer than the known one.
+
+        A claim that restates an older one than the known one does not count before it has taken
+        effect: its writer did not know of the newer one.
+        """
+        if claim.fencing_token <= self.fencing_token:
+            return False
+        is_restated = claim.restates is not None and self.fencing is Fencing.PROCESSES
+        if not is_restated or era_of(self.fencing_token) == era_of(claim.fencing_token):
+            return True
+        return self.fencing_token <= (claim.restates or 0)
+
     def apply_claim(self, claim: Claim) -> bool:
         """Replaces the known claim if `claim` is newer; returns whether it is."""
-        if claim.fencing_token <= self.fencing_token:
+        if not self.accepts(claim):
+            self._record_overlooked(claim)
             return False
         self.claim = claim
+        self.overlooked_claim = None
         return True
 
+    def _record_overlooked(self, claim: Claim) -> None:
+        known = self.claim
+        if known is None or known.restates is None or claim.fencing_token <= known.restates:
+            return
+        if era_of(claim.fencing_token) < era_of(known.fencing_token):
+            previous = self.overlooked_claim
+            if previous is None or previous.fencing_token < claim.fencing_token:
+                self.overlooked_claim = claim
+
     def confirm(self, at: float) -> None:
         """Renews the lease: at the time `at`, no newer claim than the known one existed."""
         self.confirmed_at = max(self.confirmed_at, at)
 
+    def confirm_by_store(self, at: float) -> None:
+        """Renews the lease: at the time `at`, the store held no newer claim.
+
+        Has no effect before the store's era holds a claim: the newest one may be lost.
+        """
+        if not self.needs_restatement:
+            self.confirm(at)
+
     def is_confirmed(self, now: float) -> bool:
         """Returns whether this process knows every claim that can have taken effect by `now`.
 
@@ -103,6 +175,7 @@
 
     def __init__(self, fencing: Fencing) -> None:
         self.fencing = fencing
+        self.eras = StoreEras()
         self.by_group: dict[str, PrimaryLease] = {}
         self._confirmed_at = LONG_AGO
 
@@ -110,8 +183,8 @@
         """Returns the lease on a group's primary; creates it on first use."""
         lease = self.by_group.get(group)
         if lease is None:
-            lease = PrimaryLease(self.fencing)
-            lease.confirm(self._confirmed_at)
+            lease = PrimaryLease(self.fencing, self.eras)
+            lease.confirm_by_store(self._confirmed_at)
             self.by_group[group] = lease
         return lease
 
@@ -119,4 +192,4 @@
         """Renews all leases: at the time `at`, the store held no claim unknown to this process."""
         self._confirmed_at = max(self._confirmed_at, at)
         for lease in self.by_group.values():
-            lease.confirm(at)
+            lease.confirm_by_store(at)
--- a/src/dewledge/core/pooler/failover/replacement.py
+++ b/src/dewledge/core/pooler/failover/replacement.py
@@ -108,6 +108,10 @@
             return
         self._release.on_answer(event, now)
 
+    def undo(self) -> Sequence[FailoverEffect]:
+        """Returns the requests that undo those of an abandoned choice."""
+        return self._choice.undo()
+
     def start_phase(self, now: float) -> None:
         """Records the start of a phase."""
         self._phase_started_at = now
--- a/src/dewledge/core/pooler/failover/situation.py
+++ b/src/dewledge/core/pooler/failover/situation.py
@@ -19,6 +19,7 @@
     acknowledged until a time (steady clock, seconds), None if none is known. newest_term: highest
     term in an answer of a database. observed_term: returns the term in a database's last answer, 0
     without one. serves_until: returns until when a draining primary gets work (steady clock).
+    may_be_copy: whether the databases may be known from an older copy of the store alone.
     """
 
     synchronous_replicas: int | None = 0
@@ -26,6 +27,7 @@
     newest_term: int = 0
     observed_term: Callable[[str], int] = lambda _name: 0
     serves_until: Callable[[str], float] = lambda _name: -math.inf
+    may_be_copy: bool = False
 
 
 class Situation(msgspec.Struct, frozen=True):
--- a/src/dewledge/platform/adapter.py
+++ b/src/dewledge/platform/adapter.py
@@ -24,7 +24,6 @@
         store=PlatformStore(
             settings.store_address,
             {CONFIGURATION_TABLE: hash_api_keys},
-            (CONFIGURATION_TABLE, DATABASE_TABLE),
         ),
         promotions=PlatformPromotions(settings.duty_address) if settings.duty_address else None,
         parse_status=parse_status,
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -9,7 +9,7 @@
 import math
 import socket
 import struct
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from urllib.parse import urlencode
 
 import msgspec
@@ -48,6 +48,9 @@
 """Rows of a table requested per call."""
 ACCEPTED_STATUS = 200
 FENCED_STATUS = 409
+MAX_MISSED_ERAS = 8
+"""Restores of the store, without a write by any process between them, after which a write of the
+era before them still fails."""
 ERA_HEADER = "store-era"
 """Rises by one each time the store comes back from an older copy."""
 _JSON_HEADERS = {"Content-Type": "application/json"}
@@ -92,13 +95,10 @@
         self,
         address: str,
         sanitizers: Mapping[str, Callable[[bytes], bytes]] | None = None,
-        tables_with_era: Collection[str] = (),
     ) -> None:
-        """`sanitizers`: by table, a function that removes secrets from each value read.
-
-        tables_with_era: tables whose versions include the store's era; see `store_versions`.
-        """
-        self._tables_with_era = tables_with_era
+        """`sanitizers`: by table, a function that removes secrets from each value read."""
+        self._newest_era = 0
+        self._marked_era = 0
         self._calls = HttpCalls(address, CONNECT_TIMEOUT_SECONDS, _KEEPALIVE_OPTIONS)
         self._sanitizers = sanitizers or {}
 
@@ -119,7 +119,7 @@
             if page.era != first.era:
                 raise HistoryLost("the store was restored between two pages")
             rows += self._store_rows(table, page)
-        return TableRows(tuple(rows), self._version(table, first), first.body.now_ms / 1000)
+        return TableRows(tuple(rows), _version(first), first.body.now_ms / 1000)
 
     def _read_page(self, table: str, start: str, limit: float) -> _EraAnswer:
         query = {"table": table, "part": "", "startRev": start, "limit": str(PAGE_ROWS)}
@@ -144,33 +144,42 @@
         number = str(number_of(after))
         query = {"table": table, "after": number, "waitMs": str(int(wait * 1000))}
         answer = self._get("/dewledge/rows-feed", query, wait + CALL_TIMEOUT_SECONDS)
-        if table in self._tables_with_era and answer.era != era_of(after):
+        if answer.era != era_of(after):
             raise HistoryLost("the store was restored after this version")
-        return FeedAnswer(tuple(self._store_rows(table, answer)), self._version(table, answer))
+        return FeedAnswer(tuple(self._store_rows(table, answer)), _version(answer))
 
     def write(self, write: StoreWrite) -> int:
         """Writes one row if it still has the expected version; returns the new version.
 
-        Raises StoreConditionFailed if the row has another version.
+        Raises StoreConditionFailed if the row has another version, also one with the same number
+        in a later era: a row tells of each era in which one was written.
         """
-        address = {"table": write.table, "part": "", "tlsKey": write.key}
-        value = base64.b64encode(write.value).decode()
+        era = era_of(write.expected) if write.expected else self._newest_era
+        if era < self._newest_era:
+            raise StoreConditionFailed("the store was restored after the expected version")
         body = {
-            "expectedRev": [{**address, "ver": write.expected}],
-            "put": [{**address, "value": value}],
+            "expectedRev": [
+                {**_address(write.table, write.key), "ver": number_of(write.expected)},
+                {**_address(write.table, _era_key(era + 1)), "ver": 0},
+            ],
+            "put": [_put(write.table, write.key, write.value), *self._era_rows(write.table, era)],
             "remove": [],
         }
-        return self._request("POST", "/dewledge/rows-tx", {}, CALL_TIMEOUT_SECONDS, body).body.ver
-
-    def _version(self, table: str, answer: _EraAnswer) -> int:
-        return combine(self._era(table, answer), answer.body.ver)
-
-    def _era(self, table: str, answer: _EraAnswer) -> int:
-        return answer.era if table in self._tables_with_era else 0
+        answer = self._request("POST", "/dewledge/rows-tx", {}, CALL_TIMEOUT_SECONDS, body)
+        if answer.era != era:
+            raise StoreOutcomeUnknown("the store was restored before this write")
+        self._marked_era = max(self._marked_era, era)
+        return _version(answer)
+
+    def _era_rows(self, table: str, era: int) -> list[dict[str, str]]:
+        """Returns the rows that make writes of former eras fail, if not yet written here."""
+        if era <= self._marked_era:
+            return []
+        first = max(1, era - MAX_MISSED_ERAS + 1)
+        return [_put(table, _era_key(each), b"") for each in range(first, era + 1)]
 
     def _store_rows(self, table: str, answer: _EraAnswer) -> list[StoreRow]:
-        era = self._era(table, answer)
-        return [self._store_row(table, row, era) for row in answer.body.rows]
+        return [self._store_row(table, row, answer.era) for row in answer.body.rows]
 
     def _store_row(self, table: str, row: _Row, era: int) -> StoreRow:
         value = base64.b64decode(row.value or "")
@@ -194,14 +203,31 @@
             raise StoreError(f"cannot reach the store: {error}") from error
         except (AnswerMissing, ProtocolError) as error:
             raise StoreOutcomeUnknown(f"no answer: {error}") from error
-        _raise_for_status(answer.status)
         try:
-            body = msgspec.json.decode(answer.body, type=_Answer)
-            return _EraAnswer(body, int(answer.headers.get(ERA_HEADER, "0")))
+            era = int(answer.headers.get(ERA_HEADER, "0"))
+            self._newest_era = max(self._newest_era, era)
+            _raise_for_status(answer.status)
+            return _EraAnswer(msgspec.json.decode(answer.body, type=_Answer), era)
         except (msgspec.DecodeError, ValueError) as error:
             raise StoreOutcomeUnknown(f"unreadable answer: {error}") from error
 
 
+def _version(answer: _EraAnswer) -> int:
+    return combine(answer.era, answer.body.ver)
+
+
+def _address(table: str, key: str) -> dict[str, str]:
+    return {"table": table, "part": "", "tlsKey": key}
+
+
+def _put(table: str, key: str, value: bytes) -> dict[str, str]:
+    return {**_address(table, key), "value": base64.b64encode(value).decode()}
+
+
+def _era_key(era: int) -> str:
+    return f"era/{era}"
+
+
 class PlatformPromotions:
     """Client of the promotion endpoint; each call carries the lease holder and its fencing token.
 
--- a/src/dewledge/shell/pooler/failover/claim_keeper.py
+++ b/src/dewledge/shell/pooler/failover/claim_keeper.py
@@ -13,6 +13,7 @@
 
 from dewledge.core.pooler.coordination_store import StoreRow, StoreWrite
 from dewledge.core.pooler.failover.messages import Claim, ClaimAcknowledged
+from dewledge.core.pooler.store_versions import combine
 from dewledge.errors import StoreError
 from dewledge.shell.pooler.failover.failover_context import FailoverContext
 from dewledge.shell.pooler.failover.lease_confirmations import LeaseConfirmations
@@ -79,7 +80,9 @@
             if acknowledgement is not None:
                 self._events.acknowledged.notify(
                     acknowledgement.group,
-                    ClaimAcknowledged(acknowledgement.process, acknowledgement.token),
+                    ClaimAcknowledged(
+                        acknowledgement.process, acknowledgement.token, acknowledgement.holder
+                    ),
                 )
 
     def _on_claim_learned(self, group: str, claim: Claim) -> None:
@@ -92,6 +95,7 @@
             ordered=claim.ordered,
             token=claim.fencing_token,
             term=claim.term,
+            restates=claim.restates,
         ).info("claim_known")
         if claim.leader is not None and claim.holder != self._own_name:
             fencing_token = claim.fencing_token
@@ -113,29 +117,41 @@
     def _on_claim_notice(self, notice: ClaimNotice, sender: str) -> None:
         lease = self._leases.of(notice.group)
         fencing_token = notice.claim.fencing_token
-        if fencing_token > lease.fencing_token:
-            logger.bind(group=notice.group, token=fencing_token, sender=notice.sender).info(
-                "claim_told"
-            )
+        if fencing_token != lease.fencing_token:
+            is_accepted = lease.accepts(notice.claim)
+            logger.bind(
+                group=notice.group,
+                token=fencing_token,
+                known=lease.fencing_token,
+                accepted=is_accepted,
+                sender=notice.sender,
+            ).info("claim_told")
             self._events.received.notify(notice.group, notice.claim)
-        if lease.claim is not None and notice.sender == lease.claim.holder:
+            if not is_accepted and lease.overlooked_claim is None:
+                # The sender's claim is outdated, or restates an older one than this process knows.
+                self._send_claim(notice.group, [sender])
+        if lease.claim is None or not lease.may_acknowledge:
+            return
+        if notice.sender == lease.claim.holder:
             self._acknowledged_tokens[notice.group] = lease.fencing_token
-        answer = ClaimAnswer(self._own_name, notice.group, lease.fencing_token)
-        self._peers.send(answer, [sender])
+        token, holder = lease.fencing_token, lease.claim.holder
+        self._peers.send(ClaimAnswer(self._own_name, notice.group, token, holder), [sender])
 
     def _on_claim_answer(self, answer: ClaimAnswer, _sender: str) -> None:
-        self._events.acknowledged.notify(
-            answer.group, ClaimAcknowledged(answer.sender, answer.token)
-        )
+        event = ClaimAcknowledged(answer.sender, answer.token, answer.holder)
+        self._events.acknowledged.notify(answer.group, event)
 
     def _acknowledge_through_store(self, group: str, fencing_token: int) -> None:
         if self._stopped or self._acknowledged_tokens.get(group, 0) >= fencing_token:
             return
-        if self._leases.of(group).fencing_token != fencing_token:
+        lease = self._leases.of(group)
+        if lease.claim is None or lease.fencing_token != fencing_token or not lease.may_acknowledge:
             return
         key = f"{ACKNOWLEDGEMENT_PREFIX}{group}/{self._own_name}"
-        value = encode_value(AcknowledgementValue(self._own_name, group, fencing_token))
-        write = StoreWrite(TABLE, key, value, self._acknowledgement_versions.get(key, 0))
+        holder = lease.claim.holder
+        value = encode_value(AcknowledgementValue(self._own_name, group, fencing_token, holder))
+        version = max(self._acknowledgement_versions.get(key, 0), combine(lease.eras.table, 0))
+        write = StoreWrite(TABLE, key, value, version)
         self._context.executor.submit(self._write_acknowledgement, write)
 
     def _write_acknowledgement(self, write: StoreWrite) -> None:
--- a/src/dewledge/shell/pooler/failover/failover_calls.py
+++ b/src/dewledge/shell/pooler/failover/failover_calls.py
@@ -15,6 +15,7 @@
     PromotionAnswered,
     WriteClaim,
 )
+from dewledge.core.pooler.store_versions import era_of
 from dewledge.errors import StoreError
 from dewledge.shell.pooler.failover.failover_context import FailoverContext
 from dewledge.shell.pooler.tables.coordination_rows import (
@@ -65,6 +66,8 @@
                 effect.quorums,
                 effect.ordered,
                 effect.term,
+                era_of(effect.expected),
+                effect.restates,
             )
         )
         try:
--- a/src/dewledge/shell/pooler/failover/failover_driver.py
+++ b/src/dewledge/shell/pooler/failover/failover_driver.py
@@ -42,8 +42,10 @@
     TryLeader,
     WriteClaim,
 )
+from dewledge.core.pooler.failover.primary_lease import LONG_AGO
 from dewledge.core.pooler.failover.situation import GroupLog
 from dewledge.core.pooler.statements.statements import Reply
+from dewledge.core.pooler.store_versions import era_of
 from dewledge.shell.pooler.failover.database_requests import DatabaseRequests
 from dewledge.shell.pooler.failover.failover_calls import FailoverCalls
 from dewledge.shell.pooler.failover.failover_context import FailoverContext
@@ -53,6 +55,9 @@
 
 TICK_INTERVAL_SECONDS = 0.05
 """Seconds between ticks of a group whose failover is active or whose primary is suspected."""
+COPY_DISTRUST_SECONDS = 3.0
+"""Seconds after the first read of a store that was restored before, in which this process begins no
+failover: databases that it knows may have left. Their owners write within that time."""
 STEADY_TICKS = 20
 """Ticks of the driver for each tick of a group without an active failover or suspected primary."""
 
@@ -80,6 +85,7 @@
         self._ticks = 0
         self._judges_by_group: dict[str, Sequence[str]] = {}
         self._registered = RegisteredProcesses()
+        self._distrusts_copy_until = LONG_AGO
         self._calls = FailoverCalls(context, promotions, self.apply_rows, self._handle)
         self._requests = DatabaseRequests(context.loop, parse_status, self._handle)
         context.claim_events.received.add(self.apply_claim)
@@ -107,11 +113,25 @@
             if row.key.startswith(CLAIM_PREFIX) and not row.gone:
                 claim = read_claim(row)
                 if claim is not None:
-                    self.apply_claim(row.key.removeprefix(CLAIM_PREFIX), claim)
+                    self._apply_row(row.key.removeprefix(CLAIM_PREFIX), row.version, claim)
+
+    def _apply_row(self, group: str, version: int, claim: Claim) -> None:
+        """Applies the claim of a row, unless the row is of an older copy of the store."""
+        lease = self._context.leases.of(group)
+        if lease.record_row(version, claim):
+            self.apply_claim(group, claim)
+            return
+        logger.bind(
+            group=group,
+            holder=claim.holder,
+            token=claim.fencing_token,
+            known=lease.fencing_token,
+            era=era_of(version),
+        ).info("claim_of_former_era")
 
     def apply_claim(self, group: str, claim: Claim) -> None:
         """Applies a claim; without a configured group, the claim is recorded in its lease only."""
-        if claim.fencing_token > self._context.leases.of(group).fencing_token:
+        if self._context.leases.of(group).accepts(claim):
             self._context.claim_events.learned.notify(group, claim)
         if group in self._groups and not self._stopped:
             self._handle(group, ClaimReceived(claim))
@@ -124,6 +144,15 @@
 
     def update_registered(self, registered: RegisteredProcesses) -> None:
         """Remembers which processes have rows in the member table, as last read from the store."""
+        eras, now = self._context.leases.eras, self._context.loop.now()
+        known = eras.newest
+        if eras.first is None and era_of(registered.version) > 0:
+            self._distrusts_copy_until = now + COPY_DISTRUST_SECONDS
+        eras.record_table(era_of(registered.version), now)
+        if eras.newest > known:
+            logger.bind(era=eras.newest, known=known, version=registered.version).warning(
+                "store_era_risen"
+            )
         self._registered = registered
 
     def on_probe_answer(self, answer: IndirectProbeAnswer) -> None:
@@ -205,6 +234,7 @@
             group.newest_term,
             group.observed_term,
             group.serves_until,
+            self._context.loop.now() < self._distrusts_copy_until,
         )
 
     def _carry_out(self, group: Group, effect: FailoverEffect) -> None:
@@ -227,10 +257,27 @@
         elif isinstance(effect, StartReplication):
             self._requests.start_replication(group, effect)
         elif isinstance(effect, WriteClaim):
+            self._log_restatement(group.view.name, effect)
             self._calls.write_claim(group.view.name, effect)
         elif isinstance(effect, Promote):
             self._calls.promote(group.view.name, effect)
 
+    def _log_restatement(self, group: str, effect: WriteClaim) -> None:
+        """Logs the first claim that this process writes on a group in an era of the store."""
+        lease, eras = self._context.leases.of(group), self._context.leases.eras
+        if not lease.needs_restatement:
+            return
+        logger.bind(
+            group=group,
+            era=eras.newest,
+            era_age_ms=int((self._context.loop.now() - eras.known_since) * 1000),
+            known=lease.fencing_token,
+            restates=effect.restates,
+            leader="any" if effect.leader is None else effect.leader,
+            expected=effect.expected,
+            confirmed=lease.confirmed_era == eras.newest,
+        ).info("claim_restated")
+
     def _test_connection(self, group: Group, database_id: str) -> None:
         record = group.view.databases.get(database_id)
         if record is None or self._probes is None:
--- a/src/dewledge/shell/pooler/failover/lease_confirmations.py
+++ b/src/dewledge/shell/pooler/failover/lease_confirmations.py
@@ -41,7 +41,7 @@
         self._members = members
         self._peers = peers
         self._send_claim = send_claim
-        self._confirmation = QuorumConfirmation(context.own_name)
+        self._confirmation = QuorumConfirmation(context.own_name, context.leases.eras)
         self._expired: set[str] = set()
         self._stopped = False
         peers.on(ConfirmationQuestion, self._on_question)
@@ -70,7 +70,7 @@
         if self._stopped:
             return
         now = self._loop.now()
-        inquiry = self._confirmation.next_poll(self._leases.by_group, now)
+        inquiry = self._confirmation.next_poll(self._leases.by_group, now, self._members.members)
         if inquiry is not None:
             addresses = self._members.addresses
             voter_addresses = [addresses[name] for name in inquiry.voters if name in addresses]
@@ -91,14 +91,16 @@
             self._expired ^= {name}
 
     def _on_question(self, question: ConfirmationQuestion, sender: str) -> None:
+        # Learned before the answer: from then on no claim of a former era is acknowledged.
+        self._leases.eras.learn(question.era, self._loop.now())
         answer = self._confirmation.answer_question(
             question, self._leases.by_group, self._members.members
         )
-        if answer is None:
-            return
-        self._peers.send(answer, [sender])
+        if answer is not None:
+            self._peers.send(answer, [sender])
         for group, fencing_token in question.tokens.items():
-            if answer.tokens.get(group, 0) > fencing_token:
+            lease = self._leases.by_group.get(group)
+            if lease is not None and lease.fencing_token > fencing_token:
                 self._send_claim(group, [sender])
 
     def _on_answer(self, answer: ConfirmationAnswer, sender: str) -> None:
--- a/src/dewledge/shell/pooler/links/peer_messages.py
+++ b/src/dewledge/shell/pooler/links/peer_messages.py
@@ -54,11 +54,12 @@
 
 
 class ClaimAnswer(msgspec.Struct, frozen=True, array_like=True, tag="known"):
-    """Reports the fencing token of the newest claim that the sender has recorded for a group."""
+    """Acknowledges the newest claim that the sender knows of a group: its token and its holder."""
 
     sender: str
     group: str
     token: int
+    holder: str = ""
 
 
 PeerMessage = (
--- a/src/dewledge/shell/pooler/tables/coordination_rows.py
+++ b/src/dewledge/shell/pooler/tables/coordination_rows.py
@@ -12,6 +12,7 @@
 from dewledge.core.pooler.coordination_store import StoreRow
 from dewledge.core.pooler.failover.messages import Claim
 from dewledge.core.pooler.sharing.members import Member
+from dewledge.core.pooler.store_versions import combine, number_of
 
 TABLE = "dewledge"
 MEMBER_PREFIX = "member/"
@@ -22,7 +23,10 @@
 
 
 class ClaimValue(msgspec.Struct, frozen=True):
-    """The stored value of a claim to replace a group's primary. Fields as in Claim."""
+    """The stored value of a claim to replace a group's primary. Fields as in Claim.
+
+    era: era of the store in which the claim was written.
+    """
 
     holder: str
     replaced: str
@@ -31,17 +35,20 @@
     quorums: tuple[tuple[str, ...], ...] = ()
     ordered: str = ""
     term: int = 0
+    era: int = 0
+    restates: int | None = None
 
 
 class AcknowledgementValue(msgspec.Struct, frozen=True):
     """The stored value of a process's acknowledgement of a claim on a group.
 
-    token: the fencing token of the acknowledged claim.
+    token: the fencing token of the acknowledged claim. holder: the holder of that claim.
     """
 
     process: str
     group: str
     token: int
+    holder: str = ""
 
 
 def encode_value(value: msgspec.Struct) -> bytes:
@@ -55,19 +62,24 @@
 
 
 def read_claim(row: StoreRow) -> Claim | None:
-    """Returns the claim of a row, with the row's version as fencing token, None if undecodable."""
+    """Returns the claim of a row, None if it cannot be decoded.
+
+    The fencing token is the row's number in the era in which the claim was written. In a row of an
+    older copy of the store, that era is lower than the era of the row's version.
+    """
     value = _decode(row, ClaimValue)
     if value is None:
         return None
     return Claim(
         value.holder,
         value.replaced,
-        row.version,
+        combine(value.era, number_of(row.version)),
         value.leader,
         value.voters,
         value.quorums,
         value.ordered,
         value.term,
+        value.restates,
     )
 
 
--- a/src/dewledge/shell/pooler/tables/member_table.py
+++ b/src/dewledge/shell/pooler/tables/member_table.py
@@ -24,6 +24,8 @@
 
 RETRY_SECONDS = 0.5
 """Mean pause after a failed write; randomised."""
+MAX_REGISTRATIONS_PER_SECOND = 400.0
+"""Rate at which all processes together write their rows again after a restore of the store."""
 ASSUMED_MEMBERS = 12
 """Processes assumed before the table is known, so that this process's part of a database's
 connections leaves enough for processes that started earlier."""
@@ -53,6 +55,8 @@
         self._value = encode_value(local_member)
         self._local_row: StoreRow | None = None
         self._is_registering = False
+        self._is_writing = False
+        self._was_registered = False
         self.is_known = False
         """Whether the table was read; until then `count` is ASSUMED_MEMBERS."""
 
@@ -75,7 +79,10 @@
         """Applies the whole table, removing processes without a row. Result as in `apply_rows`."""
         before = self._localities()
         self.members = {self._local_name: self._local_member}
+        self._was_registered = self._was_registered or self.is_registered
         self._local_row = None
+        # A row that was written may be missing again, after a restore of the store.
+        self._is_registering = self._is_writing
         return self._apply_rows(rows, before)
 
     def apply_rows(self, rows: Sequence[StoreRow]) -> bool:
@@ -113,12 +120,14 @@
         """Starts a write of this process's row unless it is stored or being written."""
         if self._is_registering or self.is_registered:
             return
-        self._is_registering = True
+        self._is_registering = self._is_writing = True
         expected = 0 if self._local_row is None else self._local_row.version
-        executor.submit(self._register, expected, is_stopped)
+        spread = len(self.members) / MAX_REGISTRATIONS_PER_SECOND if self._was_registered else 0.0
+        executor.submit(self._register, expected, is_stopped, random.uniform(0.0, spread))
 
-    def _register(self, expected: int, is_stopped: Callable[[], bool]) -> None:
-        """Writes this process's row, with retries. Runs on the executor."""
+    def _register(self, expected: int, is_stopped: Callable[[], bool], delay: float) -> None:
+        """Writes this process's row after a delay, with retries. Runs on the executor."""
+        time.sleep(delay)
         while expected >= 0 and not is_stopped():
             outcome = self._try_to_register(expected)
             if outcome is _WriteOutcome.DONE:
@@ -126,7 +135,8 @@
             time.sleep(RETRY_SECONDS * random.uniform(0.7, 1.3))
             if outcome is _WriteOutcome.IN_DOUBT:
                 expected = self._read_back(expected)
-        # `_apply_rows` clears `_is_registering` once it sees the row.
+        # A snapshot or a row that is applied later clears `_is_registering`.
+        self._is_writing = False
 
     def _try_to_register(self, expected: int) -> "_WriteOutcome":
         try:
--- a/tests/core/pooler/failover/test_commit_proof.py
+++ b/tests/core/pooler/failover/test_commit_proof.py
@@ -283,7 +283,7 @@
         claim = Claim("a", write.replaced, self.token, write.leader, write.voters, write.quorums)
         self.handle(ClaimReceived(claim))
         for name in ("b", "c"):
-            self.handle(ClaimAcknowledged(name, self.token))
+            self.handle(ClaimAcknowledged(name, self.token, "a"))
 
     def test_order_is_stored_only_for_a_proven_candidate(self) -> None:
         """Guards against an order for a replica that lacks the last commits of the old primary."""
--- a/tests/core/pooler/failover/test_release.py
+++ b/tests/core/pooler/failover/test_release.py
@@ -66,7 +66,7 @@
 
     def acknowledge(self, *names: str) -> None:
         for name in names:
-            self.handle(ClaimAcknowledged(name, self.token))
+            self.handle(ClaimAcknowledged(name, self.token, "a"))
 
     def report_positions(self, **offsets: int) -> None:
         for name, offset in offsets.items():
--- a/tests/platform/test_member_table.py
+++ b/tests/platform/test_member_table.py
@@ -70,6 +70,26 @@
         self.register()
         self.assertEqual(len(self.own_rows()), 1)
 
+    def test_row_that_a_restore_has_lost_is_written_again(self) -> None:
+        """Guards against a process that no holder of a claim waits for."""
+        copy = self.stand_in.copy()
+        self.register()
+        self.members.apply_snapshot(self.own_rows())
+        self.stand_in.restore(copy)
+        self.members.apply_snapshot(self.own_rows())
+        self.assertFalse(self.members.is_registered)
+        self.register()
+        self.members.apply_snapshot(self.own_rows())
+        self.assertTrue(self.members.is_registered)
+
+    def test_row_that_is_lost_before_it_was_seen_is_written_again(self) -> None:
+        copy = self.stand_in.copy()
+        self.register()
+        self.stand_in.restore(copy)
+        self.members.apply_snapshot(self.own_rows())
+        self.register()
+        self.assertEqual(len(self.own_rows()), 1)
+
     def test_a_whole_table_forgets_who_is_not_in_it(self) -> None:
         self.members.apply_rows([row("b", "10.0.0.2:1")])
         self.assertTrue(self.members.apply_snapshot([row("c", "10.0.0.3:1")]))
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -107,7 +107,7 @@
 
     def test_versions_rise_over_a_restore(self) -> None:
         """Guards against rows that are ignored because their version was given out before."""
-        store = PlatformStore(self.stand_in.address, tables_with_era=("op",))
+        store = PlatformStore(self.stand_in.address)
         self.stand_in.put("op", "config", b"1")
         copy = self.stand_in.copy()
         for number in range(5):
@@ -127,7 +127,7 @@
         self.assertGreater(min(row.version for row in changes.rows), after)
 
     def test_a_restore_between_two_pages_is_told(self) -> None:
-        store = PlatformStore(self.stand_in.address, tables_with_era=("op",))
+        store = PlatformStore(self.stand_in.address)
         for number in range(600):
             self.stand_in.put("op", f"k{number:05}", b"x")
         copy = self.stand_in.copy()
@@ -135,6 +135,37 @@
         with self.assertRaises(HistoryLost):
             store.read_table("op")
 
+    def test_write_under_a_version_of_the_former_era_does_not_hit_a_newer_row(self) -> None:
+        """Guards against a claim that is overwritten unread: its row has the same number."""
+        behind = PlatformStore(self.stand_in.address)
+        copy = self.stand_in.copy()
+        version = behind.write(StoreWrite("t", "k", b"former", 0))
+        self.stand_in.restore(copy)
+        ahead = PlatformStore(self.stand_in.address)
+        ahead.read_table("t")
+        again = ahead.write(StoreWrite("t", "k", b"newer", 0))
+        self.assertEqual((version, again), (1, (1 << 40) + 1))
+        with self.assertRaises(StoreConditionFailed):
+            behind.write(StoreWrite("t", "k", b"lost", version))
+        row = self.stand_in.rows["t", "k"]
+        self.assertEqual(row.value, b"newer")
+
+    def test_write_that_is_done_after_a_restore_is_in_doubt(self) -> None:
+        version = self.store.write(StoreWrite("t", "k", b"1", 0))
+        self.stand_in.restore(self.stand_in.copy())
+        with self.assertRaises(StoreOutcomeUnknown):
+            self.store.write(StoreWrite("t", "k", b"2", version))
+
+    def test_write_of_an_era_fails_after_several_restores(self) -> None:
+        version = self.store.write(StoreWrite("t", "k", b"1", 0))
+        for _ in range(3):
+            self.stand_in.restore(self.stand_in.copy())
+        ahead = PlatformStore(self.stand_in.address)
+        ahead.read_table("t")
+        ahead.write(StoreWrite("t", "other", b"1", 0))
+        with self.assertRaises(StoreConditionFailed):
+            self.store.write(StoreWrite("t", "k", b"2", version))
+
     def test_duty_calls(self) -> None:
         duties = PlatformPromotions(self.stand_in.address)
         self.assertTrue(duties.promote("menus", "i-1", "node-a", 7))
@@ -279,7 +310,7 @@
     def test_after_a_restore_rows_are_read_once_their_owners_had_time_to_write_them(self) -> None:
         """Guards against rows of the copy that replace newer ones which are known."""
         self.watcher._restore_wait = 1.0
-        self.watcher._store = PlatformStore(self.stand_in.address, tables_with_era=("op",))
+        self.watcher._store = PlatformStore(self.stand_in.address)
         copy = self.stand_in.copy()
         self.stand_in.put("op", "config", b"2")
         self.wait_for(lambda: self.seen["config"] == b"2")
--- a/tests/unfenced/day.py
+++ b/tests/unfenced/day.py
@@ -146,13 +146,17 @@
     def _tell(self, record: DatabaseRecord) -> None:
         if self.store.is_down:
             return
-        for process in self.processes.values():
+        for process in [each for each in self.processes.values() if self._learns(each)]:
 
             def deliver(process: ModelProcess = process) -> None:
                 process.loop.run(lambda: process.learn(record))
 
             self.network.carry(STORE, process.name, deliver)
 
+    def _learns(self, process: ModelProcess) -> bool:
+        """Returns whether a process reads the databases' table now."""
+        return True
+
     # The day.
 
     def play(self, seconds: float) -> "UnfencedDay":
@@ -325,6 +329,7 @@
         return [
             *self._replaced(),
             *self._lower_tokens(),
+            *self._shared_tokens(),
             *self._not_serving(),
             *self.databases.brought_back,
             *super().violations(),
@@ -356,6 +361,12 @@
             if number and token < max(tokens[:number])
         ]
 
+    def _shared_tokens(self) -> list[str]:
+        users: dict[int, set[str]] = {}
+        for token, holder in zip(self.promotions.tokens, self.promotions.holders, strict=True):
+            users.setdefault(token, set()).add(holder)
+        return [f"token {token} of {names}" for token, names in users.items() if len(names) > 1]
+
     def _not_serving(self) -> list[str]:
         """Each process serves writes again once all is well."""
         found = []
--- a/tests/unfenced/model_process.py
+++ b/tests/unfenced/model_process.py
@@ -16,6 +16,7 @@
 from dewledge.core.pooler.sessions.routes import Consistency, GroupPolicy, RouteTable
 from dewledge.core.pooler.sessions.services import PoolServices
 from dewledge.core.pooler.sharing.members import Member
+from dewledge.core.pooler.store_versions import era_of
 from dewledge.errors import StoreError
 from dewledge.shell.pooler.failover.claim_events import ClaimEvents
 from dewledge.shell.pooler.failover.claim_keeper import ClaimKeeper
@@ -65,6 +66,11 @@
     def is_registered(self) -> bool:
         return self.own_row is not None and self.own_row.value == encode_value(self.own)
 
+    def forget(self) -> None:
+        """A whole table follows, of a store that was restored."""
+        self.members = {self.own_name: self.own}
+        self.own_row = None
+
     def take_rows(self, rows: Sequence[StoreRow]) -> None:
         for row in rows:
             if not row.key.startswith(MEMBER_PREFIX):
@@ -238,6 +244,8 @@
     def _take(self, rows: Sequence[StoreRow], version: int, at: float) -> None:
         if version < self._known_version:
             return
+        if era_of(version) > era_of(self._known_version):
+            self.members.forget()
         self._known_version = version
         self.members.take_rows(rows)
         if any(row.key.startswith(MEMBER_PREFIX) for row in rows):
@@ -249,6 +257,7 @@
         self.keeper.store_confirmed(at)
 
     def _register(self) -> None:
+        self.loop.call_later(REGISTER_AGAIN_SECONDS, self._register)
         if self.members.is_registered:
             return
         row = self.store.rows.get(MEMBER_PREFIX + self.name)
@@ -260,7 +269,6 @@
         )
         with contextlib.suppress(StoreError):
             self.client.write(write)
-        self.loop.call_later(REGISTER_AGAIN_SECONDS, self._register)
 
     # Other processes.
 
