Report every fault of undecodable data as ProtocolError

Nesting raises RecursionError in the entries of databases, in the configuration and in the removal of API keys from it (there it ended the thread that reads the table). A status row with a superscript digit, or with a number of 5,000 digits, raised ValueError on the event loop.

One function for JSON and one for CBOR (core/shared/decoding.py) convert all faults of the data; numbers on the wire have at most 18 ASCII digits. A value that is not base64 is a failed call to the store. Rows of processes that cannot be read are logged (coordination_row_refused).

Ruled out: CBOR that nests or contains itself, which was refused before too.

--- a/src/dewledge/core/pooler/sharing/messages.py
+++ b/src/dewledge/core/pooler/sharing/messages.py
@@ -19,8 +19,9 @@
     StatementKind,
     TransactionState,
 )
+from dewledge.core.shared.decoding import decode_cbor
 from dewledge.core.shared.positions import LogPosition
-from dewledge.errors import ErrorCode, ProtocolError
+from dewledge.errors import ErrorCode
 
 HOLDER_WAIT_RATIO = 0.85
 """Part of a statement's remaining wait time that the holder may use. The rest covers the round
@@ -268,10 +269,4 @@
 
 def decode(data: bytes) -> PeerLinkMessage:
     """Returns the message decoded from a frame. Raises ProtocolError."""
-    try:
-        message: PeerLinkMessage = msgspec.convert(
-            cbor2.loads(data), type=PeerLinkMessage, builtin_types=(bytes,)
-        )
-    except (cbor2.CBORError, ValueError, TypeError, OverflowError, RecursionError) as error:
-        raise ProtocolError(f"invalid link message: {error}") from error
-    return message
+    return decode_cbor(data, PeerLinkMessage, (bytes,))  # type: ignore[arg-type]
--- a/src/dewledge/platform/operator_records.py
+++ b/src/dewledge/platform/operator_records.py
@@ -3,7 +3,7 @@
 A row that cannot be decoded raises ProtocolError; unknown fields are ignored.
 """
 
-from typing import TypeVar
+from typing import Any
 
 import msgspec
 
@@ -11,13 +11,12 @@
 from dewledge.core.pooler.rate_limits.limits import RateLimit
 from dewledge.core.pooler.sessions.routes import Consistency, GroupPolicy, Route, RouteTable
 from dewledge.core.shared.caller_credentials import credential_digest, index_credentials
+from dewledge.core.shared.decoding import decode_json
 from dewledge.core.shared.units import MILLISECONDS_PER_SECOND
 from dewledge.errors import ProtocolError
 
 DRAINING_STATE = "draining"
 
-Row = TypeVar("Row")
-
 
 class _RouteRow(msgspec.Struct, rename="camel"):
     name: str
@@ -72,17 +71,17 @@
     logs. Returns empty bytes if the value cannot be decoded; `parse_configuration` rejects these.
     """
     try:
-        row = msgspec.json.decode(value)
+        row = decode_json(value, dict[str, Any])
         for tenant in row.get("tenants", ()):
             tenant["keyDigests"] = [credential_digest(key) for key in tenant.pop("apiKeys", ())]
-    except (msgspec.DecodeError, AttributeError, KeyError, TypeError):
+    except (ProtocolError, AttributeError, KeyError, TypeError, ValueError):
         return b""
     return msgspec.json.encode(row)
 
 
 def parse_configuration(value: bytes) -> RouteTable:
     """Parses the operator's configuration as returned by `hash_api_keys`. Raises ProtocolError."""
-    row = _decode(value, _ConfigurationRow)
+    row = decode_json(value, _ConfigurationRow)
     tenants = row.tenants or []
     return RouteTable(
         row.version,
@@ -101,7 +100,7 @@
 
 def parse_database(database_id: str, value: bytes, revision: int) -> DatabaseRecord:
     """Parses the row that a database wrote about itself. Raises ProtocolError."""
-    row = _decode(value, _DatabaseRow)
+    row = decode_json(value, _DatabaseRow)
     role = DatabaseRole.PRIMARY if row.db_role == "primary" else DatabaseRole.REPLICA
     return DatabaseRecord(
         database_id,
@@ -131,10 +130,3 @@
         row.max_staleness_ms / MILLISECONDS_PER_SECOND,
         row.public,
     )
-
-
-def _decode(value: bytes, kind: type[Row]) -> Row:
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.DecodeError as error:
-        raise ProtocolError(f"unreadable entry: {error}") from error
--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -29,6 +29,7 @@
     TableRows,
 )
 from dewledge.core.pooler.store_versions import combine, era_of, number_of
+from dewledge.core.shared.decoding import decode_json
 from dewledge.errors import (
     ProtocolError,
     StoreConditionFailed,
@@ -182,7 +183,10 @@
         return [self._store_row(table, row, answer.era) for row in answer.body.rows]
 
     def _store_row(self, table: str, row: _Row, era: int) -> StoreRow:
-        value = base64.b64decode(row.value or "")
+        try:
+            value = base64.b64decode(row.value or "")
+        except ValueError as error:
+            raise StoreError(f"the value of row {row.tls_key!r} is not base64: {error}") from error
         sanitize = self._sanitizers.get(table)
         if sanitize is not None and not row.gone:
             value = sanitize(value)
@@ -207,8 +211,8 @@
             era = int(answer.headers.get(ERA_HEADER, "0"))
             self._newest_era = max(self._newest_era, era)
             _raise_for_status(answer.status)
-            return _EraAnswer(msgspec.json.decode(answer.body, type=_Answer), era)
-        except (msgspec.DecodeError, ValueError) as error:
+            return _EraAnswer(decode_json(answer.body, _Answer), era)
+        except (ProtocolError, ValueError) as error:
             raise StoreOutcomeUnknown(f"unreadable answer: {error}") from error
 
 
--- a/src/dewledge/platform/wire_codec.py
+++ b/src/dewledge/platform/wire_codec.py
@@ -28,6 +28,8 @@
 )
 
 ENCODING = "latin-1"
+MAX_DIGITS = 18
+"""Digits of the largest number in a field; it fits in 64 bits."""
 
 
 class LineBuffer:
@@ -147,11 +149,16 @@
     if text == EMPTY_FIELD:
         return None
     term, _, offset = text.partition(".")
-    if not (term.isascii() and term.isdigit() and offset.isascii() and offset.isdigit()):
+    if not (is_number(term) and is_number(offset)):
         raise ProtocolError(f"{text[:40]!r} is not a log position")
     return LogPosition(int(term), int(offset))
 
 
+def is_number(text: str) -> bool:
+    """Tells whether a field is a decimal number of at most MAX_DIGITS digits."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 def _parse_client_line(line: str) -> ClientMessage:
     keyword, _, arguments = line.partition(" ")
     if keyword == "QUERY":
--- a/src/dewledge/shell/pooler/links/peer_messages.py
+++ b/src/dewledge/shell/pooler/links/peer_messages.py
@@ -13,6 +13,7 @@
     ConfirmationQuestion,
 )
 from dewledge.core.pooler.rate_limits.messages import QuotaAnswer, QuotaQuestion
+from dewledge.core.shared.decoding import decode_cbor
 from dewledge.errors import ProtocolError
 
 MAX_BYTES = 8192
@@ -84,8 +85,4 @@
     """Returns the message in a datagram. Raises ProtocolError if it is unreadable."""
     if len(data) > MAX_BYTES:
         raise ProtocolError(f"datagram exceeds {MAX_BYTES} bytes")
-    try:
-        message: PeerMessage = msgspec.convert(cbor2.loads(data), type=PeerMessage)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError) as error:
-        raise ProtocolError(f"unreadable datagram: {error}") from error
-    return message
+    return decode_cbor(data, PeerMessage)  # type: ignore[arg-type]
--- a/src/dewledge/shell/pooler/tables/coordination_rows.py
+++ b/src/dewledge/shell/pooler/tables/coordination_rows.py
@@ -8,11 +8,14 @@
 
 import cbor2
 import msgspec
+from loguru import logger
 
 from dewledge.core.pooler.coordination_store import StoreRow
 from dewledge.core.pooler.failover.messages import Claim
 from dewledge.core.pooler.sharing.members import Member
 from dewledge.core.pooler.store_versions import combine, number_of
+from dewledge.core.shared.decoding import decode_cbor
+from dewledge.errors import ProtocolError
 
 TABLE = "dewledge"
 MEMBER_PREFIX = "member/"
@@ -90,6 +93,7 @@
 
 def _decode(row: StoreRow, kind: type[Value]) -> Value | None:
     try:
-        return msgspec.convert(cbor2.loads(row.value), type=kind)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError):
+        return decode_cbor(row.value, kind)
+    except ProtocolError as error:
+        logger.bind(key=row.key, error=error.message).error("coordination_row_refused")
         return None
