Apply rows one by one, so that the failure of one does not drop those after it

Rows of databases, claims, members and acknowledgements are now applied each by itself (tables/isolation.py), with a log line for each that fails; so are the steps after a read of the processes' table. A value that is not base64 counts as empty instead of failing its page. The thread that reads a table goes on after any exception: it was the only reader.

Red before, on the parent: tests.platform.test_unreadable_entries test_failure_in_the_use_of_one_entry (RuntimeError), test_failure_of_one_step_does_not_end_the_others (RuntimeError), test_failure_while_a_value_is_read_does_not_end_the_watcher (never read again). The case's own form is guarded by test_process_that_starts_serves and by fuzzed entries before and after others, in whole reads and in the feed.

--- a/src/dewledge/platform/store_client.py
+++ b/src/dewledge/platform/store_client.py
@@ -13,6 +13,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+from loguru import logger
 
 from dewledge.adapters.http_calls import (
     AnswerMissing,
@@ -183,10 +184,7 @@
         return [self._store_row(table, row, answer.era) for row in answer.body.rows]
 
     def _store_row(self, table: str, row: _Row, era: int) -> StoreRow:
-        try:
-            value = base64.b64decode(row.value or "")
-        except ValueError as error:
-            raise StoreError(f"the value of row {row.tls_key!r} is not base64: {error}") from error
+        value = _decode_value(row)
         sanitize = self._sanitizers.get(table)
         if sanitize is not None and not row.gone:
             value = sanitize(value)
@@ -216,6 +214,15 @@
             raise StoreOutcomeUnknown(f"unreadable answer: {error}") from error
 
 
+def _decode_value(row: _Row) -> bytes:
+    """Returns the value of a row, empty if it cannot be decoded: the other rows of a page hold."""
+    try:
+        return base64.b64decode(row.value or "")
+    except ValueError as error:
+        logger.bind(key=row.tls_key, error=str(error)).error("row_value_refused")
+        return b""
+
+
 def _version(answer: _EraAnswer) -> int:
     return combine(answer.era, answer.body.ver)
 
--- a/src/dewledge/shell/pooler/coordination_table.py
+++ b/src/dewledge/shell/pooler/coordination_table.py
@@ -10,6 +10,7 @@
 from dewledge.core.pooler.failover.messages import RegisteredProcesses
 from dewledge.shell.pooler.failover.claim_keeper import ClaimKeeper
 from dewledge.shell.pooler.failover.failover_driver import FailoverDriver
+from dewledge.shell.pooler.tables.isolation import run_each
 from dewledge.shell.pooler.tables.member_table import MemberTable
 
 
@@ -40,10 +41,14 @@
         self._apply(rows, version, self._members.apply_rows(rows))
 
     def _apply(self, rows: tuple[StoreRow, ...], version: int, members_changed: bool) -> None:
-        if members_changed:
-            self._members_changed()
-        self._register()
         names = frozenset(self._members.members)
-        self._failover.update_registered(RegisteredProcesses(names, version))
-        self._failover.apply_rows(rows)
-        self._claims.apply_rows(rows)
+        registered = RegisteredProcesses(names, version)
+        run_each(
+            (
+                *((self._members_changed,) if members_changed else ()),
+                self._register,
+                lambda: self._failover.update_registered(registered),
+                lambda: self._failover.apply_rows(rows),
+                lambda: self._claims.apply_rows(rows),
+            )
+        )
--- a/src/dewledge/shell/pooler/directory.py
+++ b/src/dewledge/shell/pooler/directory.py
@@ -13,6 +13,7 @@
 from dewledge.shell.pooler.group_factory import GroupFactory, HoldingsUpdater
 from dewledge.shell.pooler.notices import ProcessNotices
 from dewledge.shell.pooler.platform_adapter import PlatformAdapter
+from dewledge.shell.pooler.tables.isolation import apply_each
 
 
 class Directory:
@@ -35,11 +36,11 @@
 
     def apply_configuration_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
         """Applies rows of the configuration table: either changed rows or a whole snapshot."""
-        for row in rows:
-            if row.key == self._platform.configuration_key and not row.gone:
-                self._apply_configuration(row)
+        apply_each(rows, self._apply_configuration)
 
     def _apply_configuration(self, row: StoreRow) -> None:
+        if row.key != self._platform.configuration_key or row.gone:
+            return
         try:
             table = self._platform.parse_configuration(row.value)
         except ProtocolError as error:
@@ -68,14 +69,13 @@
 
     def apply_database_rows(self, rows: tuple[StoreRow, ...], _version: int) -> None:
         """Applies changed or deleted rows of the database table."""
-        for row in rows:
-            if row.gone:
-                for group in self._services.groups.values():
-                    self._remove_database(group, row.key, row.version)
-            else:
-                self._apply_database(row)
+        apply_each(rows, self._apply_database)
 
     def _apply_database(self, row: StoreRow) -> None:
+        if row.gone:
+            for group in self._services.groups.values():
+                self._remove_database(group, row.key, row.version)
+            return
         try:
             record = self._platform.parse_database(row.key, row.value, row.version)
         except ProtocolError as error:
--- a/src/dewledge/shell/pooler/failover/claim_keeper.py
+++ b/src/dewledge/shell/pooler/failover/claim_keeper.py
@@ -26,6 +26,7 @@
     encode_value,
     read_acknowledgement,
 )
+from dewledge.shell.pooler.tables.isolation import apply_each
 from dewledge.shell.pooler.tables.member_table import MemberTable
 
 STORE_FALLBACK_DELAY_SECONDS = 0.25
@@ -71,19 +72,17 @@
 
     def apply_rows(self, rows: Sequence[StoreRow]) -> None:
         """Applies acknowledgements read from the store."""
-        for row in rows:
-            if not row.key.startswith(ACKNOWLEDGEMENT_PREFIX):
-                continue
-            if row.key.endswith(f"/{self._own_name}"):
-                self._acknowledgement_versions[row.key] = 0 if row.gone else row.version
-            acknowledgement = None if row.gone else read_acknowledgement(row)
-            if acknowledgement is not None:
-                self._events.acknowledged.notify(
-                    acknowledgement.group,
-                    ClaimAcknowledged(
-                        acknowledgement.process, acknowledgement.token, acknowledgement.holder
-                    ),
-                )
+        apply_each(rows, self._apply_row)
+
+    def _apply_row(self, row: StoreRow) -> None:
+        if not row.key.startswith(ACKNOWLEDGEMENT_PREFIX):
+            return
+        if row.key.endswith(f"/{self._own_name}"):
+            self._acknowledgement_versions[row.key] = 0 if row.gone else row.version
+        known = None if row.gone else read_acknowledgement(row)
+        if known is not None:
+            event = ClaimAcknowledged(known.process, known.token, known.holder)
+            self._events.acknowledged.notify(known.group, event)
 
     def _on_claim_learned(self, group: str, claim: Claim) -> None:
         """Logs a newer claim and schedules its acknowledgement through the store."""
--- a/src/dewledge/shell/pooler/failover/failover_driver.py
+++ b/src/dewledge/shell/pooler/failover/failover_driver.py
@@ -52,6 +52,7 @@
 from dewledge.shell.pooler.failover.indirect_probes import IndirectProbes
 from dewledge.shell.pooler.links.peer_messages import IndirectProbeAnswer, LeaderNotice
 from dewledge.shell.pooler.tables.coordination_rows import CLAIM_PREFIX, read_claim
+from dewledge.shell.pooler.tables.isolation import apply_each
 
 TICK_INTERVAL_SECONDS = 0.05
 """Seconds between ticks of a group whose failover is active or whose primary is suspected."""
@@ -109,16 +110,18 @@
 
     def apply_rows(self, rows: Sequence[StoreRow]) -> None:
         """Applies the claim rows among rows read from the store."""
-        for row in rows:
-            if row.key.startswith(CLAIM_PREFIX) and not row.gone:
-                claim = read_claim(row)
-                if claim is not None:
-                    self._apply_row(row.key.removeprefix(CLAIM_PREFIX), row.version, claim)
+        apply_each(rows, self._apply_row)
 
-    def _apply_row(self, group: str, version: int, claim: Claim) -> None:
+    def _apply_row(self, row: StoreRow) -> None:
         """Applies the claim of a row, unless the row is of an older copy of the store."""
+        if not row.key.startswith(CLAIM_PREFIX) or row.gone:
+            return
+        claim = read_claim(row)
+        if claim is None:
+            return
+        group = row.key.removeprefix(CLAIM_PREFIX)
         lease = self._context.leases.of(group)
-        if lease.record_row(version, claim):
+        if lease.record_row(row.version, claim):
             self.apply_claim(group, claim)
             return
         logger.bind(
@@ -126,7 +129,7 @@
             holder=claim.holder,
             token=claim.fencing_token,
             known=lease.fencing_token,
-            era=era_of(version),
+            era=era_of(row.version),
         ).info("claim_of_former_era")
 
     def apply_claim(self, group: str, claim: Claim) -> None:
--- a/src/dewledge/shell/pooler/tables/member_table.py
+++ b/src/dewledge/shell/pooler/tables/member_table.py
@@ -21,6 +21,7 @@
     encode_value,
     read_member,
 )
+from dewledge.shell.pooler.tables.isolation import apply_each
 
 RETRY_SECONDS = 0.5
 """Mean pause after a failed write; randomised."""
@@ -102,20 +103,22 @@
         self, rows: Sequence[StoreRow], before: Mapping[str, tuple[str, str]] | None
     ) -> bool:
         self.is_known = True
-        for row in rows:
-            if not row.key.startswith(MEMBER_PREFIX):
-                continue
-            if row.key == self._key:
-                self._local_row = None if row.gone else row
-                self._is_registering = False
-            name = row.key.removeprefix(MEMBER_PREFIX)
-            member = None if row.gone else read_member(row)
-            if member is not None:
-                self.members[name] = member
-            elif name != self._local_name:
-                self.members.pop(name, None)
+        apply_each(rows, self._apply_row)
         return self._localities() != before
 
+    def _apply_row(self, row: StoreRow) -> None:
+        if not row.key.startswith(MEMBER_PREFIX):
+            return
+        if row.key == self._key:
+            self._local_row = None if row.gone else row
+            self._is_registering = False
+        name = row.key.removeprefix(MEMBER_PREFIX)
+        member = None if row.gone else read_member(row)
+        if member is not None:
+            self.members[name] = member
+        elif name != self._local_name:
+            self.members.pop(name, None)
+
     def register_if_missing(self, executor: Executor, is_stopped: Callable[[], bool]) -> None:
         """Starts a write of this process's row unless it is stored or being written."""
         if self._is_registering or self.is_registered:
--- a/src/dewledge/shell/pooler/tables/table_watcher.py
+++ b/src/dewledge/shell/pooler/tables/table_watcher.py
@@ -140,6 +140,10 @@
             self._read_whole_after_loss()
         except StoreError as error:
             self._pause_after(error)
+        except Exception as error:
+            # Nobody else reads the table: the watcher goes on whatever one answer held.
+            logger.bind(table=self._table).exception("table_read_failed")
+            self._pause_after(StoreError(f"cannot use the answer: {error!r}"))
 
     def _read_whole_after_loss(self) -> None:
         try:
@@ -147,6 +151,9 @@
             self._record_success()
         except StoreError as error:
             self._pause_after(error)
+        except Exception as error:
+            logger.bind(table=self._table).exception("table_read_failed")
+            self._pause_after(StoreError(f"cannot use the answer: {error!r}"))
 
     def _read_whole(self) -> None:
         limit = FIRST_READ_TIMEOUT_SECONDS if self._newest_version < 0 else CALL_TIMEOUT_SECONDS
--- a/tests/platform/test_unreadable_entries.py
+++ b/tests/platform/test_unreadable_entries.py
@@ -3,28 +3,46 @@
 Guards against an entry of another writer that hides databases, claims or the configuration.
 """
 
+import json
+import threading
 import unittest
+from typing import Any
+from unittest import mock
 
 import cbor2
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from dewledge.core.pooler.coordination_store import StoreRow
+from dewledge.core.pooler.failover.primary_lease import Fencing, PrimaryLeases
+from dewledge.core.pooler.sessions.services import PoolServices
 from dewledge.core.pooler.sharing import messages
 from dewledge.core.pooler.statements.statements import Reply, TransactionState
 from dewledge.errors import ProtocolError
+from dewledge.platform.adapter import build_adapter
 from dewledge.platform.operator_records import (
     hash_api_keys,
     parse_configuration,
     parse_database,
 )
 from dewledge.platform.status_row import parse_status
+from dewledge.platform.store_client import PlatformStore
+from dewledge.pooler_settings import PoolerSettings
+from dewledge.shell.pooler.coordination_table import CoordinationTable
+from dewledge.shell.pooler.directory import Directory
+from dewledge.shell.pooler.group_factory import GroupFactory
 from dewledge.shell.pooler.links import peer_messages
+from dewledge.shell.pooler.notices import ProcessNotices
 from dewledge.shell.pooler.tables.coordination_rows import (
     read_acknowledgement,
     read_claim,
     read_member,
 )
+from dewledge.shell.pooler.tables.table_watcher import TableWatcher
+from tests.core.pooler.harness import ModelScheduler
+from tests.platform.table_store import TableStore
+from tests.platform.test_pooler_process import PoolerCase
+from tests.platform.wire_databases import WireClient, wait_until
 
 NESTED = b'{"service": "menus", "labels": ' + b"[" * 2000
 JSON_FAULTS = (
@@ -109,5 +127,178 @@
         parse_status(Reply(TransactionState.IDLE, (text,)))
 
 
+def entry(name: str, state: str = "ready") -> bytes:
+    """Returns the entry of a replica that can be read."""
+    fields = {
+        "service": "menus",
+        "address": "127.0.0.1:7000",
+        "zone": "north",
+        "version": "7.2",
+        "slots": 3,
+        "state": state,
+        "coldRemainingMs": 0,
+        "callSeq": 1,
+        "dbRole": "replica",
+        "born": 1,
+    }
+    return json.dumps({**fields, "name": name}).encode()
+
+
+class DirectoryCase(unittest.TestCase):
+    """A directory of one group, before the real formats of entries."""
+
+    def setUp(self) -> None:
+        self.reset()
+
+    def reset(self) -> None:
+        self.services = PoolServices(ModelScheduler(), lambda _event: None)
+        self.leases = PrimaryLeases(Fencing.PLATFORM)
+        settings = PoolerSettings(
+            name="a",
+            zone="north",
+            client_address="127.0.0.1:1",
+            ready_address="127.0.0.1:2",
+            peer_address="127.0.0.1:3",
+            metrics_address="127.0.0.1:5",
+            store_address="127.0.0.1:4",
+        )
+        unused: Any = None
+        groups = GroupFactory(settings, self.services, self.leases, unused, unused)
+        updater: Any = mock.Mock()
+        self.notices = ProcessNotices()
+        platform = build_adapter(settings)
+        self.directory = Directory(platform, self.services, groups, updater, self.notices)
+        self.configure()
+
+    def configure(self) -> None:
+        services = [{"name": "menus", "maxConnections": 36}]
+        value = json.dumps({"version": 1, "services": services}).encode()
+        self.directory.apply_configuration_rows((StoreRow("config", value, 1),), 1)
+
+    def databases(self) -> dict[str, bool]:
+        """Returns whether each known database is draining."""
+        group = self.services.groups.get("menus")
+        records = {} if group is None else group.view.databases
+        return {name: record.draining for name, record in records.items()}
+
+
+class OtherEntriesHoldTest(DirectoryCase):
+    """Guards against a loop over rows in which one failure drops all that come after it."""
+
+    def check(self, value: bytes) -> None:
+        for key in ("i-0", "i-9"):
+            for is_whole in (True, False):
+                with self.subTest(value[:40], key=key, is_whole=is_whole):
+                    self.reset()
+                    rows = [
+                        StoreRow("i-1", entry("i-1"), 3),
+                        StoreRow("i-2", entry("i-2", "draining"), 4),
+                    ]
+                    other = StoreRow(key, value, 5)
+                    rows = [other, *rows] if key == "i-0" else [*rows, other]
+                    if is_whole:
+                        self.directory.apply_database_snapshot(tuple(rows), 5)
+                    else:
+                        self.directory.apply_database_rows(tuple(rows), 5)
+                    known = self.databases()
+                    self.assertEqual((known["i-1"], known["i-2"]), (False, True))
+
+    def test_entry_that_cannot_be_read(self) -> None:
+        for value in JSON_FAULTS:
+            self.check(value)
+
+    @settings(max_examples=30, deadline=None)
+    @given(st.binary(max_size=100))
+    def test_any_bytes(self, value: bytes) -> None:
+        self.check(value)
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        st.fixed_dictionaries(
+            {},
+            optional={
+                name: st.none() | st.integers() | st.floats() | st.text() | st.lists(st.integers())
+                for name in ("service", "address", "zone", "slots", "state", "dbRole", "born")
+            },
+        )
+    )
+    def test_fields_of_any_type(self, fields: dict[str, object]) -> None:
+        self.check(json.dumps({**json.loads(entry("i")), **fields}).encode())
+
+    def test_failure_in_the_use_of_one_entry(self) -> None:
+        """Guards against any exception, also one that no decoder raises."""
+
+        def fail(_group: str) -> None:
+            if len(self.databases()) == 1:
+                raise RuntimeError("a listener failed")
+
+        self.notices.group_changed.add(fail)
+        rows = tuple(StoreRow(f"i-{number}", entry("i"), number) for number in (1, 2, 3))
+        self.directory.apply_database_rows(rows, 3)
+        self.assertEqual(set(self.databases()), {"i-1", "i-2", "i-3"})
+
+    def test_configuration_beside_a_row_that_cannot_be_read(self) -> None:
+        value = json.dumps({"version": 7}).encode()
+        rows = (StoreRow("config", NESTED, 8), StoreRow("config", value, 9))
+        self.directory.apply_configuration_rows(rows, 9)
+        self.assertEqual(self.services.routes.version, 7)
+
+
+class CoordinationRowsTest(unittest.TestCase):
+    """Guards against claims that are not applied because a member's row failed."""
+
+    def test_failure_of_one_step_does_not_end_the_others(self) -> None:
+        parts: Any = {name: mock.Mock() for name in ("members", "failover", "claims")}
+        parts["members"].apply_rows.return_value = True
+        parts["members"].members = {"a": None}
+        changed = mock.Mock(side_effect=RuntimeError("a listener failed"))
+        table = CoordinationTable(parts["members"], changed, mock.Mock(), *list(parts.values())[1:])
+        rows = (StoreRow("claim/menus", b"", 1),)
+        table.apply_rows(rows, 1)
+        parts["failover"].apply_rows.assert_called_once_with(rows)
+        parts["claims"].apply_rows.assert_called_once_with(rows)
+
+
+class WatcherTest(unittest.TestCase):
+    """Guards against a reader of a table that ends for good at a value."""
+
+    def test_failure_while_a_value_is_read_does_not_end_the_watcher(self) -> None:
+        stand_in = TableStore()
+        self.addCleanup(stand_in.close)
+        failures = iter([True, False])
+
+        def sanitize(value: bytes) -> bytes:
+            if next(failures, False):
+                raise RecursionError("too deep")
+            return value
+
+        stand_in.put("op", "config", b"1")
+        seen: list[bytes] = []
+        watcher = TableWatcher(
+            PlatformStore(stand_in.address, {"op": sanitize}),
+            "op",
+            lambda: -1,
+            lambda delta, _at: seen.extend(row.value for row in delta.rows),
+            lambda call: call(),
+        )
+        watcher.set_reader(True)
+        thread = threading.Thread(target=watcher.run, daemon=True)
+        thread.start()
+        self.addCleanup(watcher.stop)
+        self.assertTrue(wait_until(lambda: b"1" in seen, 5.0))
+
+
+class UnreadableEntryProcessTest(PoolerCase):
+    """Guards against a process that starts beside such an entry and never knows a database."""
+
+    def test_process_that_starts_serves(self) -> None:
+        self.store.put("servers", "i-0", NESTED)
+        started = self.start("node-9")
+        self.assertTrue(wait_until(lambda: started.is_ready))
+        client = WireClient(started.client_address, "orders", key="test")
+        self.addCleanup(client.close)
+        self.assertTrue(client.ask("WRITE fish v1")[1].startswith("COMPLETE signed."))
+
+
 if __name__ == "__main__":
     unittest.main()
