Take a group without a claim for a new one only once the store's era is settled

What callers would see: writes acknowledged by an old primary after another had taken the lead, if all processes restart around a restore whose copy is older than the group's only claim.

Cause: after RESTATEMENT_TIMEOUT_SECONDS such a group was claimed as a new one, with any database allowed as primary.

A claim that is written without a majority that remembers now allows no primary in each case, so a promotion follows, which ends all earlier ones. For groups that are added later the row settled/N tells that era N has had its claims for a while.

Red before: RestoreDay(1273), kept as test_no_old_primary_is_used_after_the_only_claim_was_lost; it holds now. My own test_group_without_any_claim_starts_anew stated the fault as the rule; three tests replace it.

--- a/src/dewledge/core/pooler/failover/claim_writing.py
+++ b/src/dewledge/core/pooler/failover/claim_writing.py
@@ -82,11 +82,12 @@
 ) -> WriteClaim:
     """Returns the first claim of the store's era if a newer one than `claim` may be lost.
 
-    It allows no primary, so that none is used before the claim has taken effect. claim: the newest
-    one that is left, None if there is none; then the group counts as new.
+    It allows no primary, so that none is used before the claim has taken effect and a promotion
+    ended all earlier ones. claim: the newest one that is left, None if there is none.
     """
     if claim is None:
-        return WriteClaim("", lease.expected_version, None, tuple(voters), restates=0)
+        expected = lease.expected_version
+        return WriteClaim("", expected, NO_LEADER, tuple(voters), term=term, restates=0)
     write = restated_claim(lease, voters, claim, term)
     return msgspec.structs.replace(write, leader=NO_LEADER, ordered="")
 
--- a/src/dewledge/core/pooler/failover/primary_lease.py
+++ b/src/dewledge/core/pooler/failover/primary_lease.py
@@ -63,8 +63,12 @@
 
     @property
     def needs_restatement(self) -> bool:
-        """Whether the store was restored and no claim of its new era is known yet."""
-        return self.eras.is_former(self.claim)
+        """Whether the store was restored and no claim of its new era is known yet.
+
+        A group without any claim is a new one once the era is settled.
+        """
+        is_new = self.claim is None and self.copied_claim is None and self.eras.is_settled
+        return not is_new and self.eras.is_former(self.claim)
 
     @property
     def may_acknowledge(self) -> bool:
--- a/src/dewledge/core/pooler/failover/store_eras.py
+++ b/src/dewledge/core/pooler/failover/store_eras.py
@@ -18,6 +18,8 @@
         """Era of the table of claims as last read."""
         self.newest = 0
         """Newest era known; other processes may have told of it before this one reads the store."""
+        self.settled = 0
+        """Newest era in which all claims that existed before it have been written again."""
         self.known_since = 0.0
         """When this process learned of the newest era (steady clock, seconds)."""
 
@@ -34,11 +36,20 @@
             self.newest = era
             self.known_since = now
 
+    def record_settled(self, era: int) -> None:
+        """Records that all claims of former eras have been written again in an era."""
+        self.settled = max(self.settled, era)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no claim of a former era can be missing any more."""
+        return self.settled >= self.newest
+
     def is_witness_of(self, fencing_token: int) -> bool:
         """Returns whether this process has read the store in the era of a claim's token."""
         return self.first is None or self.first <= era_of(fencing_token)
 
     def is_former(self, claim: Claim | None) -> bool:
-        """Returns whether a claim is older than the newest era; True for None after a restore."""
+        """Returns whether a claim is older than the newest era; None is as old as the first."""
         token = 0 if claim is None else claim.fencing_token
         return era_of(token) < self.newest
--- a/src/dewledge/shell/pooler/failover/failover_calls.py
+++ b/src/dewledge/shell/pooler/failover/failover_calls.py
@@ -15,11 +15,12 @@
     PromotionAnswered,
     WriteClaim,
 )
-from dewledge.core.pooler.store_versions import era_of
+from dewledge.core.pooler.store_versions import combine, era_of
 from dewledge.errors import StoreError
 from dewledge.shell.pooler.failover.failover_context import FailoverContext
 from dewledge.shell.pooler.tables.coordination_rows import (
     CLAIM_PREFIX,
+    SETTLED_PREFIX,
     TABLE,
     ClaimValue,
     encode_value,
@@ -54,6 +55,19 @@
         """Starts a request to the platform to promote a database to primary."""
         self._context.executor.submit(self._promote, group, effect)
 
+    def write_settled_era(self, era: int) -> None:
+        """Starts to write that all claims of former eras are written again in an era."""
+        self._context.executor.submit(self._write_settled_era, era)
+
+    def _write_settled_era(self, era: int) -> None:
+        write = StoreWrite(TABLE, f"{SETTLED_PREFIX}{era}", b"", combine(era, 0))
+        try:
+            self._context.store.write(write)
+        except StoreError as error:
+            logger.bind(era=era, error=error.message).info("store_era_not_settled")
+            return
+        logger.bind(era=era).info("store_era_settled")
+
     def _write_claim(self, group: str, effect: WriteClaim) -> None:
         """Writes the claim row; if the write fails, reads the row to find who holds the claim."""
         key = CLAIM_PREFIX + group
--- a/src/dewledge/shell/pooler/failover/failover_driver.py
+++ b/src/dewledge/shell/pooler/failover/failover_driver.py
@@ -51,7 +51,11 @@
 from dewledge.shell.pooler.failover.failover_context import FailoverContext
 from dewledge.shell.pooler.failover.indirect_probes import IndirectProbes
 from dewledge.shell.pooler.links.peer_messages import IndirectProbeAnswer, LeaderNotice
-from dewledge.shell.pooler.tables.coordination_rows import CLAIM_PREFIX, read_claim
+from dewledge.shell.pooler.tables.coordination_rows import (
+    CLAIM_PREFIX,
+    read_claim,
+    read_settled_era,
+)
 from dewledge.shell.pooler.tables.isolation import apply_each
 
 TICK_INTERVAL_SECONDS = 0.05
@@ -59,6 +63,11 @@
 COPY_DISTRUST_SECONDS = 3.0
 """Seconds after the first read of a store that was restored before, in which this process begins no
 failover: databases that it knows may have left. Their owners write within that time."""
+ERA_SETTLED_SECONDS = 20.0
+"""Seconds after a restore of the store until a group without a claim counts as new: longer than any
+process takes to write the claims of the groups that existed before."""
+ERA_SETTLED_RANK_DELAY_SECONDS = 1.0
+"""Seconds between the writes of two processes, so that one is enough."""
 STEADY_TICKS = 20
 """Ticks of the driver for each tick of a group without an active failover or suspected primary."""
 
@@ -87,6 +96,7 @@
         self._judges_by_group: dict[str, Sequence[str]] = {}
         self._registered = RegisteredProcesses()
         self._distrusts_copy_until = LONG_AGO
+        self._settled_written_at = LONG_AGO
         self._calls = FailoverCalls(context, promotions, self.apply_rows, self._handle)
         self._requests = DatabaseRequests(context.loop, parse_status, self._handle)
         context.claim_events.received.add(self.apply_claim)
@@ -114,6 +124,7 @@
 
     def _apply_row(self, row: StoreRow) -> None:
         """Applies the claim of a row, unless the row is of an older copy of the store."""
+        self._context.leases.eras.record_settled(read_settled_era(row))
         if not row.key.startswith(CLAIM_PREFIX) or row.gone:
             return
         claim = read_claim(row)
@@ -199,8 +210,25 @@
             is_due = (self._ticks + number) % STEADY_TICKS == 0
             if is_due or self._is_active(name):
                 self._handle(name, Ticked())
+        if self._ticks % STEADY_TICKS == 0:
+            self._settle_era()
         self._context.loop.call_later(TICK_INTERVAL_SECONDS, self._tick)
 
+    def _settle_era(self) -> None:
+        """Tells through the store that all claims are written again, once a while has passed."""
+        eras, now = self._context.leases.eras, self._context.loop.now()
+        if eras.is_settled or eras.table < eras.newest or not self._groups:
+            return
+        names = sorted(self._addresses())
+        rank = names.index(self._own_name) if self._own_name in names else len(names)
+        wait = ERA_SETTLED_SECONDS + ERA_SETTLED_RANK_DELAY_SECONDS * rank
+        if now < max(eras.known_since, self._settled_written_at) + wait:
+            return
+        if any(self._context.leases.of(name).needs_restatement for name in self._groups):
+            return
+        self._settled_written_at = now
+        self._calls.write_settled_era(eras.newest)
+
     def _is_active(self, name: str) -> bool:
         failover = self._failovers.get(name)
         if failover is None:
--- a/src/dewledge/shell/pooler/tables/coordination_rows.py
+++ b/src/dewledge/shell/pooler/tables/coordination_rows.py
@@ -21,6 +21,8 @@
 MEMBER_PREFIX = "member/"
 CLAIM_PREFIX = "claim/"
 ACKNOWLEDGEMENT_PREFIX = "known/"
+SETTLED_PREFIX = "settled/"
+"""A row with this prefix and an era's number tells that all claims are written again in it."""
 
 Value = TypeVar("Value")
 
@@ -86,6 +88,13 @@
     )
 
 
+def read_settled_era(row: StoreRow) -> int:
+    """Returns the era that a row tells to be settled, 0 if it tells none."""
+    number = row.key.removeprefix(SETTLED_PREFIX)
+    is_told = row.key.startswith(SETTLED_PREFIX) and not row.gone
+    return int(number) if is_told and number.isascii() and number.isdigit() else 0
+
+
 def read_acknowledgement(row: StoreRow) -> AcknowledgementValue | None:
     """Returns the acknowledgement that a row describes, None if it cannot be decoded."""
     return _decode(row, AcknowledgementValue)
--- a/tests/core/pooler/failover/test_claim_restatement.py
+++ b/tests/core/pooler/failover/test_claim_restatement.py
@@ -272,11 +272,26 @@
         self.assertEqual((write.leader, write.ordered, write.restates), ("", "", 8))
         self.assertEqual(write.quorums, (MEMBERS,))
 
-    def test_group_without_any_claim_starts_anew(self) -> None:
+    def test_group_whose_only_claim_may_be_lost_allows_no_primary(self) -> None:
+        """Guards against an old primary that is used though a lost claim had replaced it."""
         self.restore(None, copied=None)
         self.advance(RESTATEMENT_TIMEOUT_SECONDS + RESTATEMENT_SPREAD_SECONDS + 0.7)
         write = self.writes()[0]
-        self.assertEqual((write.leader, write.expected), (None, combine(1, 0)))
+        self.assertEqual((write.leader, write.expected), ("", combine(1, 0)))
+
+    def test_group_without_a_claim_is_new_once_the_era_is_settled(self) -> None:
+        self.restore(None, copied=None)
+        self.leases.eras.record_settled(1)
+        self.assertFalse(self.lease.needs_restatement)
+        self.leases.confirm_all(self.now)
+        self.advance(2.0)
+        write = self.writes()[0]
+        self.assertEqual((write.leader, write.expected, write.restates), (None, 1 << 40, None))
+
+    def test_claim_of_a_copy_is_restated_also_in_a_settled_era(self) -> None:
+        self.restore(None)
+        self.leases.eras.record_settled(1)
+        self.assertTrue(self.lease.needs_restatement)
 
     def test_claimant_that_learns_of_a_newer_claim_writes_that_one(self) -> None:
         self.restore(None)
@@ -337,8 +352,15 @@
         self.advance(2.0)
         self.assertEqual(self.writes()[0].expected, combine(1, 8))
 
-    def test_group_without_any_claim_starts_anew(self) -> None:
+    def test_group_whose_only_claim_may_be_lost_allows_no_primary(self) -> None:
+        """Here it is claimed anew: the platform fences the old primary."""
+        self.restore(None, copied=None)
+        self.advance(2.0)
+        self.assertEqual(self.writes()[0].expected, combine(1, 0))
+
+    def test_group_without_a_claim_is_new_once_the_era_is_settled(self) -> None:
         self.restore(None, copied=None)
+        self.leases.eras.record_settled(1)
         self.advance(2.0)
         self.assertEqual(self.writes()[0].expected, combine(1, 0))
 
--- a/tests/unfenced/test_restore_days.py
+++ b/tests/unfenced/test_restore_days.py
@@ -13,6 +13,9 @@
 DAYS = int(os.environ.get("DEWLEDGE_DAYS", "20"))
 FIRST_SEED = int(os.environ.get("DEWLEDGE_FIRST_SEED", "0"))
 SECONDS = 30.0
+ONCE_UNCLAIMED = (1273,)
+"""Days on which the only claim of a group was lost, all processes restarted, and an old primary was
+used again."""
 
 
 class FencedRestoreDay(RestoreDay):
@@ -36,6 +39,11 @@
     def test_one_primary_and_rising_tokens_where_the_processes_fence(self) -> None:
         self.check(RestoreDay)
 
+    def test_no_old_primary_is_used_after_the_only_claim_was_lost(self) -> None:
+        for seed in ONCE_UNCLAIMED:
+            with self.subTest(seed=seed):
+                self.assertEqual(RestoreDay(seed).play(SECONDS).violations(), [])
+
     def test_rising_tokens_where_the_platform_fences(self) -> None:
         self.check(FencedRestoreDay)
 
