Use no database that an entry of another writer names

Cause: parse_database took any state but "draining" for ready, any role but "primary" for a replica, and had defaults for zone, state, slots and role. An address without a port was found only when a connection was opened; the statement was never answered.

Each field must now be there, of its type, and one of the values that it can have; `born` may be missing, as the platform's present databases do not write it, but is a whole number. A database whose entry turns bad counts as gone: it drains, open transactions go on. A refusal is logged once per entry and reason.

--- a/src/dewledge/platform/operator_records.py
+++ b/src/dewledge/platform/operator_records.py
@@ -3,19 +3,25 @@
 A row that cannot be decoded raises ProtocolError; unknown fields are ignored.
 """
 
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
 from dewledge.core.pooler.databases.group_view import DatabaseRecord, DatabaseRole
 from dewledge.core.pooler.rate_limits.limits import RateLimit
 from dewledge.core.pooler.sessions.routes import Consistency, GroupPolicy, Route, RouteTable
+from dewledge.core.shared.addresses import check_remote_address
 from dewledge.core.shared.caller_credentials import credential_digest, index_credentials
 from dewledge.core.shared.decoding import decode_json
 from dewledge.core.shared.units import MILLISECONDS_PER_SECOND
 from dewledge.errors import ProtocolError
 
 DRAINING_STATE = "draining"
+MAX_TEXT_LENGTH = 200
+"""Characters of a text in a database's entry."""
+MAX_SLOTS = 1_000_000
+"""Statements that a database can run at once by its entry."""
+ROLES = {"primary": DatabaseRole.PRIMARY, "replica": DatabaseRole.REPLICA}
 
 
 class _RouteRow(msgspec.Struct, rename="camel"):
@@ -55,13 +61,20 @@
     tenants: list[_TenantRow] | None = None
 
 
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
+
+
 class _DatabaseRow(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str = ""
-    state: str = "ready"
-    slots: int = 1
-    db_role: str = "replica"
+    service: _Text
+    address: _Text
+    zone: _Text
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    call_seq: int
+    db_role: Literal["primary", "replica"]
+    born: int | msgspec.UnsetType = msgspec.UNSET
 
 
 def hash_api_keys(value: bytes) -> bytes:
@@ -99,15 +112,22 @@
 
 
 def parse_database(database_id: str, value: bytes, revision: int) -> DatabaseRecord:
-    """Parses the row that a database wrote about itself. Raises ProtocolError."""
+    """Parses the row that a database wrote about itself.
+
+    Raises ProtocolError unless each field is there, of its type and one of the values that it can
+    have: the row may be of another writer, and then names no database to use.
+    """
     row = decode_json(value, _DatabaseRow)
-    role = DatabaseRole.PRIMARY if row.db_role == "primary" else DatabaseRole.REPLICA
+    try:
+        check_remote_address(row.address)
+    except ValueError as error:
+        raise ProtocolError(f"address {row.address!r}: {error}") from error
     return DatabaseRecord(
         database_id,
         row.service,
         row.address,
         row.zone,
-        role,
+        ROLES[row.db_role],
         row.state == DRAINING_STATE,
         row.slots,
         revision,
--- a/tests/platform/test_unreadable_entries.py
+++ b/tests/platform/test_unreadable_entries.py
@@ -6,12 +6,14 @@
 import json
 import threading
 import unittest
+from collections.abc import Iterator
 from typing import Any
 from unittest import mock
 
 import cbor2
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loguru import logger
 
 from dewledge.core.pooler.coordination_store import StoreRow
 from dewledge.core.pooler.failover.primary_lease import Fencing, PrimaryLeases
@@ -244,6 +246,95 @@
         self.assertEqual(self.services.routes.version, 7)
 
 
+class OtherWriterTest(DirectoryCase):
+    """Guards against an entry of another writer that names a database to use."""
+
+    FAULTS: tuple[tuple[str, object], ...] = (
+        ("state", "retired"),
+        ("state", 1),
+        ("state", None),
+        ("service", "unheard-of"),
+        ("service", "m" * 60_000),
+        ("service", ["menus"]),
+        ("address", "127.0.0.1"),
+        ("address", "127.0.0.1:0"),
+        ("address", "127.0.0.1:99999"),
+        ("address", "nowhere:7000"),
+        ("zone", 4),
+        ("zone", "z" * 60_000),
+        ("slots", 0),
+        ("slots", -1),
+        ("slots", 10**30),
+        ("slots", "3"),
+        ("slots", 2.5),
+        ("dbRole", "leader"),
+        ("version", 7),
+        ("coldRemainingMs", -1),
+        ("coldRemainingMs", "0"),
+        ("callSeq", "1"),
+        ("born", 1.5),
+        ("born", None),
+    )
+
+    def faulty_entries(self) -> Iterator[tuple[str, bytes]]:
+        fields = json.loads(entry("i-1"))
+        for name, value in self.FAULTS:
+            yield f"{name}={str(value)[:20]}", json.dumps({**fields, name: value}).encode()
+        for name in fields.keys() - {"name", "born"}:
+            rest = {key: value for key, value in fields.items() if key != name}
+            yield f"no {name}", json.dumps(rest).encode()
+
+    def test_it_names_no_database(self) -> None:
+        for name, value in self.faulty_entries():
+            with self.subTest(name):
+                self.reset()
+                self.directory.apply_database_rows((StoreRow("i-1", value, 3),), 3)
+                self.assertEqual(self.databases(), {})
+                self.assertEqual(set(self.services.groups), {"menus"})
+
+    def test_it_does_not_bring_back_a_database_that_is_gone(self) -> None:
+        for name, value in self.faulty_entries():
+            with self.subTest(name):
+                self.reset()
+                self.directory.apply_database_rows((StoreRow("i-1", entry("i-1"), 3),), 3)
+                self.directory.apply_database_rows((StoreRow("i-1", b"", 4, gone=True),), 4)
+                self.directory.apply_database_rows((StoreRow("i-1", value, 5),), 5)
+                self.assertEqual(self.databases(), {"i-1": True})
+
+    def test_database_whose_entry_turns_bad_counts_as_gone(self) -> None:
+        for is_whole in (True, False):
+            for name, value in self.faulty_entries():
+                with self.subTest(name, is_whole=is_whole):
+                    self.reset()
+                    self.directory.apply_database_rows((StoreRow("i-1", entry("i-1"), 3),), 3)
+                    rows = (StoreRow("i-1", value, 4),)
+                    if is_whole:
+                        self.directory.apply_database_snapshot(rows, 4)
+                    else:
+                        self.directory.apply_database_rows(rows, 4)
+                    self.assertEqual(self.databases(), {"i-1": True})
+                    rows = (StoreRow("i-1", entry("i-1"), 5),)
+                    self.directory.apply_database_rows(rows, 5)
+                    self.assertEqual(self.databases(), {"i-1": False})
+
+    def test_entry_that_comes_before_the_configuration_of_its_service(self) -> None:
+        fields = {**json.loads(entry("i-7")), "service": "later"}
+        self.directory.apply_database_rows((StoreRow("i-7", json.dumps(fields).encode(), 3),), 3)
+        services = [{"name": name, "maxConnections": 9} for name in ("menus", "later")]
+        value = json.dumps({"version": 2, "services": services}).encode()
+        self.directory.apply_configuration_rows((StoreRow("config", value, 4),), 4)
+        self.assertEqual(set(self.services.groups["later"].view.databases), {"i-7"})
+
+    def test_two_hundred_refused_entries_are_logged_once_each(self) -> None:
+        lines: list[str] = []
+        sink = logger.add(lambda message: lines.append(str(message)), level="ERROR")
+        self.addCleanup(logger.remove, sink)
+        for version in (3, 4):
+            rows = tuple(StoreRow(f"i-{n:03}", b"?", version) for n in range(200))
+            self.directory.apply_database_rows(rows, version)
+        self.assertEqual(len(lines), 200)
+
+
 class CoordinationRowsTest(unittest.TestCase):
     """Guards against claims that are not applied because a member's row failed."""
 
