Name all faults of a database's entry in its refusal

An operator sees one line for each refused entry, with every field that no database writes (database_entry_refused). The checks are a function beside the row's type, which is plain again: the fixtures of outside forms cannot show literal types.

--- a/src/dewledge/platform/operator_records.py
+++ b/src/dewledge/platform/operator_records.py
@@ -3,7 +3,9 @@
 A row that cannot be decoded raises ProtocolError; unknown fields are ignored.
 """
 
-from typing import Annotated, Any, Literal
+import math
+from collections.abc import Iterator
+from typing import Any
 
 import msgspec
 
@@ -17,6 +19,7 @@
 from dewledge.errors import ProtocolError
 
 DRAINING_STATE = "draining"
+STATES = ("ready", DRAINING_STATE)
 MAX_TEXT_LENGTH = 200
 """Characters of a text in a database's entry."""
 MAX_SLOTS = 1_000_000
@@ -61,20 +64,17 @@
     tenants: list[_TenantRow] | None = None
 
 
-_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
-
-
 class _DatabaseRow(msgspec.Struct, rename="camel"):
-    service: _Text
-    address: _Text
-    zone: _Text
+    service: str
+    address: str
+    zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
-    state: Literal["ready", "draining"]
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    slots: int
+    state: str
+    cold_remaining_ms: float
     call_seq: int
-    db_role: Literal["primary", "replica"]
-    born: int | msgspec.UnsetType = msgspec.UNSET
+    db_role: str
+    born: int = 0
 
 
 def hash_api_keys(value: bytes) -> bytes:
@@ -118,10 +118,9 @@
     have: the row may be of another writer, and then names no database to use.
     """
     row = decode_json(value, _DatabaseRow)
-    try:
-        check_remote_address(row.address)
-    except ValueError as error:
-        raise ProtocolError(f"address {row.address!r}: {error}") from error
+    faults = list(_faults_of_database(row))
+    if faults:
+        raise ProtocolError("; ".join(faults))
     return DatabaseRecord(
         database_id,
         row.service,
@@ -134,6 +133,25 @@
     )
 
 
+def _faults_of_database(row: _DatabaseRow) -> Iterator[str]:
+    """Returns why the fields of a row have values that no database writes."""
+    for name, text in (("service", row.service), ("zone", row.zone)):
+        if not 1 <= len(text) <= MAX_TEXT_LENGTH:
+            yield f"{name}: must have 1 to {MAX_TEXT_LENGTH} characters"
+    try:
+        check_remote_address(row.address[:MAX_TEXT_LENGTH])
+    except ValueError as error:
+        yield f"address: {error}"
+    if row.state not in STATES:
+        yield f"state: {row.state[:MAX_TEXT_LENGTH]!r} is unknown"
+    if row.db_role not in ROLES:
+        yield f"dbRole: {row.db_role[:MAX_TEXT_LENGTH]!r} is unknown"
+    if not 1 <= row.slots <= MAX_SLOTS:
+        yield f"slots: must be 1 to {MAX_SLOTS}"
+    if not 0 <= row.cold_remaining_ms < math.inf:
+        yield "coldRemainingMs: must be a finite number of at least 0"
+
+
 def _build_route(row: _RouteRow) -> Route:
     try:
         consistency = Consistency(row.type)
