Take no answer of a primary that lacks commits known when it was asked

Cause: a read that only a primary accepts counted as proof that its database has each commit; the position in the answer (0.0 after 1.6) was not compared with what had been proven.

An answer of the primary below the newest proof and the newest term that were known at the sending refutes the database as primary; a read is repeated, a write is in doubt, and a failover follows. After 30 s in which no database has shown the commits the rule ends, or the group would stay without a primary for good.

--- a/src/dewledge/core/pooler/databases/group.py
+++ b/src/dewledge/core/pooler/databases/group.py
@@ -33,6 +33,11 @@
 from dewledge.core.pooler.statements.targets import Proof, ReadRequirements, Target, read_floor
 from dewledge.core.shared.positions import LogPosition
 
+LOST_LOG_TIMEOUT_SECONDS = 30.0
+"""Seconds for which a primary that lacks known commits is refused, while no database holds them."""
+NO_POSITION = LogPosition(0, 0)
+"""The lowest position of a log."""
+
 
 class Group:
     """Holds a group's current view and everything this process tracks about its databases."""
@@ -75,6 +80,7 @@
         self._drain_bound = drain_bound
         self._suspected: str | None = None
         self._answered_at: dict[str, float] = {}
+        self._log_lost_since: float | None = None
         self._observed_terms: dict[str, int] = {}
         self._lags = ReplicaLags(self.history)
         self._proof_request = ProofRequest(self.history, clock)
@@ -140,6 +146,30 @@
         proof = self.history.floor(at, 0.0)
         return None if proof is None else proof.position
 
+    @property
+    def min_primary_position(self) -> LogPosition:
+        """A position that the present primary has reached: its term and log never go back.
+
+        The lowest one if no database has shown such a position for LOST_LOG_TIMEOUT_SECONDS since
+        the primary's log was found to be lost: the group would stay without a primary for good.
+        """
+        lost_since = self._log_lost_since
+        if lost_since is not None and self._clock() >= lost_since + LOST_LOG_TIMEOUT_SECONDS:
+            return NO_POSITION
+        return self._newest_known_position
+
+    @property
+    def _newest_known_position(self) -> LogPosition:
+        proof = self.history.newest
+        claim = self.primary_lease.claim
+        term = max(self.newest_term, 0 if claim is None else claim.term)
+        return max(LogPosition(term, 0), NO_POSITION if proof is None else proof.position)
+
+    def record_lost_log(self) -> None:
+        """Records that a database answered as primary and lacks commits that the group had."""
+        if self._log_lost_since is None:
+            self._log_lost_since = self._clock()
+
     def serves_until(self, database_id: str) -> float:
         """Returns until when a draining primary gets work; infinity if it is not draining."""
         since = self.view.draining_since.get(database_id)
@@ -229,6 +259,8 @@
         now = self._clock()
         self._answered_at[database_id] = now
         self._observed_terms[database_id] = position.term
+        if self._log_lost_since is not None and position >= self._newest_known_position:
+            self._log_lost_since = None
         self.newest_term = max(self.newest_term, position.term)
         self._lags.observe(database_id, position, now)
 
--- a/src/dewledge/core/pooler/statements/primary_lease_use.py
+++ b/src/dewledge/core/pooler/statements/primary_lease_use.py
@@ -4,10 +4,11 @@
 lease rules themselves are in core/pooler/failover/primary_lease.py.
 """
 
-from dewledge.core.pooler.databases.group import Group
+from dewledge.core.pooler.databases.group import NO_POSITION, Group
 from dewledge.core.pooler.sessions.session_state import OpenTransaction
 from dewledge.core.pooler.statements.statements import StatementKind
 from dewledge.core.pooler.statements.targets import Proof, Target
+from dewledge.core.shared.positions import LogPosition
 
 
 class PrimaryLeaseUse:
@@ -23,6 +24,7 @@
         self._is_commit = is_commit
         self._target: Target | None = None
         self._fencing_token = 0
+        self._min_primary_position = NO_POSITION
         self.opens_primary_transaction = False
         """Whether the attempt opens a transaction that only the primary accepts."""
 
@@ -56,16 +58,29 @@
 
     def lacks_lease(self, database_id: str) -> bool:
         """Returns whether the statement requires the primary but the lease forbids its use."""
+        return self._needs_primary and not self._group.may_lead(database_id)
+
+    @property
+    def _needs_primary(self) -> bool:
         transaction, target = self._transaction, self._target
         if transaction is not None and transaction.connection is not None:
-            needs_primary = transaction.requires_primary
-        else:
-            needs_primary = target is not None and target.proof is not Proof.FLOOR
-        return needs_primary and not self._group.may_lead(database_id)
+            return transaction.requires_primary
+        return target is not None and target.proof is not Proof.FLOOR
+
+    def lacks_log(self, position: LogPosition | None) -> bool:
+        """Returns whether the database cannot be the primary by the position in its answer.
+
+        A primary holds each commit that was acknowledged before the statement was sent. One that
+        started again without its log answers with a lower position.
+        """
+        if position is None or not self._needs_primary:
+            return False
+        return position < self._min_primary_position
 
     def record_send(self) -> None:
-        """Records the fencing token under which the statement is sent."""
+        """Records the fencing token, and the lowest position of a primary, as of the sending."""
         self._fencing_token = self._group.primary_lease.fencing_token
+        self._min_primary_position = self._group.min_primary_position
 
     def record_success(self, database_id: str) -> None:
         """Records the database as proven primary if only a primary could have run the statement."""
--- a/src/dewledge/core/pooler/statements/statement_run.py
+++ b/src/dewledge/core/pooler/statements/statement_run.py
@@ -166,6 +166,11 @@
         elif reply.failure is None and self._has_lost_lease():
             self._record_attempt("answer_without_right")
             self._lost(Trouble.NO_LEASE)
+        elif reply.failure is None and self._lease.lacks_log(reply.position):
+            self._record_attempt("answer_without_log")
+            self._scope.group.record_lost_log()
+            self._held.refute_primary(self._scope.statement.id)
+            self._lost(Trouble.NO_LEASE)
         elif reply.failure is not None:
             self._record_attempt(reply.failure.code)
             self._on_failure(reply, reply.failure)
--- a/tests/core/pooler/test_random_days.py
+++ b/tests/core/pooler/test_random_days.py
@@ -14,6 +14,7 @@
 from dewledge.core.pooler.sharing.channel_session import ChannelSession
 from dewledge.core.pooler.sharing.messages import ProvenAge
 from dewledge.core.pooler.statements import connection_setup, statement_run
+from dewledge.core.pooler.statements.primary_lease_use import PrimaryLeaseUse
 from dewledge.core.pooler.statements.statements import Reply, TransactionState
 from dewledge.core.pooler.statements.targets import Proof, ReadRequirements, Target
 from tests.core.pooler.random_day import RandomDay
@@ -84,6 +85,8 @@
             return [Target(target.database, Proof.NONE, target.floor) for target in found]
 
         self.swap(Group, "targets", targets)
+        # It would find the replaced primary by its log.
+        self.swap(PrimaryLeaseUse, "lacks_log", lambda _use, _position: False)
         self.assert_violation("primary read", 80)
 
     def test_checker_finds_read_from_lagging_replica(self) -> None:
--- a/tests/core/pooler/test_use_of_primary.py
+++ b/tests/core/pooler/test_use_of_primary.py
@@ -2,10 +2,12 @@
 
 import unittest
 
+from dewledge.core.pooler.databases.group import LOST_LOG_TIMEOUT_SECONDS
 from dewledge.core.pooler.failover.messages import Claim
 from dewledge.core.pooler.failover.primary_lease import LEASE_SECONDS, Fencing, PrimaryLease
 from dewledge.core.pooler.sessions.routes import Consistency
 from dewledge.core.pooler.statements.statements import StatementKind, TransactionState
+from dewledge.core.shared.positions import LogPosition
 from dewledge.errors import ErrorCode
 from tests.core.pooler.harness import PoolerHarness, SessionProbe
 
@@ -87,6 +89,50 @@
         self.harness.scheduler.advance(LEASE_SECONDS + 1.0)
         self.assertIsNone(self.harness.group.history.newest)
 
+    def test_primary_that_started_again_without_its_log_is_not_read(self) -> None:
+        """Guards against reads that miss all commits of the former database under the same id."""
+        for position in (LogPosition(0, 0), LogPosition(1, 0)):
+            with self.subTest(position):
+                self.setUp()
+                self.confirm()
+                session = self.session(Consistency.PRIMARY)
+                session.write()
+                read = session.start(StatementKind.READ, argument="thing")
+                self.harness.scheduler.advance(0.1)
+                self.assertIsNone(session.reply(read).failure)
+                self.harness.model.databases["p"].applied = position
+                read = session.start(StatementKind.READ, argument="thing")
+                self.harness.scheduler.advance(2.0)
+                self.assertIsNotNone(session.reply(read).failure)
+                self.assertIsNone(self.harness.group.view.primary)
+
+    def test_primary_without_its_log_is_used_again_if_no_database_holds_the_commits(self) -> None:
+        """Guards against a group that stays without a primary for good."""
+        self.confirm()
+        session = self.session(Consistency.PRIMARY)
+        session.write()
+        for database in self.harness.model.databases.values():
+            database.applied = LogPosition(0, 0)
+        answered_after = 0.0
+        for number in range(50):
+            self.harness.announce("p")
+            self.confirm()
+            read = session.start(StatementKind.READ, argument="thing")
+            self.harness.scheduler.advance(1.0)
+            if session.reply(read).failure is None:
+                answered_after = float(number)
+                break
+        self.assertGreaterEqual(answered_after, LOST_LOG_TIMEOUT_SECONDS - 2.0)
+
+    def test_write_at_a_primary_without_its_log_is_in_doubt(self) -> None:
+        self.confirm()
+        session = self.session()
+        session.write()
+        self.harness.model.databases["p"].applied = LogPosition(0, 0)
+        reply = session.write()
+        assert reply.failure is not None
+        self.assertIs(reply.failure.code, ErrorCode.CONNECTION_LOST)
+
     def test_transaction_on_banned_primary_is_lost(self) -> None:
         self.confirm()
         session = self.session()
--- a/tests/unfenced/test_guards.py
+++ b/tests/unfenced/test_guards.py
@@ -29,7 +29,12 @@
 class GuardsTest(unittest.TestCase):
     def test_without_it_a_replaced_primary_is_used(self) -> None:
         for name, owner, method, answer, seeds in GUARDS:
-            with self.subTest(name), mock.patch.object(owner, method, constant(answer)):
+            with (
+                self.subTest(name),
+                mock.patch.object(owner, method, constant(answer)),
+                # It would find some of the replaced primaries by their logs.
+                mock.patch.object(PrimaryLeaseUse, "lacks_log", constant(False)),
+            ):
                 found = [v for seed in seeds for v in UnfencedDay(seed).play(SECONDS).violations()]
                 self.assertTrue(any("committed" in violation for violation in found), found)
 
