Wait for a replica whose entry was removed until it answers or is given up

Cause: CommitProof took a database whose entry was removed for one that acknowledges nothing from then on.

--- a/src/dewledge/core/pooler/databases/group.py
+++ b/src/dewledge/core/pooler/databases/group.py
@@ -141,11 +141,6 @@
         usable = self.view.accepts_work(primary.id, self._clock(), self._drain_bound)
         return primary if usable else None
 
-    def proven_since(self, at: float) -> LogPosition | None:
-        """Returns a position that covers every commit acknowledged until `at`, None if unknown."""
-        proof = self.history.floor(at, 0.0)
-        return None if proof is None else proof.position
-
     @property
     def min_primary_position(self) -> LogPosition:
         """A position that the present primary has reached: its term and log never go back.
--- a/src/dewledge/core/pooler/failover/candidate_choice.py
+++ b/src/dewledge/core/pooler/failover/candidate_choice.py
@@ -38,7 +38,6 @@
 from dewledge.core.pooler.failover.primary_lease import LONG_AGO, Fencing, PrimaryLease
 from dewledge.core.pooler.failover.situation import Situation
 from dewledge.core.pooler.failover.survey import StatusSurvey
-from dewledge.core.shared.positions import LogPosition
 
 STATUS_WAIT_SECONDS = 0.3
 """Seconds that the selection waits for the statuses of all databases. If the platform fences old
@@ -264,7 +263,7 @@
         copies = possible_copies(situation.view, self._loss.replaced, situation.now)
         proof = self._proof.check(
             [*names, *self._draining_candidates(copies, situation)],
-            Copies(copies, _departed(situation), situation.log.synchronous_replicas or 0),
+            Copies(copies, situation.log.synchronous_replicas or 0),
             statuses,
             None if final is None else final.received,
         )
@@ -282,9 +281,3 @@
         ]
         observed, newest = situation.log.observed_term, self.newest_term(situation)
         return following_databases(names, survey.statuses, observed, newest)
-
-
-def _departed(situation: Situation) -> dict[str, LogPosition | None]:
-    """Returns, for each departed database, a position that covers all commits until then."""
-    since = situation.view.departed_since
-    return {name: situation.log.proven_since(at) for name, at in since.items()}
--- a/src/dewledge/core/pooler/failover/commit_proof.py
+++ b/src/dewledge/core/pooler/failover/commit_proof.py
@@ -30,12 +30,11 @@
 class Copies(msgspec.Struct, frozen=True):
     """The databases, without the old primary, that may have received a commit.
 
-    departed: for those whose entry was removed, a position that covers all commits acknowledged
-    until then, None if none is known. synchronous_replicas: see GroupLog.
+    Includes those whose entry was removed: they receive and acknowledge until they end.
+    synchronous_replicas: see GroupLog.
     """
 
     names: Sequence[str]
-    departed: Mapping[str, LogPosition | None]
     synchronous_replicas: int
 
 
@@ -116,16 +115,11 @@
         stopped = {name: status.received for name, status in sorted(self._stopped.items())}
         unknown = tuple(name for name in copies.names if name not in stopped)
 
-        def is_covered(departed: str, received: LogPosition) -> bool:
-            # A departed database that does not answer has acknowledged nothing since.
-            position = copies.departed.get(departed)
-            return position is not None and received >= position
-
         def is_proven(name: str) -> bool:
             received = statuses[name].received
             if final is not None and received >= final:
                 return True
-            others = [each for each in unknown if each != name and not is_covered(each, received)]
+            others = [each for each in unknown if each != name]
             is_ahead = all(received >= position for position in stopped.values())
             # The others that may still receive commits are too few to acknowledge one.
             return is_ahead and len(others) < copies.synchronous_replicas
--- a/src/dewledge/core/pooler/failover/situation.py
+++ b/src/dewledge/core/pooler/failover/situation.py
@@ -8,22 +8,19 @@
 from dewledge.core.pooler.databases.group_view import GroupView
 from dewledge.core.pooler.failover.messages import FailoverEffect, RegisteredProcesses
 from dewledge.core.pooler.failover.phases import PhaseEnd
-from dewledge.core.shared.positions import LogPosition
 
 
 class GroupLog(msgspec.Struct, frozen=True):
     """What this process knows of a group's log, and which commits a new primary must hold.
 
     synchronous_replicas: replicas that must receive a commit before it is acknowledged, None while
-    the configuration is unknown. proven_since: returns a position that covers every commit
-    acknowledged until a time (steady clock, seconds), None if none is known. newest_term: highest
-    term in an answer of a database. observed_term: returns the term in a database's last answer, 0
-    without one. serves_until: returns until when a draining primary gets work (steady clock).
-    may_be_copy: whether the databases may be known from an older copy of the store alone.
+    the configuration is unknown. newest_term: highest term in an answer of a database.
+    observed_term: returns the term in a database's last answer, 0 without one. serves_until:
+    returns until when a draining primary gets work (steady clock). may_be_copy: whether the
+    databases may be known from an older copy of the store alone.
     """
 
     synchronous_replicas: int | None = 0
-    proven_since: Callable[[float], LogPosition | None] = lambda _at: None
     newest_term: int = 0
     observed_term: Callable[[str], int] = lambda _name: 0
     serves_until: Callable[[str], float] = lambda _name: -math.inf
--- a/src/dewledge/shell/pooler/failover/failover_driver.py
+++ b/src/dewledge/shell/pooler/failover/failover_driver.py
@@ -261,7 +261,6 @@
     def _log_of(self, group: Group) -> GroupLog:
         return GroupLog(
             self._context.synchronous_replicas(group.view.name),
-            group.proven_since,
             group.newest_term,
             group.observed_term,
             group.serves_until,
--- a/tests/core/pooler/failover/test_commit_proof.py
+++ b/tests/core/pooler/failover/test_commit_proof.py
@@ -57,7 +57,7 @@
             proof.add(ReplicationStopped(name, 2, at(offset)), 0.0)
         read = {name: at(offset) for name, offset in statuses.items()}
         position = None if final is None else LogPosition(1, final)
-        copies = Copies(("r1", "r2", "r3"), {}, synchronous_replicas)
+        copies = Copies(("r1", "r2", "r3"), synchronous_replicas)
         return proof.check(copies.names, copies, read, position).proven
 
     def test_candidates_are_proven_by_final_position_or_by_stopped_replicas(self) -> None:
@@ -83,7 +83,7 @@
         for status in (None, at(6, is_primary=True), at(6, term=2)):
             proof = CommitProof()
             proof.add(ReplicationStopped("r2", 2, status), 0.0)
-            check = proof.check(("r1",), Copies(("r1", "r2"), {}, 1), {"r1": at(6)}, None)
+            check = proof.check(("r1",), Copies(("r1", "r2"), 1), {"r1": at(6)}, None)
             self.assertEqual((check.proven, check.unknown), ((), ("r1", "r2")), status)
 
 
@@ -94,7 +94,7 @@
     def handle_with(
         self, event: FailoverEvent, members: Sequence[str], registered: RegisteredProcesses
     ) -> Sequence[FailoverEffect]:
-        log = GroupLog(self.synchronous_replicas, lambda _at: self.proven)
+        log = GroupLog(self.synchronous_replicas)
         effects = self.failover.handle(event, self.view, members, self.now, registered, log)
         self.effects += effects
         return effects
@@ -167,15 +167,24 @@
         self.report(r1=4)
         self.assertEqual(self.promoted(), ["r1"])
 
-    def test_departed_replica_is_not_awaited_by_a_candidate_with_all_it_can_have(self) -> None:
-        """Guards against a group without a primary because of a database lost long before."""
+    def test_departed_replica_is_awaited_until_it_answers(self) -> None:
+        """Guards against lost commits: it acknowledges them until it ends."""
         self.view = self.view.with_departure("r2", 99, self.now)
-        for position, expected in ((LogPosition(1, 5), []), (LogPosition(1, 4), ["r1"])):
-            self.proven = position
-            self.claim_lost_primary()
-            self.report(r1=4)
-            self.advance(0.5)
-            self.assertEqual(self.promoted()[:1], expected)
+        self.claim_lost_primary()
+        self.report(r1=4)
+        self.advance(0.5)
+        self.assertEqual(self.promoted(), [])
+        self.stop(r1=4, r2=4)
+        self.advance(0.2)
+        self.assertEqual(self.promoted()[:1], ["r1"])
+
+    def test_departed_replica_that_never_answers_is_given_up(self) -> None:
+        """Guards against a group without a primary because of a database lost long before."""
+        self.view = self.view.with_departure("r2", 99, self.now - LOST_COPY_TIMEOUT_SECONDS)
+        self.claim_lost_primary()
+        self.report(r1=4)
+        self.advance(0.5)
+        self.assertEqual(self.promoted()[:1], ["r1"])
 
     def test_check_is_logged_once_for_each_result(self) -> None:
         self.claim_lost_primary()
