Forget answers of voters with the claim that they were about; one failure path for a table's reader

Found by reading the change: a process that had asked about one claim and then learned of a newer one of the former era would have written that one again without asking about it.

test_answers_on_an_earlier_claim_do_not_count_for_a_newer_one writes a claim at once without the change. The reader of a table had the same two handlers twice.

--- a/src/dewledge/core/pooler/failover/primary_lease.py
+++ b/src/dewledge/core/pooler/failover/primary_lease.py
@@ -114,6 +114,7 @@
             return False
         self.claim = claim
         self.overlooked_claim = None
+        self.confirmed_era = 0
         return True
 
     def _record_overlooked(self, claim: Claim) -> None:
--- a/src/dewledge/shell/pooler/tables/table_watcher.py
+++ b/src/dewledge/shell/pooler/tables/table_watcher.py
@@ -138,22 +138,16 @@
         except HistoryLost:
             logger.bind(table=self._table, after=self._newest_version).info("store_history_lost")
             self._read_whole_after_loss()
-        except StoreError as error:
-            self._pause_after(error)
         except Exception as error:
             # Nobody else reads the table: the watcher goes on whatever one answer held.
-            logger.bind(table=self._table).exception("table_read_failed")
-            self._pause_after(StoreError(f"cannot use the answer: {error!r}"))
+            self._pause_after(error)
 
     def _read_whole_after_loss(self) -> None:
         try:
             self._read_whole()
             self._record_success()
-        except StoreError as error:
-            self._pause_after(error)
         except Exception as error:
-            logger.bind(table=self._table).exception("table_read_failed")
-            self._pause_after(StoreError(f"cannot use the answer: {error!r}"))
+            self._pause_after(error)
 
     def _read_whole(self) -> None:
         limit = FIRST_READ_TIMEOUT_SECONDS if self._newest_version < 0 else CALL_TIMEOUT_SECONDS
@@ -225,9 +219,11 @@
     def _post_delta(self, delta: TableDelta, confirmed_at: float) -> None:
         self._post(lambda: self._on_delta(delta, confirmed_at))
 
-    def _pause_after(self, error: StoreError) -> None:
+    def _pause_after(self, error: Exception) -> None:
         self._failures += 1
-        if self._failures == 1:
+        if not isinstance(error, StoreError):
+            logger.bind(table=self._table).exception("table_read_failed")
+        elif self._failures == 1:
             logger.bind(table=self._table, error=error.message).warning("store_lost")
         else:
             logger.bind(table=self._table, failures=self._failures, error=error.message).info(
--- a/tests/core/pooler/failover/test_claim_restatement.py
+++ b/tests/core/pooler/failover/test_claim_restatement.py
@@ -239,6 +239,13 @@
         expected = WriteClaim("", combine(1, 8), "p", MEMBERS, (MEMBERS,), "p", term=2, restates=24)
         self.assertEqual(self.writes(), [expected])
 
+    def test_answers_on_an_earlier_claim_do_not_count_for_a_newer_one(self) -> None:
+        self.restore(COPIED)
+        self.confirm_by_voters()
+        self.handle(ClaimReceived(Claim("a", "", 24, "p", MEMBERS)))
+        self.advance(RESTATEMENT_SPREAD_SECONDS + 0.1)
+        self.assertEqual(self.writes(), [])
+
     def test_other_processes_leave_it_to_the_holder_at_first(self) -> None:
         self.restore(NEWEST)
         self.confirm_by_voters()
@@ -330,6 +337,12 @@
         self.advance(RESTATEMENT_SPREAD_SECONDS + 0.7)
         self.assertEqual(self.writes()[0].term, 2)
 
+    def test_answers_on_an_earlier_claim_do_not_count_for_a_newer_one(self) -> None:
+        """Here nobody is asked: the token alone decides."""
+        self.restore(Claim("a", "", 24))
+        self.advance(RESTATEMENT_SPREAD_SECONDS + 0.1)
+        self.assertEqual(len(self.writes()), 1)
+
     def test_primary_is_not_judged_before_the_claim_stands_again(self) -> None:
         """Here it is: the promotion under an earlier token is fenced by the platform."""
         self.restore(NEWEST)
